--- /dev/null
+++ b/oleandermoor-benchmark/src/main/java/io/oleandermoor/benchmark/package-info.java
@@ -0,0 +1,5 @@
+/** Root of the benchmark module. */
+@NullMarked
+package io.oleandermoor.benchmark;
+
+import org.jspecify.annotations.NullMarked;
