--- a/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/package-info.java
+++ b/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/package-info.java
@@ -1,4 +1,4 @@
-/** Root of the coordination module. */
+/** Coordination between processes: the key-value service, ownership, configuration, dissemination and membership. */
 @NullMarked
 package io.oleandermoor.coordination;
 
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/ChangeApplier.java
@@ -0,0 +1,100 @@
+package io.oleandermoor.state.configuration;
+
+import io.oleandermoor.state.finding.Findings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Predicate;
+
+/** Applies changes to a document. */
+final class ChangeApplier {
+
+    private final List<Team> teams;
+    private final List<ApiKey> keys;
+    private final List<Model> models;
+    private final List<Adapter> adapters;
+    private final List<Route> routes;
+
+    private ChangeApplier(ConfigurationDocument document) {
+        teams = new ArrayList<>(document.teams());
+        keys = new ArrayList<>(document.keys());
+        models = new ArrayList<>(document.models());
+        adapters = new ArrayList<>(document.adapters());
+        routes = new ArrayList<>(document.routes());
+    }
+
+    static ConfigurationDocument apply(ConfigurationDocument document, List<Change> changes, Findings findings) {
+        ChangeApplier applier = new ChangeApplier(document);
+        for (int index = 0; index < changes.size(); index++) {
+            applier.apply(changes.get(index), "changes[" + index + "]", findings);
+        }
+        return new ConfigurationDocument(applier.teams, applier.keys, applier.models, applier.adapters, applier.routes);
+    }
+
+    private void apply(Change change, String place, Findings findings) {
+        if (change instanceof Change.PutTeam put) {
+            replace(teams, put.team(), team -> team.name().equals(put.team().name()));
+        } else if (change instanceof Change.RemoveTeam remove) {
+            remove(teams, team -> team.name().equals(remove.team()), place, "team '" + remove.team() + "'", findings);
+            keys.removeIf(key -> key.team().equals(remove.team()));
+        } else if (change instanceof Change.IssueKey issue) {
+            issueKey(issue.key(), place, findings);
+        } else if (change instanceof Change.RevokeKey revoke) {
+            remove(keys, key -> key.id().equals(revoke.keyId()), place, "key '" + revoke.keyId() + "'", findings);
+        } else if (change instanceof Change.PutModel put) {
+            replace(
+                    models,
+                    put.model(),
+                    model -> model.name().equals(put.model().name()));
+        } else if (change instanceof Change.RemoveModel remove) {
+            remove(
+                    models,
+                    model -> model.name().equals(remove.model()),
+                    place,
+                    "model '" + remove.model() + "'",
+                    findings);
+        } else if (change instanceof Change.PutAdapter put) {
+            replace(
+                    adapters,
+                    put.adapter(),
+                    adapter -> adapter.name().equals(put.adapter().name()));
+        } else if (change instanceof Change.RemoveAdapter remove) {
+            remove(
+                    adapters,
+                    adapter -> adapter.name().equals(remove.adapter()),
+                    place,
+                    "adapter '" + remove.adapter() + "'",
+                    findings);
+        } else if (change instanceof Change.PutRoute put) {
+            replace(
+                    routes,
+                    put.route(),
+                    route -> route.name().equals(put.route().name()));
+        } else if (change instanceof Change.RemoveRoute remove) {
+            remove(
+                    routes,
+                    route -> route.name().equals(remove.route()),
+                    place,
+                    "route '" + remove.route() + "'",
+                    findings);
+        }
+    }
+
+    private void issueKey(ApiKey issued, String place, Findings findings) {
+        if (keys.stream().anyMatch(key -> key.id().equals(issued.id()))) {
+            findings.error(place, "key '" + issued.id() + "' is issued already");
+            return;
+        }
+        keys.add(issued);
+    }
+
+    private static <T> void replace(List<T> list, T element, Predicate<T> same) {
+        list.removeIf(same);
+        list.add(element);
+    }
+
+    private static <T> void remove(List<T> list, Predicate<T> same, String place, String what, Findings findings) {
+        if (!list.removeIf(same)) {
+            findings.error(place, what + " does not exist");
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/Configuration.java
@@ -0,0 +1,237 @@
+package io.oleandermoor.state.configuration;
+
+import io.oleandermoor.state.finding.Findings;
+import io.oleandermoor.state.finding.InvalidInputException;
+import io.oleandermoor.state.identity.AdapterName;
+import io.oleandermoor.state.identity.KeyHash;
+import io.oleandermoor.state.identity.ModelName;
+import io.oleandermoor.state.identity.RouteName;
+import io.oleandermoor.state.identity.TeamName;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the configuration. Immutable and safe for use by several threads. */
+public final class Configuration {
+
+    private static final Configuration EMPTY =
+            new Configuration(0, new ConfigurationDocument(List.of(), List.of(), List.of(), List.of(), List.of()));
+
+    private final long version;
+    private final Map<TeamName, Team> teams = new HashMap<>();
+    private final Map<KeyHash, ApiKey> keysByHash = new HashMap<>();
+    private final Map<String, ApiKey> keysById = new HashMap<>();
+    private final Map<ModelName, Model> models = new HashMap<>();
+    private final Map<AdapterName, Adapter> adapters = new HashMap<>();
+    private final Map<RouteName, Route> routes = new HashMap<>();
+    private final List<Route> routesByPath;
+
+    private Configuration(long version, ConfigurationDocument document) {
+        this.version = version;
+        document.teams().forEach(team -> teams.put(team.name(), team));
+        document.keys().forEach(key -> {
+            keysByHash.put(key.hash(), key);
+            keysById.put(key.id(), key);
+        });
+        document.models().forEach(model -> models.put(model.name(), model));
+        document.adapters().forEach(adapter -> adapters.put(adapter.name(), adapter));
+        document.routes().forEach(route -> routes.put(route.name(), route));
+        routesByPath = routes.values().stream()
+                .sorted(Comparator.comparingInt((Route route) -> -route.path().length())
+                        .thenComparing(Route::name))
+                .toList();
+    }
+
+    /**
+     * Returns the configuration before the first change.
+     *
+     * @return version 0, without teams, models or routes
+     */
+    public static Configuration empty() {
+        return EMPTY;
+    }
+
+    /**
+     * Returns a configuration with the content of a document.
+     *
+     * @param version the version, at least 0
+     * @param document the content
+     * @return the configuration
+     * @throws InvalidInputException if the document contradicts itself
+     */
+    public static Configuration of(long version, ConfigurationDocument document) throws InvalidInputException {
+        if (version < 0) {
+            throw new IllegalArgumentException("version must not be negative: " + version);
+        }
+        Findings findings = new Findings();
+        ConfigurationValidator.validate(document, findings);
+        findings.throwIfErrors();
+        return new Configuration(version, document);
+    }
+
+    /**
+     * Returns the configuration after a set of changes. Either all changes apply or none.
+     *
+     * @param changeSet the changes
+     * @return the next version
+     * @throws InvalidInputException if the result contradicts itself or a change names something that does not exist
+     */
+    public Configuration apply(ChangeSet changeSet) throws InvalidInputException {
+        Findings findings = new Findings();
+        ConfigurationDocument next = ChangeApplier.apply(toDocument(), changeSet.changes(), findings);
+        ConfigurationValidator.validate(next, findings);
+        findings.throwIfErrors();
+        return new Configuration(version + 1, next);
+    }
+
+    /**
+     * Returns the version.
+     *
+     * @return 0 for the empty configuration, one more for each accepted set of changes
+     */
+    public long version() {
+        return version;
+    }
+
+    /**
+     * Returns a team.
+     *
+     * @param name the name of the team
+     * @return the team, or empty if there is none of that name
+     */
+    public Optional<Team> team(TeamName name) {
+        return Optional.ofNullable(teams.get(name));
+    }
+
+    /**
+     * Returns the key with a hash.
+     *
+     * @param hash the hash of the key that a caller presented
+     * @return the key, or empty if it was never issued or was revoked
+     */
+    public Optional<ApiKey> key(KeyHash hash) {
+        return Optional.ofNullable(keysByHash.get(hash));
+    }
+
+    /**
+     * Returns the key with a public identifier.
+     *
+     * @param id the public identifier
+     * @return the key, or empty if it was never issued or was revoked
+     */
+    public Optional<ApiKey> keyById(String id) {
+        return Optional.ofNullable(keysById.get(id));
+    }
+
+    /**
+     * Returns a model.
+     *
+     * @param name the name of the model
+     * @return the model, or empty if it is not configured
+     */
+    public Optional<Model> model(ModelName name) {
+        return Optional.ofNullable(models.get(name));
+    }
+
+    /**
+     * Returns an adapter.
+     *
+     * @param name the name of the adapter
+     * @return the adapter, or empty if it is not configured
+     */
+    public Optional<Adapter> adapter(AdapterName name) {
+        return Optional.ofNullable(adapters.get(name));
+    }
+
+    /**
+     * Returns the route for a call. The longest matching path prefix wins. A prefix matches whole path segments.
+     *
+     * @param method the HTTP method
+     * @param path the path of the call
+     * @return the route, or empty if no route matches
+     */
+    public Optional<Route> route(String method, String path) {
+        for (Route route : routesByPath) {
+            if (route.method().equals(method) && covers(route.path(), path)) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /**
+     * Returns the teams.
+     *
+     * @return an unmodifiable view, in no particular order
+     */
+    public Collection<Team> teams() {
+        return Collections.unmodifiableCollection(teams.values());
+    }
+
+    /**
+     * Returns the keys.
+     *
+     * @return an unmodifiable view, in no particular order
+     */
+    public Collection<ApiKey> keys() {
+        return Collections.unmodifiableCollection(keysById.values());
+    }
+
+    /**
+     * Returns the models.
+     *
+     * @return an unmodifiable view, in no particular order
+     */
+    public Collection<Model> models() {
+        return Collections.unmodifiableCollection(models.values());
+    }
+
+    /**
+     * Returns the adapters.
+     *
+     * @return an unmodifiable view, in no particular order
+     */
+    public Collection<Adapter> adapters() {
+        return Collections.unmodifiableCollection(adapters.values());
+    }
+
+    /**
+     * Returns the routes.
+     *
+     * @return an unmodifiable view, in no particular order
+     */
+    public Collection<Route> routes() {
+        return Collections.unmodifiableCollection(routes.values());
+    }
+
+    /**
+     * Returns the content as a document, each list in the order of its names.
+     *
+     * @return the document
+     */
+    public ConfigurationDocument toDocument() {
+        return new ConfigurationDocument(
+                teams.values().stream().sorted(Comparator.comparing(Team::name)).toList(),
+                keysById.values().stream()
+                        .sorted(Comparator.comparing(ApiKey::id))
+                        .toList(),
+                models.values().stream()
+                        .sorted(Comparator.comparing(Model::name))
+                        .toList(),
+                adapters.values().stream()
+                        .sorted(Comparator.comparing(Adapter::name))
+                        .toList(),
+                routes.values().stream()
+                        .sorted(Comparator.comparing(Route::name))
+                        .toList());
+    }
+
+    private static boolean covers(String prefix, String path) {
+        return path.startsWith(prefix)
+                && (path.length() == prefix.length() || prefix.endsWith("/") || path.charAt(prefix.length()) == '/');
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/ConfigurationValidator.java
@@ -0,0 +1,124 @@
+package io.oleandermoor.state.configuration;
+
+import io.oleandermoor.state.finding.Findings;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.Function;
+
+/** Checks that a configuration document does not contradict itself. */
+public final class ConfigurationValidator {
+
+    private ConfigurationValidator() {}
+
+    /**
+     * Checks a document and adds everything that is wrong to the findings.
+     *
+     * @param document the document
+     * @param findings receives the problems, with the path of the offending value as place
+     */
+    public static void validate(ConfigurationDocument document, Findings findings) {
+        checkUnique("teams", document.teams(), Team::name, findings);
+        checkUnique("keys", document.keys(), ApiKey::id, findings);
+        checkUnique("models", document.models(), Model::name, findings);
+        checkUnique("adapters", document.adapters(), Adapter::name, findings);
+        checkUnique("routes", document.routes(), Route::name, findings);
+        checkTeams(document, findings);
+        checkKeys(document, findings);
+        checkModels(document, findings);
+        checkAdapters(document, findings);
+        checkRoutes(document, findings);
+    }
+
+    private static <T, K> void checkUnique(String list, List<T> elements, Function<T, K> identity, Findings findings) {
+        Set<K> seen = new HashSet<>();
+        for (int index = 0; index < elements.size(); index++) {
+            K key = identity.apply(elements.get(index));
+            if (!seen.add(key)) {
+                findings.error(place(list, index), "'" + key + "' is defined more than once");
+            }
+        }
+    }
+
+    private static void checkTeams(ConfigurationDocument document, Findings findings) {
+        for (int index = 0; index < document.teams().size(); index++) {
+            Team team = document.teams().get(index);
+            String place = place("teams", index);
+            checkPositive(place + ".rate", team.rate(), findings);
+            checkPositive(place + ".burst", team.burst(), findings);
+            checkPositive(place + ".weight", team.weight(), findings);
+        }
+    }
+
+    private static void checkKeys(ConfigurationDocument document, Findings findings) {
+        Set<Object> teams = new HashSet<>();
+        document.teams().forEach(team -> teams.add(team.name()));
+        Set<Object> hashes = new HashSet<>();
+        for (int index = 0; index < document.keys().size(); index++) {
+            ApiKey key = document.keys().get(index);
+            if (!teams.contains(key.team())) {
+                findings.error(place("keys", index) + ".team", "team '" + key.team() + "' is not defined");
+            }
+            if (!hashes.add(key.hash())) {
+                findings.error(place("keys", index) + ".hash", "the same key is issued twice");
+            }
+        }
+    }
+
+    private static void checkModels(ConfigurationDocument document, Findings findings) {
+        for (int index = 0; index < document.models().size(); index++) {
+            Model model = document.models().get(index);
+            String place = place("models", index);
+            checkPositive(place + ".memoryMegabytes", model.memoryMegabytes(), findings);
+            checkPositive(place + ".minimumCopies", model.minimumCopies(), findings);
+        }
+    }
+
+    private static void checkAdapters(ConfigurationDocument document, Findings findings) {
+        Set<Object> models = new HashSet<>();
+        document.models().forEach(model -> models.add(model.name()));
+        Set<String> modelTexts = new HashSet<>();
+        document.models().forEach(model -> modelTexts.add(model.name().value()));
+        for (int index = 0; index < document.adapters().size(); index++) {
+            Adapter adapter = document.adapters().get(index);
+            String place = place("adapters", index);
+            checkPositive(place + ".memoryMegabytes", adapter.memoryMegabytes(), findings);
+            if (!models.contains(adapter.model())) {
+                findings.error(place + ".model", "model '" + adapter.model() + "' is not defined");
+            }
+            if (modelTexts.contains(adapter.name().value())) {
+                findings.error(place + ".name", "'" + adapter.name() + "' is also the name of a model");
+            }
+        }
+    }
+
+    private static void checkRoutes(ConfigurationDocument document, Findings findings) {
+        Set<String> targets = new HashSet<>();
+        for (int index = 0; index < document.routes().size(); index++) {
+            Route route = document.routes().get(index);
+            String place = place("routes", index);
+            if (!route.path().startsWith("/")) {
+                findings.error(place + ".path", "'" + route.path() + "' must start with a slash");
+            }
+            if (route.path().startsWith("/v1/")) {
+                findings.error(place + ".path", "'" + route.path() + "' is reserved for models");
+            }
+            if (!route.method().matches("[A-Z]+")) {
+                findings.error(place + ".method", "'" + route.method() + "' must be an HTTP method in capitals");
+            }
+            if (!targets.add(route.method() + " " + route.path())) {
+                findings.error(place, "another route has the same method and path");
+            }
+        }
+    }
+
+    private static void checkPositive(String place, long value, Findings findings) {
+        if (value <= 0) {
+            findings.error(place, "must be positive but is " + value);
+        }
+    }
+
+    private static String place(String list, int index) {
+        return list + "[" + index + "]";
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/identity/FailureDomain.java
@@ -0,0 +1,28 @@
+package io.oleandermoor.state.identity;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Name of a set of instances that can fail together.
+ *
+ * @param value the text of the identifier
+ */
+public record FailureDomain(@JsonValue String value) implements Comparable<FailureDomain> {
+
+    /** Checks the text. */
+    @JsonCreator
+    public FailureDomain {
+        Identifiers.require(value, "failure domain");
+    }
+
+    @Override
+    public int compareTo(FailureDomain other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/identity/InstanceId.java
@@ -0,0 +1,28 @@
+package io.oleandermoor.state.identity;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Identifier of the instance that runs one process of the system.
+ *
+ * @param value the text of the identifier
+ */
+public record InstanceId(@JsonValue String value) implements Comparable<InstanceId> {
+
+    /** Checks the text. */
+    @JsonCreator
+    public InstanceId {
+        Identifiers.require(value, "instance id");
+    }
+
+    @Override
+    public int compareTo(InstanceId other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/identity/KeyHash.java
@@ -0,0 +1,47 @@
+package io.oleandermoor.state.identity;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.nio.charset.StandardCharsets;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
+import java.util.HexFormat;
+import java.util.regex.Pattern;
+
+/**
+ * SHA-256 of an API key. The key itself is never stored.
+ *
+ * @param value 64 lower-case hexadecimal digits
+ */
+public record KeyHash(@JsonValue String value) {
+
+    private static final Pattern FORM = Pattern.compile("[0-9a-f]{64}");
+
+    /** Checks the text. */
+    @JsonCreator
+    public KeyHash {
+        if (!FORM.matcher(value).matches()) {
+            throw new IllegalArgumentException("key hash must be 64 lower-case hexadecimal digits");
+        }
+    }
+
+    /**
+     * Returns the hash of a key.
+     *
+     * @param key the key as the caller sends it
+     * @return its hash
+     */
+    public static KeyHash of(String key) {
+        try {
+            byte[] digest = MessageDigest.getInstance("SHA-256").digest(key.getBytes(StandardCharsets.UTF_8));
+            return new KeyHash(HexFormat.of().formatHex(digest));
+        } catch (NoSuchAlgorithmException exception) {
+            throw new IllegalStateException("every Java platform provides SHA-256", exception);
+        }
+    }
+
+    @Override
+    public String toString() {
+        return value.substring(0, 8);
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/identity/RouteName.java
@@ -0,0 +1,28 @@
+package io.oleandermoor.state.identity;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Name of a configured route to a plain service.
+ *
+ * @param value the text of the identifier
+ */
+public record RouteName(@JsonValue String value) implements Comparable<RouteName> {
+
+    /** Checks the text. */
+    @JsonCreator
+    public RouteName {
+        Identifiers.require(value, "route name");
+    }
+
+    @Override
+    public int compareTo(RouteName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/identity/ServiceName.java
@@ -0,0 +1,28 @@
+package io.oleandermoor.state.identity;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
+/**
+ * Name of a plain service whose replicas are upstreams.
+ *
+ * @param value the text of the identifier
+ */
+public record ServiceName(@JsonValue String value) implements Comparable<ServiceName> {
+
+    /** Checks the text. */
+    @JsonCreator
+    public ServiceName {
+        Identifiers.require(value, "service name");
+    }
+
+    @Override
+    public int compareTo(ServiceName other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public String toString() {
+        return value;
+    }
+}
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/package-info.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/package-info.java
@@ -1,4 +1,4 @@
-/** Root of the state module. */
+/** Typed values and pure decision cores, without clocks, threads, random sources or sockets. */
 @NullMarked
 package io.oleandermoor.state;
 
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/token/package-info.java
@@ -0,0 +1,5 @@
+/** Estimates of token counts. */
+@NullMarked
+package io.oleandermoor.state.token;
+
+import org.jspecify.annotations.NullMarked;
