--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/package-info.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/package-info.java
@@ -1,4 +1,4 @@
-/** Root of the daemon module. */
+/** The daemons: they wire the decision cores to the transport. */
 @NullMarked
 package io.oleandermoor.daemon;
 
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/package-info.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/package-info.java
@@ -1,4 +1,4 @@
-/** Root of the standin module. */
+/** Small stand-ins for the systems around oleandermoor, for tests and local trials. */
 @NullMarked
 package io.oleandermoor.standin;
 
--- /dev/null
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/HttpClients.java
@@ -0,0 +1,42 @@
+package io.oleandermoor.transport.client;
+
+import java.time.Duration;
+import okhttp3.ConnectionPool;
+import okhttp3.Dispatcher;
+import okhttp3.OkHttpClient;
+
+/** Creates HTTP clients with the settings that all of them share. */
+public final class HttpClients {
+
+    private static final int MAXIMUM_CONCURRENT_REQUESTS = 4096;
+
+    private static final int IDLE_CONNECTIONS = 64;
+
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    private static final Duration KEEP_ALIVE = Duration.ofMinutes(1);
+
+    private HttpClients() {}
+
+    /**
+     * Creates a client that never repeats a request by itself: whether a request may run twice is decided elsewhere.
+     *
+     * @param readTimeout longest silence of the other side
+     * @return the client
+     */
+    public static OkHttpClient create(Duration readTimeout) {
+        Dispatcher dispatcher = new Dispatcher();
+        dispatcher.setMaxRequests(MAXIMUM_CONCURRENT_REQUESTS);
+        dispatcher.setMaxRequestsPerHost(MAXIMUM_CONCURRENT_REQUESTS);
+        return new OkHttpClient.Builder()
+                .dispatcher(dispatcher)
+                .connectionPool(new ConnectionPool(
+                        IDLE_CONNECTIONS, KEEP_ALIVE.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS))
+                .connectTimeout(CONNECT_TIMEOUT)
+                .readTimeout(readTimeout)
+                .writeTimeout(readTimeout)
+                .retryOnConnectionFailure(false)
+                .followRedirects(false)
+                .build();
+    }
+}
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/package-info.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/package-info.java
@@ -1,4 +1,4 @@
-/** Root of the transport module. */
+/** Connections of a process to callers, peers, upstreams and the platform. */
 @NullMarked
 package io.oleandermoor.transport;
 
