--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -1,6 +1,5 @@
 package io.oleandermoor.daemon.entry;
 
-import io.oleandermoor.daemon.network.InstanceListClient;
 import io.oleandermoor.daemon.network.PeerNetwork;
 import io.oleandermoor.daemon.network.UpstreamDescription;
 import io.oleandermoor.protocol.message.Envelope;
@@ -16,6 +15,7 @@
 import io.oleandermoor.transport.peer.PeerConnection;
 import io.oleandermoor.transport.peer.PeerIdentity;
 import io.oleandermoor.transport.peer.PeerListener;
+import io.oleandermoor.transport.platform.InstanceListClient;
 import io.oleandermoor.transport.worker.WorkerPool;
 import java.io.IOException;
 import java.time.Duration;
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/PeerNetwork.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/PeerNetwork.java
@@ -8,6 +8,7 @@
 import io.oleandermoor.transport.peer.PeerIdentity;
 import io.oleandermoor.transport.peer.PeerListener;
 import io.oleandermoor.transport.peer.PeerNode;
+import io.oleandermoor.transport.platform.InstanceListClient;
 import io.reactivex.rxjava3.core.Observable;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/InstanceListClient.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/platform/InstanceListClient.java
@@ -1,4 +1,4 @@
-package io.oleandermoor.daemon.network;
+package io.oleandermoor.transport.platform;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import java.io.IOException;
