--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/Main.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/Main.java
@@ -68,20 +68,28 @@
                 return agent;
             }
             case "engine" -> {
-                return new EngineStandIn(new EngineSettings(
-                        ini.getString("listen.http"),
-                        List.of(ini.getString("engine.models").split(" ")),
-                        ini.getInt("engine.slots"),
-                        ini.getInt("engine.step-millis")));
+                return new EngineStandIn(
+                        engineSettings(ini), () -> Runtime.getRuntime().halt(70));
             }
             case "instance-list" -> {
                 return new InstanceListStandIn(
-                        ini.getString("listen.http"), Files.readString(Path.of(ini.getString("list.file"))));
+                        ini.getString("listen.http"), Files.readString(Path.of(ini.getString("list.file"))), 2000);
             }
             default -> throw new IOException("unknown role " + role);
         }
     }
 
+    private static EngineSettings engineSettings(INIConfiguration ini) {
+        return new EngineSettings(
+                ini.getString("listen.http"),
+                List.of(ini.getString("engine.models", "").trim().split(" +")),
+                ini.getLong("engine.memory-megabytes", 1000),
+                java.util.Map.of(),
+                new EngineSettings.Batch(ini.getInt("engine.slots"), ini.getInt("engine.step-millis"), 512),
+                ini.getBoolean("engine.fencing", true),
+                ini.getString("engine.weight-store", ""));
+    }
+
     private static void close(AutoCloseable running) {
         try {
             running.close();
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/engine/EngineStandIn.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/engine/EngineStandIn.java
@@ -3,143 +3,157 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.oleandermoor.transport.address.Addresses;
+import io.oleandermoor.transport.client.EngineControl;
 import io.oleandermoor.transport.http.EventStream;
 import io.oleandermoor.transport.http.HttpExchange;
 import io.oleandermoor.transport.http.HttpResponse;
 import io.oleandermoor.transport.http.HttpServer;
 import io.oleandermoor.transport.http.JoobyHttpServer;
 import java.io.IOException;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.List;
 import java.util.Map;
-import java.util.Queue;
-import java.util.Set;
-import java.util.TreeSet;
-import java.util.concurrent.Executors;
-import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.CopyOnWriteArrayList;
+import org.jspecify.annotations.Nullable;
 
 /**
- * A model engine without a model: answers chat completions with tokens computed from the prompt, in steps over a batch,
- * and lists its models in the format of the model repository extension of the open inference protocol.
+ * A model engine without a model: answers chat completions with tokens computed from the prompt in steps over a batch,
+ * takes orders to load and unload, caches prompt prefixes and shows failures on request.
+ *
+ * <p>{@code POST /stand-in/faults} sets an {@link EngineFaults}; {@code GET /stand-in/status} reports what an invariant
+ * check needs.
  */
 public final class EngineStandIn implements AutoCloseable {
 
     private static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
 
+    private static final int DEFAULT_MAXIMUM_TOKENS = 16;
+
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final EngineSettings settings;
+    private final EngineMemory memory;
 
-    private final HttpServer server;
+    private final EngineOrders orders;
 
-    private final Set<String> ready = new TreeSet<>();
+    private volatile EngineFaults faults = EngineFaults.NONE;
 
-    private final Queue<Sequence> waiting = new ArrayDeque<>();
+    private final Batch batch;
 
-    private final List<Sequence> running = new ArrayList<>();
+    private final CacheEvents cacheEvents;
 
-    private final ScheduledExecutorService steps = Executors.newSingleThreadScheduledExecutor(task -> {
-        Thread thread = new Thread(task, "engine-steps");
-        thread.setDaemon(true);
-        return thread;
-    });
+    private final HttpServer server;
 
-    private final ScheduledFuture<?> ticker;
+    private final CopyOnWriteArrayList<String> seenHeaders = new CopyOnWriteArrayList<>();
 
     /**
      * Starts the stand-in.
      *
      * @param settings the settings
+     * @param onCrash called when a prompt is to crash the engine; ends the process
      * @throws IOException if the address cannot be bound
      */
-    public EngineStandIn(EngineSettings settings) throws IOException {
-        this.settings = settings;
-        ready.addAll(settings.models());
+    public EngineStandIn(EngineSettings settings, Runnable onCrash) throws IOException {
+        memory = new EngineMemory(settings);
+        orders = new EngineOrders(settings, memory, () -> faults);
+        cacheEvents = new CacheEvents(() -> faults);
+        batch = new Batch(settings.batch(), () -> faults, cacheEvents::stored, onCrash);
         server = JoobyHttpServer.start(Addresses.parse(settings.address()), MAXIMUM_BODY_BYTES, this::handle);
-        ticker = steps.scheduleAtFixedRate(
-                this::step, settings.stepMillis(), settings.stepMillis(), TimeUnit.MILLISECONDS);
+        batch.start();
     }
 
     @Override
     public void close() {
-        ticker.cancel(false);
-        steps.shutdownNow();
+        batch.close();
+        orders.close();
+        cacheEvents.close();
         server.close();
     }
 
     private void handle(HttpExchange exchange) {
         try {
-            switch (exchange.path()) {
-                case "/v1/chat/completions" -> complete(exchange);
-                case "/v2/repository/index" -> index(exchange);
-                default -> exchange.respond(HttpResponse.text(404, "not found\n"));
-            }
+            route(exchange);
         } catch (IOException exception) {
             exchange.respond(HttpResponse.text(400, "bad request\n"));
         }
     }
 
-    private synchronized void index(HttpExchange exchange) throws IOException {
-        List<Map<String, String>> models = new ArrayList<>();
-        for (String model : ready) {
-            models.add(Map.of("name", model, "state", "READY"));
+    private void route(HttpExchange exchange) throws IOException {
+        String path = exchange.path();
+        if (path.equals("/v1/chat/completions")) {
+            complete(exchange);
+        } else if (path.equals("/v2/repository/index")) {
+            exchange.respond(HttpResponse.json(200, MAPPER.writeValueAsString(memory.list())));
+        } else if (path.startsWith("/v2/repository/models/") || path.endsWith("_lora_adapter")) {
+            orders.handle(exchange);
+        } else if (path.equals("/v1/cache-events")) {
+            cacheEvents.subscribe(exchange);
+        } else if (path.equals("/metrics")) {
+            exchange.respond(HttpResponse.text(200, metrics()));
+        } else if (path.equals("/stand-in/faults")) {
+            faults = MAPPER.readValue(exchange.body(), EngineFaults.class);
+            exchange.respond(HttpResponse.text(200, "ok\n"));
+        } else if (path.equals("/stand-in/status")) {
+            exchange.respond(HttpResponse.json(200, MAPPER.writeValueAsString(status())));
+        } else {
+            exchange.respond(HttpResponse.text(404, "not found\n"));
         }
-        exchange.respond(HttpResponse.json(200, MAPPER.writeValueAsString(models)));
     }
 
     private void complete(HttpExchange exchange) throws IOException {
         JsonNode body = MAPPER.readTree(exchange.body());
-        StringBuilder prompt = new StringBuilder();
-        int promptTokens = 0;
-        int resumed = 0;
-        JsonNode messages = body.path("messages");
-        for (int index = 0; index < messages.size(); index++) {
-            String content = messages.get(index).path("content").asText();
-            boolean continued = index == messages.size() - 1
-                    && body.path("continue_final_message").asBoolean();
-            if (continued) {
-                resumed = content.isBlank() ? 0 : content.trim().split(" ").length;
-            } else {
-                prompt.append(content).append('\n');
-                promptTokens += content.trim().split("\\s+").length;
-            }
-        }
-        synchronized (this) {
-            if (!ready.contains(body.path("model").asText())) {
-                exchange.respond(HttpResponse.json(404, "{\"error\":{\"message\":\"model is not loaded\"}}"));
-                return;
-            }
-            SequenceHolder holder = new SequenceHolder();
-            EventStream stream = exchange.startEventStream(Map.of(), holder::cancel);
-            Sequence sequence = new Sequence(
-                    stream,
-                    prompt.toString().hashCode(),
-                    promptTokens,
-                    resumed,
-                    body.path("max_tokens").asInt(16));
-            holder.sequence = sequence;
-            waiting.add(sequence);
+        exchange.headers().forEach((name, value) -> remember(name + ": " + value));
+        Prompt prompt = Prompt.of(body);
+        if (!memory.isReady(prompt.model())) {
+            exchange.respond(HttpResponse.json(404, "{\"error\":{\"message\":\"model is not loaded\"}}"));
+            return;
         }
+        CancelOnce cancel = new CancelOnce();
+        EventStream stream = exchange.startEventStream(Map.of(), cancel::run);
+        Sequence sequence = new Sequence(
+                stream,
+                prompt,
+                body.path("priority").asInt(0),
+                body.path("max_tokens").asInt(DEFAULT_MAXIMUM_TOKENS));
+        cancel.set(sequence);
+        batch.add(sequence);
     }
 
-    private synchronized void step() {
-        while (running.size() < settings.slots() && !waiting.isEmpty()) {
-            running.add(waiting.remove());
+    private void remember(String header) {
+        if (!seenHeaders.contains(header)) {
+            seenHeaders.add(header);
         }
-        running.removeIf(Sequence::step);
     }
 
-    private static final class SequenceHolder {
+    private String metrics() {
+        return "vllm:num_requests_running " + batch.reportedRunning() + "\nvllm:num_requests_waiting "
+                + batch.reportedWaiting() + "\n";
+    }
 
-        private volatile @org.jspecify.annotations.Nullable Sequence sequence;
+    private Map<String, Object> status() {
+        return Map.of(
+                "usedMegabytes", memory.usedMegabytes(),
+                "overcommits", memory.overcommits(),
+                "residents", memory.list(),
+                "seenHeaders", seenHeaders,
+                "fencingHeader", EngineControl.FENCING_HEADER);
+    }
+
+    /** Cancels a sequence that is created after the stream on which the caller may leave. */
+    private static final class CancelOnce {
+
+        private @Nullable Sequence sequence;
+
+        private boolean cancelled;
+
+        synchronized void set(Sequence created) {
+            sequence = created;
+            if (cancelled) {
+                created.cancel();
+            }
+        }
 
-        void cancel() {
-            Sequence known = sequence;
-            if (known != null) {
-                known.cancel();
+        synchronized void run() {
+            cancelled = true;
+            if (sequence != null) {
+                sequence.cancel();
             }
         }
     }
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/engine/Sequence.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/engine/Sequence.java
@@ -4,8 +4,8 @@
 import java.nio.charset.StandardCharsets;
 
 /**
- * One running completion. The tokens depend only on the prompt and their position, so that a resumed stream can be
- * checked.
+ * One completion in the batch. The tokens depend only on the prompt and their position, so that a resumed stream can be
+ * checked token by token.
  */
 final class Sequence {
 
@@ -13,23 +13,22 @@
 
     private final EventStream stream;
 
-    private final int seed;
+    private final Prompt prompt;
 
-    private final int promptTokens;
-
-    private final int firstPosition;
+    private final int priority;
 
     private final int maximumTokens;
 
+    private int prefillSteps;
+
     private int generated;
 
     private volatile boolean cancelled;
 
-    Sequence(EventStream stream, int seed, int promptTokens, int firstPosition, int maximumTokens) {
+    Sequence(EventStream stream, Prompt prompt, int priority, int maximumTokens) {
         this.stream = stream;
-        this.seed = seed;
-        this.promptTokens = promptTokens;
-        this.firstPosition = firstPosition;
+        this.prompt = prompt;
+        this.priority = priority;
         this.maximumTokens = maximumTokens;
     }
 
@@ -38,35 +37,73 @@
         return "t" + Math.floorMod(mixed ^ (mixed >>> 15), VOCABULARY) + " ";
     }
 
+    int priority() {
+        return priority;
+    }
+
+    Prompt prompt() {
+        return prompt;
+    }
+
+    void setPrefillSteps(int steps) {
+        prefillSteps = steps;
+    }
+
     void cancel() {
         cancelled = true;
     }
 
-    /** Generates one token and returns whether the sequence has ended. */
+    /** Runs one step and returns whether the sequence has ended. */
     boolean step() {
         if (cancelled) {
             return true;
         }
-        if (generated < maximumTokens) {
-            String text = token(seed, firstPosition + generated);
-            generated++;
-            send("{\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + text + "\"},\"finish_reason\":null}],"
-                    + usage() + "}");
-        }
-        if (generated < maximumTokens) {
+        if (prefillSteps > 0) {
+            prefillSteps--;
             return false;
         }
-        send("{\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"length\"}]," + usage() + "}");
-        stream.send("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
-        stream.end();
-        return true;
+        StringBuilder events = new StringBuilder();
+        generate(events);
+        return finish(events);
+    }
+
+    /** Runs to the end and writes all events at once. */
+    void complete() {
+        StringBuilder events = new StringBuilder();
+        while (generated < maximumTokens) {
+            generate(events);
+        }
+        finish(events);
     }
 
-    private String usage() {
-        return "\"usage\":{\"prompt_tokens\":" + promptTokens + ",\"completion_tokens\":" + generated + "}";
+    private void generate(StringBuilder events) {
+        String text = token(prompt.seed(), prompt.resumedTokens() + generated);
+        generated++;
+        events.append("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"")
+                .append(text)
+                .append("\"},\"finish_reason\":null}],");
+        appendUsage(events);
+    }
+
+    private boolean finish(StringBuilder events) {
+        boolean ended = generated >= maximumTokens;
+        if (ended) {
+            events.append("data: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"length\"}],");
+            appendUsage(events);
+            events.append("data: [DONE]\n\n");
+        }
+        stream.send(events.toString().getBytes(StandardCharsets.UTF_8));
+        if (ended) {
+            stream.end();
+        }
+        return ended;
     }
 
-    private void send(String data) {
-        stream.send(("data: " + data + "\n\n").getBytes(StandardCharsets.UTF_8));
+    private void appendUsage(StringBuilder events) {
+        events.append("\"usage\":{\"prompt_tokens\":")
+                .append(prompt.words().length)
+                .append(",\"completion_tokens\":")
+                .append(generated)
+                .append("}}\n\n");
     }
 }
