Limit the time for reading a request and pass form bodies on

Jooby has no setting for slow callers, so the limits are added to its connections through Netty's initializer extension. A request whose headers take over 5 s is answered with 408, seen with a raw socket.

--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/JoobyHttpExchange.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/JoobyHttpExchange.java
@@ -2,6 +2,9 @@
 
 import io.jooby.Context;
 import io.jooby.Sender;
+import java.net.URLEncoder;
+import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -9,6 +12,8 @@
 /** An exchange on Jooby. */
 final class JoobyHttpExchange implements HttpExchange {
 
+    private static final String FORM = "application/x-www-form-urlencoded";
+
     private final Context context;
 
     JoobyHttpExchange(Context context) {
@@ -42,7 +47,7 @@
 
     @Override
     public byte[] body() {
-        return context.body().bytes();
+        return isForm() ? formBody() : context.body().bytes();
     }
 
     @Override
@@ -61,6 +66,28 @@
         return new JoobyEventStream(context.responseSender(), onCallerGone);
     }
 
+    private boolean isForm() {
+        return header("Content-Type")
+                .filter(type -> type.toLowerCase(Locale.ROOT).startsWith(FORM))
+                .isPresent();
+    }
+
+    /** Jooby decodes forms and keeps no copy, so the body is encoded again. */
+    private byte[] formBody() {
+        StringBuilder body = new StringBuilder();
+        context.form().toMultimap().forEach((name, values) -> {
+            for (String value : values) {
+                if (!body.isEmpty()) {
+                    body.append('&');
+                }
+                body.append(URLEncoder.encode(name, StandardCharsets.UTF_8))
+                        .append('=')
+                        .append(URLEncoder.encode(value, StandardCharsets.UTF_8));
+            }
+        });
+        return body.toString().getBytes(StandardCharsets.UTF_8);
+    }
+
     private static final class JoobyEventStream implements EventStream {
 
         private final Sender sender;
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/JoobyHttpServer.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/JoobyHttpServer.java
@@ -45,6 +45,7 @@
      */
     public static JoobyHttpServer start(InetSocketAddress address, int maximumBodyBytes, HttpHandler handler)
             throws IOException {
+        RequestTimeoutExtension.enable();
         checkFree(address);
         ServerOptions options = new ServerOptions();
         options.setHost(address.getAddress().getHostAddress());
