Add fleet settings, body limits and required idempotency keys to the configuration

Operators could set teams, models and routes, but neither the admission policy and its weights, the limits of the weight store, nor the hours in which groups of teams have live demand. Routes had no body limit and could not require an idempotency key.

Weighed: top-level fields for each setting against one FleetSettings component. Changes are separate for admission, weight store and each group, so that operators who change different parts do not overwrite each other. A missing part has a default, so documents stored before this change can be read. The load rate is an integer per 1,000 s, because documents hold no fractions.

--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/Change.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/Change.java
@@ -19,7 +19,11 @@
     @JsonSubTypes.Type(value = Change.PutAdapter.class, name = "put-adapter"),
     @JsonSubTypes.Type(value = Change.RemoveAdapter.class, name = "remove-adapter"),
     @JsonSubTypes.Type(value = Change.PutRoute.class, name = "put-route"),
-    @JsonSubTypes.Type(value = Change.RemoveRoute.class, name = "remove-route")
+    @JsonSubTypes.Type(value = Change.RemoveRoute.class, name = "remove-route"),
+    @JsonSubTypes.Type(value = Change.PutAdmission.class, name = "put-admission"),
+    @JsonSubTypes.Type(value = Change.PutWeightStore.class, name = "put-weight-store"),
+    @JsonSubTypes.Type(value = Change.PutOpeningHours.class, name = "put-opening-hours"),
+    @JsonSubTypes.Type(value = Change.RemoveOpeningHours.class, name = "remove-opening-hours")
 })
 public sealed interface Change {
 
@@ -31,7 +35,7 @@
     record PutTeam(Team team) implements Change {}
 
     /**
-     * Removes a team and revokes its keys.
+     * Removes a team, revokes its keys and takes it out of its group of opening hours.
      *
      * @param team the name of the team
      */
@@ -92,4 +96,32 @@
      * @param route the name of the route
      */
     record RemoveRoute(RouteName route) implements Change {}
+
+    /**
+     * Replaces the admission settings of the fleet.
+     *
+     * @param admission the settings
+     */
+    record PutAdmission(AdmissionSettings admission) implements Change {}
+
+    /**
+     * Replaces the limits of the weight store.
+     *
+     * @param weightStore the limits
+     */
+    record PutWeightStore(WeightStoreLimits weightStore) implements Change {}
+
+    /**
+     * Adds the opening hours of a group of teams or replaces them.
+     *
+     * @param openingHours the hours
+     */
+    record PutOpeningHours(OpeningHours openingHours) implements Change {}
+
+    /**
+     * Removes the opening hours of a group of teams.
+     *
+     * @param group the name of the group
+     */
+    record RemoveOpeningHours(String group) implements Change {}
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/ChangeApplier.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/ChangeApplier.java
@@ -1,6 +1,7 @@
 package io.oleandermoor.state.configuration;
 
 import io.oleandermoor.state.finding.Findings;
+import io.oleandermoor.state.identity.TeamName;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.function.Predicate;
@@ -13,6 +14,9 @@
     private final List<Model> models;
     private final List<Adapter> adapters;
     private final List<Route> routes;
+    private final List<OpeningHours> openingHours;
+    private AdmissionSettings admission;
+    private WeightStoreLimits weightStore;
 
     private ChangeApplier(ConfigurationDocument document) {
         teams = new ArrayList<>(document.teams());
@@ -20,6 +24,9 @@
         models = new ArrayList<>(document.models());
         adapters = new ArrayList<>(document.adapters());
         routes = new ArrayList<>(document.routes());
+        openingHours = new ArrayList<>(document.settings().openingHours());
+        admission = document.settings().admission();
+        weightStore = document.settings().weightStore();
     }
 
     static ConfigurationDocument apply(ConfigurationDocument document, List<Change> changes, Findings findings) {
@@ -27,7 +34,12 @@
         for (int index = 0; index < changes.size(); index++) {
             applier.apply(changes.get(index), "changes[" + index + "]", findings);
         }
-        return new ConfigurationDocument(applier.teams, applier.keys, applier.models, applier.adapters, applier.routes);
+        return applier.toDocument();
+    }
+
+    private ConfigurationDocument toDocument() {
+        return new ConfigurationDocument(
+                teams, keys, models, adapters, routes, new FleetSettings(admission, weightStore, openingHours));
     }
 
     private void apply(Change change, String place, Findings findings) {
@@ -36,6 +48,7 @@
         } else if (change instanceof Change.RemoveTeam remove) {
             remove(teams, team -> team.name().equals(remove.team()), place, "team '" + remove.team() + "'", findings);
             keys.removeIf(key -> key.team().equals(remove.team()));
+            openingHours.replaceAll(hours -> without(remove.team(), hours));
         } else if (change instanceof Change.IssueKey issue) {
             issueKey(issue.key(), place, findings);
         } else if (change instanceof Change.RevokeKey revoke) {
@@ -76,6 +89,30 @@
                     place,
                     "route '" + remove.route() + "'",
                     findings);
+        } else {
+            applySettings(change, place, findings);
+        }
+    }
+
+    private void applySettings(Change change, String place, Findings findings) {
+        if (change instanceof Change.PutAdmission put) {
+            admission = put.admission();
+        } else if (change instanceof Change.PutWeightStore put) {
+            weightStore = put.weightStore();
+        } else if (change instanceof Change.PutOpeningHours put) {
+            replace(
+                    openingHours,
+                    put.openingHours(),
+                    hours -> hours.group().equals(put.openingHours().group()));
+        } else if (change instanceof Change.RemoveOpeningHours remove) {
+            remove(
+                    openingHours,
+                    hours -> hours.group().equals(remove.group()),
+                    place,
+                    "group '" + remove.group() + "'",
+                    findings);
+        } else {
+            throw new IllegalArgumentException("no rule for a change of " + change.getClass());
         }
     }
 
@@ -87,6 +124,16 @@
         keys.add(issued);
     }
 
+    private static OpeningHours without(TeamName team, OpeningHours hours) {
+        return new OpeningHours(
+                hours.group(),
+                hours.teams().stream().filter(name -> !name.equals(team)).toList(),
+                hours.opens(),
+                hours.closes(),
+                hours.zone(),
+                hours.closedDays());
+    }
+
     private static <T> void replace(List<T> list, T element, Predicate<T> same) {
         list.removeIf(same);
         list.add(element);
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/Configuration.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/Configuration.java
@@ -29,6 +29,7 @@
     private final Map<AdapterName, Adapter> adapters = new HashMap<>();
     private final Map<RouteName, Route> routes = new HashMap<>();
     private final List<Route> routesByPath;
+    private final FleetSettings settings;
 
     private Configuration(long version, ConfigurationDocument document) {
         this.version = version;
@@ -40,6 +41,7 @@
         document.models().forEach(model -> models.put(model.name(), model));
         document.adapters().forEach(adapter -> adapters.put(adapter.name(), adapter));
         document.routes().forEach(route -> routes.put(route.name(), route));
+        settings = document.settings();
         routesByPath = routes.values().stream()
                 .sorted(Comparator.comparingInt((Route route) -> -route.path().length())
                         .thenComparing(Route::name))
@@ -208,6 +210,15 @@
         return Collections.unmodifiableCollection(routes.values());
     }
 
+    /**
+     * Returns the settings of the whole fleet.
+     *
+     * @return the settings; parts that no operator set have their defaults
+     */
+    public FleetSettings settings() {
+        return settings;
+    }
+
     /**
      * Returns the content as a document, each list in the order of its names.
      *
@@ -227,6 +238,16 @@
                         .toList(),
                 routes.values().stream()
                         .sorted(Comparator.comparing(Route::name))
+                        .toList(),
+                sorted(settings));
+    }
+
+    private static FleetSettings sorted(FleetSettings settings) {
+        return new FleetSettings(
+                settings.admission(),
+                settings.weightStore(),
+                settings.openingHours().stream()
+                        .sorted(Comparator.comparing(OpeningHours::group))
                         .toList());
     }
 
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/ConfigurationDocument.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/ConfigurationDocument.java
@@ -1,5 +1,6 @@
 package io.oleandermoor.state.configuration;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
 import com.fasterxml.jackson.annotation.JsonProperty;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
@@ -12,22 +13,45 @@
  * @param models the models that must stay reachable
  * @param adapters the adapters that must stay available
  * @param routes the routes to plain services
+ * @param settings settings of the whole fleet
  */
 public record ConfigurationDocument(
-        List<Team> teams, List<ApiKey> keys, List<Model> models, List<Adapter> adapters, List<Route> routes) {
+        List<Team> teams,
+        List<ApiKey> keys,
+        List<Model> models,
+        List<Adapter> adapters,
+        List<Route> routes,
+        FleetSettings settings) {
 
     /** Copies the lists. */
+    @JsonCreator
     public ConfigurationDocument(
             @JsonProperty("teams") @Nullable List<Team> teams,
             @JsonProperty("keys") @Nullable List<ApiKey> keys,
             @JsonProperty("models") @Nullable List<Model> models,
             @JsonProperty("adapters") @Nullable List<Adapter> adapters,
-            @JsonProperty("routes") @Nullable List<Route> routes) {
+            @JsonProperty("routes") @Nullable List<Route> routes,
+            @JsonProperty("settings") @Nullable FleetSettings settings) {
         this.teams = copy(teams);
         this.keys = copy(keys);
         this.models = copy(models);
         this.adapters = copy(adapters);
         this.routes = copy(routes);
+        this.settings = settings == null ? FleetSettings.DEFAULT : settings;
+    }
+
+    /**
+     * Creates a document with the default settings of the fleet.
+     *
+     * @param teams the teams
+     * @param keys the issued keys
+     * @param models the models
+     * @param adapters the adapters
+     * @param routes the routes
+     */
+    public ConfigurationDocument(
+            List<Team> teams, List<ApiKey> keys, List<Model> models, List<Adapter> adapters, List<Route> routes) {
+        this(teams, keys, models, adapters, routes, FleetSettings.DEFAULT);
     }
 
     private static <T> List<T> copy(@Nullable List<T> list) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/ConfigurationValidator.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/ConfigurationValidator.java
@@ -28,9 +28,10 @@
         checkModels(document, findings);
         checkAdapters(document, findings);
         checkRoutes(document, findings);
+        SettingsValidator.validate(document, findings);
     }
 
-    private static <T, K> void checkUnique(String list, List<T> elements, Function<T, K> identity, Findings findings) {
+    static <T, K> void checkUnique(String list, List<T> elements, Function<T, K> identity, Findings findings) {
         Set<K> seen = new HashSet<>();
         for (int index = 0; index < elements.size(); index++) {
             K key = identity.apply(elements.get(index));
@@ -109,16 +110,40 @@
             if (!targets.add(route.method() + " " + route.path())) {
                 findings.error(place, "another route has the same method and path");
             }
+            checkBody(place, route, findings);
+            checkIdempotencyKey(place, route, findings);
         }
     }
 
-    private static void checkPositive(String place, long value, Findings findings) {
+    private static void checkBody(String place, Route route, Findings findings) {
+        if (route.maximumBodyBytes() < 0 || route.maximumBodyBytes() > Route.LARGEST_MAXIMUM_BODY_BYTES) {
+            findings.error(
+                    place + ".maximumBodyBytes",
+                    "must be from 1 to " + Route.LARGEST_MAXIMUM_BODY_BYTES + " but is " + route.maximumBodyBytes());
+        }
+    }
+
+    private static void checkIdempotencyKey(String place, Route route, Findings findings) {
+        if (!route.idempotencyKeyRequired()) {
+            return;
+        }
+        if (!route.access().isKeyNeeded()) {
+            findings.error(
+                    place + ".idempotencyKeyRequired",
+                    "an open route cannot require an idempotency key, because the record of a call belongs to a team");
+        }
+        if (route.repeatability().isRetryAllowed()) {
+            findings.warning(place + ".idempotencyKeyRequired", "has no effect on a route whose calls may be repeated");
+        }
+    }
+
+    static void checkPositive(String place, long value, Findings findings) {
         if (value <= 0) {
             findings.error(place, "must be positive but is " + value);
         }
     }
 
-    private static String place(String list, int index) {
+    static String place(String list, int index) {
         return list + "[" + index + "]";
     }
 }
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/OpeningHours.java
@@ -0,0 +1,87 @@
+package io.oleandermoor.state.configuration;
+
+import com.fasterxml.jackson.annotation.JsonProperty;
+import io.oleandermoor.state.identity.TeamName;
+import java.time.DayOfWeek;
+import java.time.Instant;
+import java.time.LocalTime;
+import java.time.ZoneId;
+import java.time.ZonedDateTime;
+import java.util.List;
+import java.util.regex.Pattern;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * The hours in which a group of teams has live demand. Outside of them the placement expects only batch work. Hours
+ * that close before they open run past midnight and belong to the day on which they open.
+ *
+ * @param group the name of the group
+ * @param teams the teams of the group
+ * @param opens local time of opening as {@code HH:mm}
+ * @param closes local time of closing as {@code HH:mm}
+ * @param zone the time zone of the two times, such as {@code Europe/London}
+ * @param closedDays days on which the group does not open
+ */
+public record OpeningHours(
+        String group, List<TeamName> teams, String opens, String closes, String zone, List<DayOfWeek> closedDays) {
+
+    private static final Pattern TIME = Pattern.compile("([01][0-9]|2[0-3]):[0-5][0-9]");
+
+    /** Copies the lists; a missing list is empty. */
+    public OpeningHours(
+            @JsonProperty("group") String group,
+            @JsonProperty("teams") @Nullable List<TeamName> teams,
+            @JsonProperty("opens") String opens,
+            @JsonProperty("closes") String closes,
+            @JsonProperty("zone") String zone,
+            @JsonProperty("closedDays") @Nullable List<DayOfWeek> closedDays) {
+        this.group = group;
+        this.teams = teams == null ? List.of() : List.copyOf(teams);
+        this.opens = opens;
+        this.closes = closes;
+        this.zone = zone;
+        this.closedDays = closedDays == null ? List.of() : List.copyOf(closedDays);
+    }
+
+    /**
+     * Returns whether a text is a time of day as used here.
+     *
+     * @param text the text
+     * @return true for {@code 00:00} to {@code 23:59}
+     */
+    public static boolean isTime(String text) {
+        return TIME.matcher(text).matches();
+    }
+
+    /**
+     * Returns whether a text names a time zone that this platform knows.
+     *
+     * @param text the text
+     * @return true if the zone is known
+     */
+    public static boolean isZone(String text) {
+        return ZoneId.getAvailableZoneIds().contains(text);
+    }
+
+    /**
+     * Returns whether the group is open. Only for hours that passed {@link ConfigurationValidator}.
+     *
+     * @param time the wall-clock time
+     * @return true from the time of opening until just before the time of closing
+     */
+    public boolean isOpenAt(Instant time) {
+        ZonedDateTime local = time.atZone(ZoneId.of(zone));
+        LocalTime opening = LocalTime.parse(opens);
+        LocalTime closing = LocalTime.parse(closes);
+        LocalTime now = local.toLocalTime();
+        DayOfWeek today = local.getDayOfWeek();
+        if (opening.isBefore(closing)) {
+            return isOpenOn(today) && !now.isBefore(opening) && now.isBefore(closing);
+        }
+        return (isOpenOn(today) && !now.isBefore(opening)) || (isOpenOn(today.minus(1)) && now.isBefore(closing));
+    }
+
+    private boolean isOpenOn(DayOfWeek day) {
+        return !closedDays.contains(day);
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/configuration/ConfigurationTest.java
@@ -0,0 +1,170 @@
+package io.oleandermoor.state.configuration;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.catchThrowableOfType;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.oleandermoor.state.finding.Finding;
+import io.oleandermoor.state.finding.Findings;
+import io.oleandermoor.state.finding.InvalidInputException;
+import io.oleandermoor.state.identity.KeyHash;
+import io.oleandermoor.state.identity.RouteName;
+import io.oleandermoor.state.identity.ServiceName;
+import io.oleandermoor.state.identity.TeamName;
+import java.time.DayOfWeek;
+import java.time.Instant;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ConfigurationTest {
+
+    private static final TeamName CAFE = new TeamName("cafe");
+    private static final OpeningHours HOURS =
+            new OpeningHours("shops", List.of(CAFE), "08:00", "18:30", "Europe/London", List.of(DayOfWeek.SUNDAY));
+
+    private static Configuration apply(Change... changes) throws InvalidInputException {
+        return Configuration.empty().apply(new ChangeSet("change", "author", List.of(changes)));
+    }
+
+    private static List<String> problems(ConfigurationDocument document) {
+        Findings findings = new Findings();
+        ConfigurationValidator.validate(document, findings);
+        return findings.list().stream().map(Finding::place).toList();
+    }
+
+    @Nested
+    class Changes {
+
+        /** Guards against a kind of change that is accepted but has no effect on the next version. */
+        @Test
+        void settingsChangesTakeEffect() throws InvalidInputException {
+            AdmissionSettings admission = new AdmissionSettings(AdmissionSettings.FIRST_COME, 3, 2, 20);
+            WeightStoreLimits limits = new WeightStoreLimits(1500, 7, 55);
+            Configuration changed = apply(
+                    new Change.PutTeam(new Team(CAFE, 10, 20, 1)),
+                    new Change.PutAdmission(admission),
+                    new Change.PutWeightStore(limits),
+                    new Change.PutOpeningHours(HOURS));
+
+            assertThat(changed.settings()).isEqualTo(new FleetSettings(admission, limits, List.of(HOURS)));
+            assertThat(changed.toDocument().settings()).isEqualTo(changed.settings());
+        }
+
+        /** Guards against a removed team that stays in a group and makes the next version contradict itself. */
+        @Test
+        void removingATeamRevokesItsKeysAndLeavesItsGroup() throws InvalidInputException {
+            Configuration changed = apply(
+                    new Change.PutTeam(new Team(CAFE, 10, 20, 1)),
+                    new Change.IssueKey(new ApiKey("key-1", CAFE, KeyHash.of("secret"))),
+                    new Change.PutOpeningHours(HOURS),
+                    new Change.RemoveTeam(CAFE));
+
+            assertThat(changed.key(KeyHash.of("secret"))).isEmpty();
+            assertThat(changed.settings().openingHours().get(0).teams()).isEmpty();
+        }
+
+        /** Guards against half of a change set being applied when one step names nothing that exists. */
+        @Test
+        void unknownGroupIsAFinding() {
+            InvalidInputException exception = catchThrowableOfType(
+                    InvalidInputException.class, () -> apply(new Change.RemoveOpeningHours("none")));
+            assertThat(exception.findings()).extracting(Finding::place).containsExactly("changes[0]");
+        }
+
+        /** Guards against a change that cannot be read back from the configuration log. */
+        @Test
+        void jsonOfChangesIsReadBack() throws Exception {
+            ObjectMapper mapper = new ObjectMapper();
+            ChangeSet set = new ChangeSet(
+                    "change",
+                    "author",
+                    List.of(
+                            new Change.PutAdmission(AdmissionSettings.DEFAULT),
+                            new Change.PutWeightStore(WeightStoreLimits.DEFAULT),
+                            new Change.PutOpeningHours(HOURS),
+                            new Change.RemoveOpeningHours("shops")));
+            assertThat(mapper.readValue(mapper.writeValueAsString(set), ChangeSet.class))
+                    .isEqualTo(set);
+        }
+    }
+
+    @Nested
+    class Documents {
+
+        /** Guards against a document stored before a field existed being unreadable afterwards. */
+        @Test
+        void missingFieldsHaveDefaults() throws Exception {
+            ConfigurationDocument document = new ObjectMapper().readValue("""
+                            {"routes": [{"name": "r", "method": "GET", "path": "/r", "service": "s",
+                            "access": "TEAM", "repeatability": "IDEMPOTENT"}]}""", ConfigurationDocument.class);
+            assertThat(document.settings()).isEqualTo(FleetSettings.DEFAULT);
+            assertThat(document.routes().get(0).maximumBodyBytes()).isEqualTo(Route.DEFAULT_MAXIMUM_BODY_BYTES);
+            assertThat(problems(document)).isEmpty();
+        }
+
+        /** Guards against settings that no daemon can follow being accepted. */
+        @Test
+        void everyContradictionIsReported() {
+            OpeningHours wrong = new OpeningHours("shops", List.of(CAFE), "8:00", "8:00", "Nowhere", List.of());
+            Route open = new Route(
+                    new RouteName("r"),
+                    "POST",
+                    "/r",
+                    new ServiceName("s"),
+                    Access.OPEN,
+                    Repeatability.AT_MOST_ONCE,
+                    true,
+                    -1);
+            ConfigurationDocument document = new ConfigurationDocument(
+                    List.of(),
+                    List.of(),
+                    List.of(),
+                    List.of(),
+                    List.of(open),
+                    new FleetSettings(
+                            new AdmissionSettings("OTHER", -1, 0, 101),
+                            new WeightStoreLimits(0, 0, 0),
+                            List.of(HOURS, wrong)));
+
+            assertThat(problems(document))
+                    .contains(
+                            "routes[0].maximumBodyBytes",
+                            "routes[0].idempotencyKeyRequired",
+                            "settings.admission.policy",
+                            "settings.admission.worstServedWeight",
+                            "settings.admission.batchSharePercent",
+                            "settings.weightStore.loadsPerThousandSeconds",
+                            "settings.weightStore.concurrentLoads",
+                            "settings.weightStore.adapterLoadsInFlight",
+                            "settings.openingHours[1]",
+                            "settings.openingHours[0].teams[0]",
+                            "settings.openingHours[1].opens",
+                            "settings.openingHours[1].closes",
+                            "settings.openingHours[1].zone");
+        }
+    }
+
+    @Nested
+    class Hours {
+
+        /** Guards against opening hours that ignore the time zone or the closed days. */
+        @Test
+        void followTheZoneAndTheDay() {
+            assertThat(HOURS.isOpenAt(Instant.parse("2026-07-01T07:00:00Z"))).isTrue();
+            assertThat(HOURS.isOpenAt(Instant.parse("2026-12-01T07:59:59Z"))).isFalse();
+            assertThat(HOURS.isOpenAt(Instant.parse("2026-12-01T18:30:00Z"))).isFalse();
+            assertThat(HOURS.isOpenAt(Instant.parse("2026-12-06T12:00:00Z"))).isFalse();
+        }
+
+        /** Guards against hours past midnight being empty or belonging to the wrong day. */
+        @Test
+        void pastMidnightBelongToTheDayOfOpening() {
+            OpeningHours night =
+                    new OpeningHours("bars", List.of(), "20:00", "02:00", "UTC", List.of(DayOfWeek.SUNDAY));
+            assertThat(night.isOpenAt(Instant.parse("2026-12-06T01:00:00Z"))).isTrue();
+            assertThat(night.isOpenAt(Instant.parse("2026-12-06T21:00:00Z"))).isFalse();
+            assertThat(night.isOpenAt(Instant.parse("2026-12-07T01:00:00Z"))).isFalse();
+        }
+    }
+}
