Add settings of daemons and stand-ins with schemas and a reference page

Each process needs settings that are checked before it starts. Addresses must be IP addresses, so that no process depends on name resolution.

--- /dev/null
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/SettingTypes.java
@@ -0,0 +1,113 @@
+package io.oleandermoor.transport.settings;
+
+import io.oleandermoor.state.identity.KeyHash;
+import java.time.Duration;
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Collectors;
+
+/** The forms of values in settings files. */
+final class SettingTypes {
+
+    private static final Pattern QUANTITY = Pattern.compile("([0-9]{1,15})([A-Za-z]*)");
+    private static final Map<String, Long> MILLISECONDS =
+            Map.of("ms", 1L, "s", 1_000L, "min", 60_000L, "h", 3_600_000L);
+    private static final Map<String, Long> BYTES = Map.of("B", 1L, "KB", 1L << 10, "MB", 1L << 20, "GB", 1L << 30);
+
+    static final SettingType<Duration> DURATION = new SimpleType<>(
+            "duration (`ms`, `s`, `min`, `h`)",
+            text -> Duration.ofMillis(quantity(text, MILLISECONDS, "a duration such as 500ms, 10s, 5min or 2h")),
+            duration -> withUnit(duration.toMillis(), MILLISECONDS));
+
+    static final SettingType<Long> SIZE = new SimpleType<>(
+            "size (`B`, `KB`, `MB`, `GB`; powers of 1024)",
+            text -> quantity(text, BYTES, "a size such as 512B, 64KB, 64MB or 80GB"),
+            bytes -> withUnit(bytes, BYTES));
+
+    static final SettingType<Address> ADDRESS = new SimpleType<>("address (`ip:port`)", Address::parse);
+
+    static final SettingType<List<Address>> ADDRESSES = new SimpleType<>(
+            "addresses (`ip:port`, separated by commas)",
+            text -> Arrays.stream(text.split(",", -1))
+                    .map(part -> Address.parse(part.strip()))
+                    .toList(),
+            addresses -> addresses.stream().map(Address::toString).collect(Collectors.joining(", ")));
+
+    static final SettingType<String> TEXT = new SimpleType<>("text", text -> text);
+
+    static final SettingType<KeyHash> HASH = new SimpleType<>("SHA-256 (64 hexadecimal digits)", KeyHash::new);
+
+    private SettingTypes() {}
+
+    static SettingType<Integer> count(int minimum, int maximum) {
+        return new SimpleType<>("whole number, " + minimum + " to " + maximum, text -> {
+            if (!text.matches("[0-9]{1,9}") || Integer.parseInt(text) < minimum || Integer.parseInt(text) > maximum) {
+                throw new IllegalArgumentException(
+                        "'" + text + "' must be a whole number from " + minimum + " to " + maximum);
+            }
+            return Integer.parseInt(text);
+        });
+    }
+
+    static <E extends Enum<E>> SettingType<E> choice(Class<E> type) {
+        List<E> constants = List.of(type.getEnumConstants());
+        String names = constants.stream().map(Enum::name).collect(Collectors.joining(", "));
+        return new SimpleType<>(
+                "one of " + names,
+                text -> constants.stream()
+                        .filter(constant -> constant.name().equals(text))
+                        .findFirst()
+                        .orElseThrow(() -> new IllegalArgumentException("'" + text + "' must be one of " + names)));
+    }
+
+    static <T> SettingType<T> identifier(Function<String, T> type) {
+        return new SimpleType<>("identifier", type);
+    }
+
+    private static long quantity(String text, Map<String, Long> units, String expected) {
+        Matcher matcher = QUANTITY.matcher(text);
+        Long factor = matcher.matches() ? units.get(matcher.group(2)) : null;
+        if (factor == null) {
+            throw new IllegalArgumentException("'" + text + "' must be " + expected);
+        }
+        try {
+            return Math.multiplyExact(Long.parseLong(matcher.group(1)), factor);
+        } catch (ArithmeticException exception) {
+            throw new IllegalArgumentException("'" + text + "' is too large", exception);
+        }
+    }
+
+    private static String withUnit(long value, Map<String, Long> units) {
+        return units.entrySet().stream()
+                .filter(unit -> value % unit.getValue() == 0 && value >= unit.getValue())
+                .max(Map.Entry.comparingByValue())
+                .map(unit -> value / unit.getValue() + unit.getKey())
+                .orElseGet(() -> value
+                        + Collections.min(units.entrySet(), Map.Entry.comparingByValue())
+                                .getKey());
+    }
+
+    /** A form with a name, a parser, and a text of its values that the parser reads back. */
+    private record SimpleType<T>(String form, Function<String, T> parser, Function<T, String> printer)
+            implements SettingType<T> {
+
+        SimpleType(String form, Function<String, T> parser) {
+            this(form, parser, String::valueOf);
+        }
+
+        @Override
+        public T parse(String text) {
+            return parser.apply(text);
+        }
+
+        @Override
+        public String show(T value) {
+            return printer.apply(value);
+        }
+    }
+}
