--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/LocalTeam.java
@@ -0,0 +1,119 @@
+package io.oleandermoor.state.rate;
+
+import io.oleandermoor.state.identity.TeamName;
+
+/** What an entry keeps for a team with recent demand. */
+final class LocalTeam {
+
+    /** Time after which the recent demand counts half. */
+    private static final long HALF_LIFE_MILLIS = 500;
+
+    private static final int LARGEST_SHIFT = 62;
+
+    final TeamName name;
+    final TokenBucket local;
+    RateLimit limit;
+    long held;
+    /** Sequence of the last request that reported this team. */
+    long epoch;
+
+    long localStartMillis;
+    boolean queued;
+    long refusedUntilMillis;
+    long refusedTokens;
+    long askedLargest;
+    private long needed;
+    private long largest;
+    private long credit;
+    private long creditSinceMillis;
+    private long recent;
+    private long recentMillis;
+    private long lastTokens;
+    private long lastDemandMillis;
+
+    LocalTeam(TeamName name, RateLimit limit, long epoch, long localStartMillis, long nowMillis) {
+        this.name = name;
+        this.limit = limit;
+        this.epoch = epoch;
+        this.localStartMillis = localStartMillis;
+        this.local = new TokenBucket(0, 0, Math.min(localStartMillis, nowMillis));
+        this.recentMillis = nowMillis;
+        this.lastDemandMillis = nowMillis;
+        this.refusedUntilMillis = nowMillis;
+    }
+
+    /** Records a demand, from which the size of grants in advance follows. */
+    void noteDemand(long tokens, long nowMillis) {
+        decay(nowMillis);
+        recent += tokens;
+        lastTokens = tokens;
+        lastDemandMillis = nowMillis;
+    }
+
+    /** Records that a request of this size waits. */
+    void need(long tokens) {
+        needed += tokens;
+        largest = Math.max(largest, tokens);
+    }
+
+    boolean hasNeed() {
+        return needed > 0;
+    }
+
+    void clearNeed() {
+        needed = 0;
+        largest = 0;
+    }
+
+    void credit(long tokens, long sinceMillis) {
+        creditSinceMillis = credit == 0 ? sinceMillis : Math.min(creditSinceMillis, sinceMillis);
+        credit += tokens;
+    }
+
+    boolean isIdle(long nowMillis) {
+        return nowMillis - lastDemandMillis >= RateSettings.IDLE_MILLIS;
+    }
+
+    /** Returns whether the tokens held are well below or above what the recent demand suggests. */
+    boolean isUnbalanced(long nowMillis) {
+        long target = target(nowMillis);
+        return held < target / 2 || held > 2 * target;
+    }
+
+    /** Builds the demand and clears what it reports. */
+    TeamDemand takeDemand(boolean ownerKnowsHeld, long nowMillis) {
+        long target = target(nowMillis);
+        long missing = Math.max(0, needed - held);
+        long largestMissing = Math.max(0, largest - held);
+        long returned = 0;
+        if (needed == 0 && held > 2 * target) {
+            returned = held - target;
+            held = target;
+        }
+        long wanted = Math.max(missing, needed + target - held);
+        long credited = ownerKnowsHeld ? credit : 0;
+        long age = credited == 0 ? 0 : nowMillis - creditSinceMillis;
+        credit = 0;
+        askedLargest = largest;
+        clearNeed();
+        return new TeamDemand(
+                name, held, returned, credited, age, missing, largestMissing, isIdle(nowMillis) ? missing : wanted);
+    }
+
+    private long target(long nowMillis) {
+        if (isIdle(nowMillis)) {
+            return 0;
+        }
+        decay(nowMillis);
+        // A single request is no reason to hold tokens for another one.
+        return recent > lastTokens ? recent / 2 + lastTokens : 0;
+    }
+
+    private void decay(long nowMillis) {
+        long steps = (nowMillis - recentMillis) / HALF_LIFE_MILLIS;
+        if (steps > 0) {
+            recent >>= Math.min(steps, LARGEST_SHIFT);
+            recentMillis += steps * HALF_LIFE_MILLIS;
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/OwnerBucket.java
@@ -0,0 +1,179 @@
+package io.oleandermoor.state.rate;
+
+import java.util.Arrays;
+
+/**
+ * Bucket of one team at the rate owner. The level, the tokens granted and not yet known to be spent (outstanding), and
+ * the largest content of all floors together never exceed the burst. Because every spent token leaves this sum and the
+ * sum grows at most at the rate, spending in any interval of length t is at most rate·t + burst. The part of the burst
+ * for floors is reserved also while they are suspended, since a floor can come into use while all other tokens are
+ * outstanding.
+ *
+ * <p>Tokens that a settled request did not use are credited only as far as they would still be in the bucket had the
+ * request never reserved them. The smallest gap between the sum and the burst since the reservation bounds this; the
+ * gaps are kept in a ring of time slots.
+ */
+final class OwnerBucket {
+
+    /** Length of a gap slot; the ring covers 128 s, after which an unused reservation is not credited. */
+    private static final long SLOT_MILLIS = 4_000;
+
+    private static final int SLOTS = 32;
+
+    private RateLimit limit;
+    private long floorRate;
+    private long floorReserve;
+    private final TokenBucket bucket;
+    private final long createdMillis;
+    private final long[] gaps = new long[SLOTS];
+    private long slot;
+    private long outstandingMicro;
+    private long claimMicro;
+    private long claimSetAsideMicro;
+    private long claimUntilMillis;
+    private long claimUpdatedMillis;
+
+    OwnerBucket(RateLimit limit, long nowMillis) {
+        this.limit = limit;
+        this.bucket = new TokenBucket(0, 0, nowMillis);
+        this.createdMillis = nowMillis;
+        this.slot = Math.floorDiv(nowMillis, SLOT_MILLIS);
+        this.claimUpdatedMillis = nowMillis;
+        Arrays.fill(gaps, Long.MAX_VALUE);
+    }
+
+    /** Sets the limit, the rate of one floor, the burst of all floors, and the number of floors in use. */
+    void configure(RateLimit newLimit, long newFloorRate, long newFloorReserve, int floors, long nowMillis) {
+        advance(nowMillis);
+        limit = newLimit;
+        floorRate = newFloorRate;
+        floorReserve = newFloorReserve;
+        refit(floors, nowMillis);
+    }
+
+    /** Accrues up to the time given. */
+    void advance(long nowMillis) {
+        bucket.advance(nowMillis);
+        long current = Math.floorDiv(nowMillis, SLOT_MILLIS);
+        if (current > slot) {
+            for (long next = Math.max(slot + 1, current - SLOTS + 1); next <= current; next++) {
+                gaps[index(next)] = Long.MAX_VALUE;
+            }
+            slot = current;
+        }
+        // The sum only grows between two calls, so its gap is smallest here, before anything is taken.
+        int index = index(slot);
+        gaps[index] = Math.min(gaps[index], bucket.capacityMicro() - bucket.levelMicro());
+        if (claimMicro > 0 && nowMillis >= claimUntilMillis) {
+            claimMicro = 0;
+            claimSetAsideMicro = 0;
+        } else if (claimMicro > 0 && nowMillis > claimUpdatedMillis) {
+            long half = Units.accrual(limit.rate()) / 2 * (nowMillis - claimUpdatedMillis);
+            claimSetAsideMicro = Math.min(claimMicro, claimSetAsideMicro + half);
+        }
+        claimUpdatedMillis = Math.max(claimUpdatedMillis, nowMillis);
+    }
+
+    /** Adapts rate and capacity to the number of floors in use and to the outstanding tokens. */
+    void refit(int floors, long nowMillis) {
+        long rate = Math.max(0, Units.accrual(limit.rate()) - floorRate * floors);
+        long capacity = Math.max(0, Units.micro(limit.burst()) - floorReserve - outstandingMicro);
+        bucket.configure(rate, capacity, nowMillis);
+    }
+
+    /** Moves tokens from the level to the outstanding ones; the caller has checked the level. */
+    void grant(long micro, int floors, long nowMillis) {
+        if (!bucket.tryTake(micro)) {
+            throw new IllegalStateException("grant exceeds the level");
+        }
+        outstandingMicro += micro;
+        refit(floors, nowMillis);
+    }
+
+    /** Moves outstanding tokens that can no longer be spent back to the level. */
+    void giveBack(long micro, int floors, long nowMillis) {
+        spent(micro, floors, nowMillis);
+        bucket.put(micro);
+    }
+
+    /** Removes outstanding tokens that are spent or may have been spent. */
+    void spent(long micro, int floors, long nowMillis) {
+        outstandingMicro -= micro;
+        refit(floors, nowMillis);
+    }
+
+    /** Credits tokens reserved at or after the time given and not used. */
+    void credit(long micro, long sinceMillis) {
+        long first = Math.floorDiv(sinceMillis, SLOT_MILLIS);
+        if (sinceMillis < createdMillis || first <= slot - SLOTS) {
+            return;
+        }
+        long credited = micro;
+        for (long next = first; next <= slot; next++) {
+            credited = Math.min(credited, gaps[index(next)]);
+        }
+        if (credited <= 0) {
+            return;
+        }
+        // The sum would have been larger by the credit since the reservation.
+        for (long next = first; next <= slot; next++) {
+            if (gaps[index(next)] != Long.MAX_VALUE) {
+                gaps[index(next)] -= credited;
+            }
+        }
+        bucket.put(credited);
+    }
+
+    /** Returns the part of the level that a request of this size may use. */
+    long available(long largestMicro) {
+        return largestMicro >= claimMicro ? bucket.levelMicro() : Math.max(0, bucket.levelMicro() - claimSetAsideMicro);
+    }
+
+    /** Returns how much may still be granted in advance of demand. */
+    long advanceRoom(int outstandingPercent) {
+        if (claimMicro > 0) {
+            return 0;
+        }
+        return Units.micro(limit.burst()) / 100 * outstandingPercent - outstandingMicro;
+    }
+
+    /** Sets tokens aside for a request of this size until the time given. */
+    void claim(long micro, long untilMillis) {
+        if (micro > claimMicro) {
+            // The first claim starts from the whole level, which was not enough for it.
+            claimSetAsideMicro = Math.max(claimSetAsideMicro, bucket.levelMicro());
+            claimMicro = micro;
+        }
+        claimUntilMillis = Math.max(claimUntilMillis, untilMillis);
+    }
+
+    /** Ends the claim if a request of this size has been granted. */
+    void endClaim(long micro) {
+        if (micro >= claimMicro) {
+            claimMicro = 0;
+            claimSetAsideMicro = 0;
+        }
+    }
+
+    /** Returns the time until the level covers the amount; {@link Long#MAX_VALUE} if outstanding tokens prevent it. */
+    long millisUntil(long micro) {
+        return bucket.millisUntil(micro);
+    }
+
+    /** Returns the time in which the rate accrues the amount. */
+    long accrualMillis(long micro) {
+        return micro / Math.max(1, Units.accrual(limit.rate())) + 1;
+    }
+
+    long outstandingMicro() {
+        return outstandingMicro;
+    }
+
+    RateLimit limit() {
+        return limit;
+    }
+
+    private static int index(long slot) {
+        return (int) Math.floorMod(slot, SLOTS);
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/OwnerSession.java
@@ -0,0 +1,138 @@
+package io.oleandermoor.state.rate;
+
+import io.oleandermoor.state.identity.TeamName;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** What the owner knows about one entry; removed when it lapses. All tokens of the entry expire together. */
+final class OwnerSession {
+
+    /** Marks an unknown time. */
+    static final long UNKNOWN = Long.MIN_VALUE;
+
+    /** Tokens granted in the last response, which may not have been received. */
+    record Pending(TeamName team, long tokens) {}
+
+    final RateClientId client;
+    private final Map<TeamName, Long> held = new HashMap<>();
+    private final List<Pending> pending = new ArrayList<>();
+    private long lastSequence = -1;
+    private long lastReceivedMillis = UNKNOWN;
+    private long lastSentAfterMillis = UNKNOWN;
+    private long lastValidMillis;
+    private long acceptedSequence = -1;
+    private long acceptedReceivedMillis = UNKNOWN;
+    private long expiresMillis;
+    private long floorSuspendedUntilMillis = UNKNOWN;
+    private boolean floorSuspended;
+    private long queuedEventMillis = Long.MAX_VALUE;
+
+    OwnerSession(RateClientId client) {
+        this.client = client;
+    }
+
+    boolean isStale(long sequence) {
+        return sequence <= lastSequence;
+    }
+
+    /** Returns whether the entry accepted the last response. */
+    boolean acceptedLast(long accepted) {
+        return accepted == lastSequence;
+    }
+
+    /** Adds the tokens of the last response to those held. */
+    void confirmPending() {
+        for (Pending grant : pending) {
+            held.merge(grant.team(), grant.tokens(), Long::sum);
+        }
+        pending.clear();
+        acceptedSequence = lastSequence;
+        acceptedReceivedMillis = lastReceivedMillis;
+        if (lastSentAfterMillis != UNKNOWN) {
+            floorSuspendedUntilMillis = Math.max(floorSuspendedUntilMillis, lastSentAfterMillis + lastValidMillis);
+        }
+    }
+
+    /** Returns and forgets the tokens of the last response. */
+    List<Pending> takePending() {
+        List<Pending> taken = List.copyOf(pending);
+        pending.clear();
+        return taken;
+    }
+
+    /** Returns a time at or before which the request that names this accepted response was sent. */
+    long sentAfterMillis(long accepted) {
+        return accepted == acceptedSequence ? acceptedReceivedMillis : UNKNOWN;
+    }
+
+    /** Records a request that is being answered. */
+    void received(RateRequest request, long sentAfterMillis, long validMillis, long untilMillis, long nowMillis) {
+        lastSequence = request.sequence();
+        lastReceivedMillis = nowMillis;
+        lastSentAfterMillis = sentAfterMillis;
+        lastValidMillis = validMillis;
+        expiresMillis = Math.max(expiresMillis, untilMillis);
+    }
+
+    void addPending(TeamName team, long tokens) {
+        pending.add(new Pending(team, tokens));
+    }
+
+    long held(TeamName team) {
+        return held.getOrDefault(team, 0L);
+    }
+
+    void setHeld(TeamName team, long tokens) {
+        if (tokens == 0) {
+            held.remove(team);
+        } else {
+            held.put(team, tokens);
+        }
+    }
+
+    Map<TeamName, Long> held() {
+        return held;
+    }
+
+    long expiresMillis() {
+        return expiresMillis;
+    }
+
+    /** Returns the time from which the floor of the entry counts again. */
+    long floorSuspendedUntilMillis() {
+        return floorSuspendedUntilMillis;
+    }
+
+    boolean floorSuspended() {
+        return floorSuspended;
+    }
+
+    void floorSuspended(boolean suspended) {
+        floorSuspended = suspended;
+    }
+
+    /** Returns whether the next event is earlier than the queued one, and records it as queued. */
+    boolean needsEarlierEvent() {
+        long next = floorSuspended ? Math.min(floorSuspendedUntilMillis, expiresMillis) : expiresMillis;
+        if (next >= queuedEventMillis) {
+            return false;
+        }
+        queuedEventMillis = next;
+        return true;
+    }
+
+    long queuedEventMillis() {
+        return queuedEventMillis;
+    }
+
+    /** Returns whether the event is the queued one, and not replaced by an earlier one. */
+    boolean takeEvent(long millis) {
+        if (millis != queuedEventMillis) {
+            return false;
+        }
+        queuedEventMillis = Long.MAX_VALUE;
+        return true;
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/RateClient.java
@@ -0,0 +1,368 @@
+package io.oleandermoor.state.rate;
+
+import io.oleandermoor.state.identity.TeamName;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/**
+ * Spends tokens in one entry for one group of teams: from grants of the rate owner, or, without a valid session, from
+ * the small floor of the entry.
+ *
+ * <p>The caller reserves tokens for each request. On {@link RateDecision.AskOwner} it sends {@link #nextRequest} to the
+ * owner, passes the response to {@link #accept}, and reserves again for every waiting request. Between requests it
+ * calls {@link #nextRequest} about every 50 ms and sends what it returns. When a request has ended it calls
+ * {@link #settle}.
+ *
+ * <p>Tokens count as spent at the time passed to {@link #reserve}; the caller reads its clock immediately before.
+ *
+ * <p>Only one request is in flight. A response to an earlier one is never accepted, so the owner knows which grants
+ * were not received. Teams without demand cost no memory after their tokens have been returned.
+ *
+ * <p>Not safe for use by several threads; the caller holds the lock of the rate table.
+ */
+public final class RateClient {
+
+    /** Number of lost or declined requests in a row after which callers no longer wait for the owner. */
+    private static final int FAILURES_UNTIL_REFUSAL = 2;
+
+    private static final long NEVER = Long.MAX_VALUE;
+    private static final long NOT_IN_FLIGHT = -1;
+
+    private final RateSettings settings;
+    private final RateClientId client;
+    private final Map<TeamName, LocalTeam> teams = new HashMap<>();
+    private final ArrayDeque<LocalTeam> changed = new ArrayDeque<>();
+    private Map<TeamName, RateLimit> limits = Map.of();
+    private long sequence;
+    private long inFlight = NOT_IN_FLIGHT;
+    private long sentMillis;
+    private long sweptMillis;
+    private long sessionTerm;
+    private long acceptedSequence;
+    private long sessionExpiresMillis;
+    private boolean sessionValid;
+    private long registeredFromMillis;
+    private long localStartMillis;
+    private int failures;
+    private boolean urgent;
+
+    /**
+     * Creates a client without tokens.
+     *
+     * @param settings settings of the deployment
+     * @param client the process
+     * @param nowMillis time of the process's monotonic clock
+     */
+    public RateClient(RateSettings settings, RateClientId client, long nowMillis) {
+        this.settings = settings;
+        this.client = client;
+        this.sentMillis = nowMillis - settings.keepAliveMillis();
+        this.sweptMillis = nowMillis;
+        this.registeredFromMillis = NEVER;
+        this.localStartMillis = settings.policy().asksOwner() ? NEVER : nowMillis;
+    }
+
+    /**
+     * Replaces the limits of the teams.
+     *
+     * @param newLimits the limit of each team
+     * @param nowMillis current time
+     */
+    public void configure(Map<TeamName, RateLimit> newLimits, long nowMillis) {
+        limits = Map.copyOf(newLimits);
+        for (LocalTeam team : teams.values()) {
+            if (localStartMillis <= nowMillis) {
+                // Accrues at the old rate up to now.
+                refreshLocal(team, nowMillis);
+            }
+            team.limit = limits.getOrDefault(team.name, new RateLimit(0, 0));
+        }
+    }
+
+    /**
+     * States that the registration of this process has been written. The floor can be used one lease time and a margin
+     * later, when the owner has read it.
+     *
+     * @param writtenMillis time at which the write was confirmed
+     */
+    public void registered(long writtenMillis) {
+        registeredFromMillis = writtenMillis + settings.leaseMillis() + settings.marginMillis();
+        updateLocalStart();
+    }
+
+    /** States that this process may be missing in the registrations; it stops using its floor. */
+    public void unregistered() {
+        registeredFromMillis = NEVER;
+        updateLocalStart();
+    }
+
+    /**
+     * Decides about a request.
+     *
+     * @param teamName the team
+     * @param tokens largest number of tokens that the request can use, positive
+     * @param nowMillis current time
+     * @return the decision
+     */
+    public RateDecision reserve(TeamName teamName, long tokens, long nowMillis) {
+        if (tokens <= 0) {
+            throw new IllegalArgumentException("tokens must be positive: " + tokens);
+        }
+        LocalTeam team = teams.get(teamName);
+        RateLimit limit = team == null ? limits.get(teamName) : team.limit;
+        long largest = limit == null ? 0 : settings.policy().largestRequest(settings, limit);
+        if (limit == null || tokens > largest) {
+            return new RateDecision.TooLarge(largest);
+        }
+        if (team == null) {
+            team = new LocalTeam(teamName, limit, sequence, localStartMillis, nowMillis);
+            teams.put(teamName, team);
+        }
+        expireSession(nowMillis);
+        team.noteDemand(tokens, nowMillis);
+        if (sessionValid && team.held >= tokens) {
+            team.held -= tokens;
+            queue(team);
+            return granted(team, tokens, sessionTerm, nowMillis);
+        }
+        if (!sessionValid && takeLocal(team, tokens, nowMillis)) {
+            return granted(team, tokens, 0, nowMillis);
+        }
+        if (!settings.policy().asksOwner()) {
+            return new RateDecision.Refused(team.local.millisUntil(Units.micro(tokens)));
+        }
+        return ask(team, tokens, nowMillis);
+    }
+
+    private RateDecision ask(LocalTeam team, long tokens, long nowMillis) {
+        if (nowMillis < team.refusedUntilMillis && tokens >= team.refusedTokens) {
+            return new RateDecision.Refused(team.refusedUntilMillis - nowMillis);
+        }
+        if (failures >= FAILURES_UNTIL_REFUSAL) {
+            return new RateDecision.Refused(retryWithoutOwner(team, tokens));
+        }
+        team.need(tokens);
+        queue(team);
+        urgent = true;
+        return new RateDecision.AskOwner(tokens - team.held);
+    }
+
+    private long retryWithoutOwner(LocalTeam team, long tokens) {
+        if (sessionValid || localStartMillis == NEVER) {
+            return RateSettings.REQUEST_TIMEOUT_MILLIS;
+        }
+        // A lost owner is replaced after its lease has ended.
+        return Math.min(settings.leaseMillis(), team.local.millisUntil(Units.micro(tokens)));
+    }
+
+    private static RateDecision granted(LocalTeam team, long tokens, long term, long nowMillis) {
+        return new RateDecision.Granted(new Reservation(team.name, tokens, term, team.epoch, nowMillis));
+    }
+
+    /**
+     * Gives back the unused part of a reservation. Unused tokens of a floor are dropped.
+     *
+     * @param reservation a reservation that has not been settled before
+     * @param usedTokens tokens that the request used; more than reserved counts as all
+     */
+    public void settle(Reservation reservation, long usedTokens) {
+        if (usedTokens < 0) {
+            throw new IllegalArgumentException("usedTokens must not be negative: " + usedTokens);
+        }
+        long unused = reservation.tokens() - usedTokens;
+        RateLimit limit = limits.get(reservation.team());
+        if (unused <= 0 || limit == null || reservation.term() == 0 || reservation.term() != sessionTerm) {
+            return;
+        }
+        LocalTeam team = teams.get(reservation.team());
+        if (team == null) {
+            team = new LocalTeam(reservation.team(), limit, sequence, localStartMillis, reservation.reservedMillis());
+            teams.put(reservation.team(), team);
+        }
+        if (sessionValid && team.epoch == reservation.epoch()) {
+            // The owner still counts these tokens as held.
+            team.held += unused;
+        } else {
+            team.credit(unused, reservation.reservedMillis());
+        }
+        queue(team);
+    }
+
+    /**
+     * Returns the request to send now, if any: at once when a caller waits, otherwise when something has changed or to
+     * keep the session.
+     *
+     * @param nowMillis current time
+     * @return a request with all changed teams
+     */
+    public Optional<RateRequest> nextRequest(long nowMillis) {
+        if (!settings.policy().asksOwner()) {
+            sweep(nowMillis);
+            return Optional.empty();
+        }
+        expireSession(nowMillis);
+        long sinceSent = nowMillis - sentMillis;
+        if (inFlight != NOT_IN_FLIGHT) {
+            if (sinceSent < RateSettings.REQUEST_TIMEOUT_MILLIS) {
+                return Optional.empty();
+            }
+            inFlight = NOT_IN_FLIGHT;
+            failures++;
+        }
+        sweep(nowMillis);
+        boolean due = sinceSent >= settings.keepAliveMillis();
+        if (failures == 0) {
+            due |= urgent || (!changed.isEmpty() && sinceSent >= RateSettings.REPORT_MILLIS);
+        } else {
+            due |= sinceSent >= RateSettings.REQUEST_TIMEOUT_MILLIS;
+        }
+        return due ? Optional.of(buildRequest(nowMillis)) : Optional.empty();
+    }
+
+    private RateRequest buildRequest(long nowMillis) {
+        sequence++;
+        List<TeamDemand> demands = new ArrayList<>(changed.size());
+        for (LocalTeam team = changed.poll(); team != null; team = changed.poll()) {
+            team.queued = false;
+            team.epoch = sequence;
+            demands.add(team.takeDemand(sessionValid, nowMillis));
+        }
+        urgent = false;
+        inFlight = sequence;
+        sentMillis = nowMillis;
+        return new RateRequest(client, sequence, sessionTerm, acceptedSequence, demands);
+    }
+
+    /**
+     * Takes the response of the owner. A late, repeated or declined response adds no tokens.
+     *
+     * @param response the response
+     * @param nowMillis current time
+     * @return whether the response was the awaited one of an owner; in both cases waiting requests reserve again
+     */
+    public boolean accept(RateResponse response, long nowMillis) {
+        expireSession(nowMillis);
+        if (response.sequence() != inFlight) {
+            return false;
+        }
+        inFlight = NOT_IN_FLIGHT;
+        urgent = false;
+        changed.forEach(LocalTeam::clearNeed);
+        long expiresMillis = sentMillis + response.validMillis();
+        if (!response.owner() || expiresMillis <= nowMillis || response.term() < sessionTerm) {
+            failures++;
+            return false;
+        }
+        if (response.term() != sessionTerm) {
+            // The lease of the owner before has ended, and with it the validity of its grants.
+            dropHeld();
+            sessionExpiresMillis = expiresMillis;
+        }
+        failures = 0;
+        sessionTerm = response.term();
+        acceptedSequence = response.sequence();
+        sessionExpiresMillis = Math.max(sessionExpiresMillis, expiresMillis);
+        sessionValid = true;
+        updateLocalStart();
+        for (TeamGrant grant : response.grants()) {
+            LocalTeam team = teams.get(grant.team());
+            if (team != null) {
+                team.held += grant.tokens();
+                team.refusedTokens = team.askedLargest;
+                team.refusedUntilMillis = nowMillis + grant.retryAfterMillis();
+            }
+        }
+        return true;
+    }
+
+    /**
+     * Returns the number of teams for which the client keeps state.
+     *
+     * @return a count, for metrics
+     */
+    public int teamCount() {
+        return teams.size();
+    }
+
+    private void expireSession(long nowMillis) {
+        if (sessionValid && nowMillis >= sessionExpiresMillis) {
+            sessionValid = false;
+            dropHeld();
+        }
+    }
+
+    private void dropHeld() {
+        sequence++;
+        for (LocalTeam team : teams.values()) {
+            team.held = 0;
+            team.epoch = sequence;
+        }
+    }
+
+    /** The floor starts empty, when the owner has certainly stopped counting the session. */
+    private void updateLocalStart() {
+        if (!settings.policy().asksOwner()) {
+            return;
+        }
+        localStartMillis = registeredFromMillis == NEVER || sessionTerm == 0
+                ? registeredFromMillis
+                : Math.max(registeredFromMillis, sessionExpiresMillis + 2 * settings.marginMillis());
+    }
+
+    private boolean takeLocal(LocalTeam team, long tokens, long nowMillis) {
+        if (nowMillis < localStartMillis) {
+            return false;
+        }
+        refreshLocal(team, nowMillis);
+        return team.local.tryTake(Units.micro(tokens));
+    }
+
+    private void refreshLocal(LocalTeam team, long nowMillis) {
+        if (team.localStartMillis != localStartMillis || team.local.capacityMicro() == 0) {
+            team.localStartMillis = localStartMillis;
+            team.local.configure(0, 0, localStartMillis);
+        }
+        team.local.configure(
+                settings.policy().localRate(settings, team.limit),
+                settings.policy().localBurst(settings, team.limit),
+                localStartMillis);
+        team.local.advance(nowMillis);
+    }
+
+    private void queue(LocalTeam team) {
+        if (!team.queued) {
+            team.queued = true;
+            changed.add(team);
+        }
+    }
+
+    /** Returns the tokens of idle teams and forgets teams without state. */
+    private void sweep(long nowMillis) {
+        if (nowMillis - sweptMillis < RateSettings.IDLE_MILLIS / 2) {
+            return;
+        }
+        sweptMillis = nowMillis;
+        Iterator<LocalTeam> iterator = teams.values().iterator();
+        while (iterator.hasNext()) {
+            LocalTeam team = iterator.next();
+            if (sessionValid && team.isUnbalanced(nowMillis)) {
+                queue(team);
+            } else if (team.isIdle(nowMillis) && !team.queued && team.held == 0 && localIsFull(team, nowMillis)) {
+                iterator.remove();
+            }
+        }
+    }
+
+    private boolean localIsFull(LocalTeam team, long nowMillis) {
+        if (nowMillis < localStartMillis) {
+            return true;
+        }
+        refreshLocal(team, nowMillis);
+        return team.local.levelMicro() == team.local.capacityMicro();
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/RateOwner.java
@@ -0,0 +1,333 @@
+package io.oleandermoor.state.rate;
+
+import io.oleandermoor.state.identity.TeamName;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+
+/**
+ * Holds the buckets of one group of teams and grants tokens to entries. A new object is created for each term of the
+ * ownership; its buckets start empty.
+ *
+ * <p><b>Limit.</b> For each team, the tokens in the bucket, the tokens outstanding at entries and the burst of all
+ * floors never exceed the burst of the team together, so that spending in any interval of length t is at most rate·t +
+ * burst. Tokens accrue 1% slower than configured because clocks may differ by that much.
+ *
+ * <p><b>Sessions.</b> Each response makes all tokens of the entry valid for a time that the entry counts from when it
+ * sent the request. The owner counts them until one margin later, from when it received the request. No session extends
+ * beyond the owner's lease, so a successor finds no outstanding tokens and can grant at once. An owner that stops early
+ * must keep its lease until {@link #quietFromMillis}.
+ *
+ * <p><b>Floors.</b> A session suspends the floor of the entry. The owner relies on this only up to the validity of a
+ * response that the entry has confirmed, counted from the owner's receipt of the request confirmed before it, which is
+ * certainly earlier than the entry's own start of the session.
+ *
+ * <p><b>Large requests.</b> A request up to the burst less the burst of all floors (95% by default) is always granted
+ * in the end. When the bucket does not cover a request, tokens are set aside for requests of at least that size: half
+ * of what accrues, while smaller requests use the other half. No tokens are granted in advance during that time, so
+ * that tokens held by other entries are spent, returned after {@value RateSettings#IDLE_MILLIS} ms without demand, or
+ * expire.
+ *
+ * <p>Not safe for use by several threads; the caller holds the lock of the rate table. A request costs O(demands + log
+ * entries), plus O(teams) when the session of an entry begins or ends.
+ */
+public final class RateOwner {
+
+    /** Time added to a promised retry during which tokens stay set aside. */
+    private static final long CLAIM_GRACE_MILLIS = 2_000;
+
+    private record Event(long millis, OwnerSession session) {}
+
+    private final RateSettings settings;
+    private final long term;
+    private final Map<TeamName, OwnerBucket> buckets = new HashMap<>();
+    private final Map<RateClientId, OwnerSession> sessions = new HashMap<>();
+    private final PriorityQueue<Event> events = new PriorityQueue<>(Comparator.comparingLong(Event::millis));
+    private Set<RateClientId> registered = Set.of();
+    private long registrationsReadMillis;
+    private boolean registrationsRead;
+    private long leaseUntilMillis;
+    private int floors;
+
+    /**
+     * Creates an owner that grants nothing before {@link #registrations} has been called.
+     *
+     * @param settings settings of the deployment
+     * @param term fencing number of the lease, positive
+     * @param leaseUntilMillis time of the own clock at which the lease lapses, counted from when its acquisition was
+     *     sent and shortened for clock drift
+     */
+    public RateOwner(RateSettings settings, long term, long leaseUntilMillis) {
+        if (term <= 0) {
+            throw new IllegalArgumentException("term must be positive: " + term);
+        }
+        this.settings = settings;
+        this.term = term;
+        this.leaseUntilMillis = leaseUntilMillis;
+    }
+
+    /**
+     * Extends the lease after a successful renewal.
+     *
+     * @param untilMillis new end of the lease; an earlier one than known has no effect
+     */
+    public void renewed(long untilMillis) {
+        leaseUntilMillis = Math.max(leaseUntilMillis, untilMillis);
+    }
+
+    /**
+     * Replaces the set of entries that may use a floor. An entry may be removed only when its process certainly no
+     * longer uses its floor.
+     *
+     * @param clients all registered processes
+     * @param readMillis time at which the read was sent
+     * @param nowMillis current time
+     */
+    public void registrations(Set<RateClientId> clients, long readMillis, long nowMillis) {
+        advance(nowMillis);
+        registered = Set.copyOf(clients);
+        registrationsReadMillis = readMillis;
+        registrationsRead = true;
+        long suspended = sessions.values().stream()
+                .filter(session -> session.floorSuspended() && registered.contains(session.client))
+                .count();
+        floors = registered.size() - (int) suspended;
+        buckets.values().forEach(bucket -> apply(bucket, bucket.limit(), nowMillis));
+    }
+
+    /**
+     * Sets the limits of all teams of the group. A new team starts with an empty bucket. Lowering a burst cuts the
+     * bucket at once.
+     *
+     * @param limits the limit of each team
+     * @param nowMillis current time
+     */
+    public void configure(Map<TeamName, RateLimit> limits, long nowMillis) {
+        advance(nowMillis);
+        Iterator<Map.Entry<TeamName, OwnerBucket>> iterator = buckets.entrySet().iterator();
+        while (iterator.hasNext()) {
+            Map.Entry<TeamName, OwnerBucket> entry = iterator.next();
+            if (!limits.containsKey(entry.getKey())) {
+                apply(entry.getValue(), new RateLimit(0, 0), nowMillis);
+                // A bucket with outstanding tokens stays until they are gone, in case the team is added again.
+                if (entry.getValue().outstandingMicro() == 0) {
+                    iterator.remove();
+                }
+            }
+        }
+        limits.forEach((team, limit) ->
+                apply(buckets.computeIfAbsent(team, name -> new OwnerBucket(limit, nowMillis)), limit, nowMillis));
+    }
+
+    private void apply(OwnerBucket bucket, RateLimit limit, long nowMillis) {
+        bucket.configure(
+                limit,
+                settings.policy().localRate(settings, limit),
+                settings.policy().localBurst(settings, limit) * Math.max(settings.maximumEntries(), registered.size()),
+                floors,
+                nowMillis);
+    }
+
+    /**
+     * Answers a request.
+     *
+     * @param request the request
+     * @param nowMillis current time
+     * @return the response; empty for a request that is older than one answered before
+     */
+    public Optional<RateResponse> handle(RateRequest request, long nowMillis) {
+        long validMillis = Math.min(settings.validMillis(), leaseUntilMillis - settings.marginMillis() - nowMillis);
+        if (validMillis < RateSettings.REQUEST_TIMEOUT_MILLIS || !registrationsAreCurrent(nowMillis)) {
+            return Optional.of(RateResponse.notOwner(request.sequence()));
+        }
+        advance(nowMillis);
+        OwnerSession session = sessions.get(request.client());
+        if (session == null) {
+            session = new OwnerSession(request.client());
+            sessions.put(request.client(), session);
+        } else if (session.isStale(request.sequence())) {
+            return Optional.empty();
+        }
+        long accepted = request.term() == term ? request.acceptedSequence() : -1;
+        settleLastResponse(session, accepted, nowMillis);
+        long sentAfterMillis = session.sentAfterMillis(accepted);
+        long untilMillis = nowMillis + validMillis + settings.marginMillis();
+        session.received(request, sentAfterMillis, validMillis, untilMillis, nowMillis);
+        schedule(session);
+        List<TeamGrant> grants = new ArrayList<>(request.demands().size());
+        for (TeamDemand demand : request.demands()) {
+            OwnerBucket bucket = buckets.get(demand.team());
+            if (bucket == null) {
+                continue;
+            }
+            bucket.advance(nowMillis);
+            takeReport(session, bucket, demand, sentAfterMillis, nowMillis);
+            if (demand.wanted() > 0) {
+                grants.add(grant(session, bucket, demand, nowMillis));
+            }
+        }
+        return Optional.of(new RateResponse(request.sequence(), true, term, validMillis, grants));
+    }
+
+    /**
+     * Returns the time from which no entry can spend tokens of this owner, provided that no request is answered in the
+     * meantime. An owner that gives up its lease early must wait until then.
+     *
+     * @param nowMillis current time
+     * @return a time, at least {@code nowMillis}
+     */
+    public long quietFromMillis(long nowMillis) {
+        return sessions.values().stream().mapToLong(OwnerSession::expiresMillis).reduce(nowMillis, Math::max);
+    }
+
+    /**
+     * Returns the number of entries with a session.
+     *
+     * @return a count, for metrics
+     */
+    public int sessionCount() {
+        return sessions.size();
+    }
+
+    private boolean registrationsAreCurrent(long nowMillis) {
+        // A new registration takes effect one lease and one margin after it was written.
+        return registrationsRead && nowMillis - registrationsReadMillis <= settings.leaseMillis();
+    }
+
+    private void settleLastResponse(OwnerSession session, long accepted, long nowMillis) {
+        if (session.acceptedLast(accepted)) {
+            session.confirmPending();
+            suspendFloor(session, nowMillis);
+            return;
+        }
+        // The entry has sent a later request without that response and never accepts it.
+        for (OwnerSession.Pending grant : session.takePending()) {
+            OwnerBucket bucket = buckets.get(grant.team());
+            if (bucket != null) {
+                bucket.advance(nowMillis);
+                bucket.giveBack(Units.micro(grant.tokens()), floors, nowMillis);
+            }
+        }
+    }
+
+    private void takeReport(
+            OwnerSession session, OwnerBucket bucket, TeamDemand demand, long sentAfterMillis, long nowMillis) {
+        long before = session.held(demand.team());
+        long held = Math.min(before, demand.held());
+        long returned = Math.min(before - held, demand.returned());
+        bucket.spent(Units.micro(before - held - returned), floors, nowMillis);
+        bucket.giveBack(Units.micro(returned), floors, nowMillis);
+        session.setHeld(demand.team(), held);
+        if (demand.credited() > 0 && sentAfterMillis != OwnerSession.UNKNOWN) {
+            // The age is measured by the entry's clock, which may be slower than the owner's by 2.1%.
+            long age = demand.creditAgeMillis() + demand.creditAgeMillis() * 21 / 1_000 + 1;
+            bucket.credit(Units.micro(demand.credited()), sentAfterMillis - age);
+        }
+    }
+
+    private TeamGrant grant(OwnerSession session, OwnerBucket bucket, TeamDemand demand, long nowMillis) {
+        long largest = Units.micro(demand.largest());
+        boolean served = bucket.available(largest) >= largest;
+        long retryAfterMillis = 0;
+        long needed = Units.micro(demand.needed());
+        long wanted = needed;
+        if (served) {
+            bucket.endClaim(largest);
+            long room = bucket.advanceRoom(settings.outstandingPercent()) - needed;
+            long spare = (bucket.available(largest) - needed) / 2;
+            wanted += Math.max(0, Math.min(Units.micro(demand.wanted()) - needed, Math.min(room, spare)));
+        } else {
+            retryAfterMillis = retryAfterMillis(bucket, largest);
+            bucket.claim(largest, nowMillis + retryAfterMillis + CLAIM_GRACE_MILLIS);
+            wanted -= largest;
+        }
+        long tokens = Units.tokens(Math.min(wanted, bucket.available(served ? largest : 0)));
+        if (tokens > 0) {
+            bucket.grant(Units.micro(tokens), floors, nowMillis);
+            session.addPending(demand.team(), tokens);
+        }
+        return new TeamGrant(demand.team(), tokens, retryAfterMillis);
+    }
+
+    private long retryAfterMillis(OwnerBucket bucket, long micro) {
+        long millis = bucket.millisUntil(micro);
+        if (millis < Long.MAX_VALUE) {
+            return Math.max(1, millis);
+        }
+        // Outstanding tokens keep the bucket below the amount until they are returned or expire.
+        return Math.max(bucket.accrualMillis(micro), settings.validMillis() + settings.marginMillis());
+    }
+
+    private void suspendFloor(OwnerSession session, long nowMillis) {
+        if (session.floorSuspended() || session.floorSuspendedUntilMillis() <= nowMillis) {
+            return;
+        }
+        session.floorSuspended(true);
+        if (registered.contains(session.client)) {
+            changeFloors(floors - 1, nowMillis);
+        }
+    }
+
+    /** Processes the ends of sessions and suspensions up to now, each at its own time. */
+    private void advance(long nowMillis) {
+        Event event = events.peek();
+        while (event != null && event.millis() <= nowMillis) {
+            events.remove();
+            OwnerSession session = event.session();
+            if (session.takeEvent(event.millis())) {
+                if (session.floorSuspended() && session.floorSuspendedUntilMillis() <= event.millis()) {
+                    session.floorSuspended(false);
+                    if (registered.contains(session.client)) {
+                        changeFloors(floors + 1, event.millis());
+                    }
+                }
+                if (session.expiresMillis() <= event.millis()) {
+                    lapse(session, event.millis());
+                } else {
+                    schedule(session);
+                }
+            }
+            event = events.peek();
+        }
+    }
+
+    private void schedule(OwnerSession session) {
+        if (session.needsEarlierEvent()) {
+            events.add(new Event(session.queuedEventMillis(), session));
+        }
+    }
+
+    private void lapse(OwnerSession session, long atMillis) {
+        sessions.remove(session.client);
+        // The entry may have spent the tokens without reporting it.
+        for (OwnerSession.Pending grant : session.takePending()) {
+            spent(grant.team(), grant.tokens(), atMillis);
+        }
+        session.held().forEach((team, tokens) -> spent(team, tokens, atMillis));
+    }
+
+    private void spent(TeamName team, long tokens, long atMillis) {
+        OwnerBucket bucket = buckets.get(team);
+        if (bucket != null) {
+            bucket.advance(atMillis);
+            bucket.spent(Units.micro(tokens), floors, atMillis);
+        }
+    }
+
+    private void changeFloors(int newFloors, long atMillis) {
+        if (newFloors == floors) {
+            return;
+        }
+        floors = newFloors;
+        for (OwnerBucket bucket : buckets.values()) {
+            bucket.advance(atMillis);
+            bucket.refit(floors, atMillis);
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/TokenBucket.java
@@ -0,0 +1,121 @@
+package io.oleandermoor.state.rate;
+
+/**
+ * Token bucket in micro-tokens whose rate and capacity can change. It starts empty. A time earlier than one already
+ * seen has no effect. Not safe for use by several threads.
+ */
+public final class TokenBucket {
+
+    private long microPerMillis;
+    private long capacityMicro;
+    private long levelMicro;
+    private long updatedMillis;
+
+    /**
+     * Creates an empty bucket.
+     *
+     * @param microPerMillis accrual in micro-tokens per millisecond, not negative
+     * @param capacityMicro largest level in micro-tokens, not negative
+     * @param nowMillis time of the process's monotonic clock
+     */
+    public TokenBucket(long microPerMillis, long capacityMicro, long nowMillis) {
+        this.updatedMillis = nowMillis;
+        configure(microPerMillis, capacityMicro, nowMillis);
+    }
+
+    /**
+     * Adds the tokens accrued since the last call.
+     *
+     * @param nowMillis current time
+     */
+    public void advance(long nowMillis) {
+        if (nowMillis <= updatedMillis) {
+            return;
+        }
+        long elapsed = nowMillis - updatedMillis;
+        updatedMillis = nowMillis;
+        if (microPerMillis > 0) {
+            long room = capacityMicro - levelMicro;
+            // Compares by division because the product can overflow after a long idle time.
+            levelMicro = elapsed > room / microPerMillis ? capacityMicro : levelMicro + elapsed * microPerMillis;
+        }
+    }
+
+    /**
+     * Changes rate and capacity from now on; a level above the capacity is cut.
+     *
+     * @param newMicroPerMillis accrual in micro-tokens per millisecond, not negative
+     * @param newCapacityMicro largest level in micro-tokens, not negative
+     * @param nowMillis current time
+     */
+    public void configure(long newMicroPerMillis, long newCapacityMicro, long nowMillis) {
+        if (newMicroPerMillis < 0 || newCapacityMicro < 0) {
+            throw new IllegalArgumentException(
+                    "rate and capacity must not be negative: " + newMicroPerMillis + ", " + newCapacityMicro);
+        }
+        advance(nowMillis);
+        microPerMillis = newMicroPerMillis;
+        capacityMicro = newCapacityMicro;
+        levelMicro = Math.min(levelMicro, capacityMicro);
+    }
+
+    /**
+     * Takes tokens if the level covers them.
+     *
+     * @param micro number of micro-tokens, not negative
+     * @return whether they were taken
+     */
+    public boolean tryTake(long micro) {
+        if (micro < 0) {
+            throw new IllegalArgumentException("micro must not be negative: " + micro);
+        }
+        if (micro > levelMicro) {
+            return false;
+        }
+        levelMicro -= micro;
+        return true;
+    }
+
+    /**
+     * Puts tokens back, up to the capacity.
+     *
+     * @param micro number of micro-tokens, not negative
+     */
+    public void put(long micro) {
+        levelMicro = Math.min(capacityMicro, levelMicro + micro);
+    }
+
+    /**
+     * Returns the level.
+     *
+     * @return micro-tokens at the last update
+     */
+    public long levelMicro() {
+        return levelMicro;
+    }
+
+    /**
+     * Returns the capacity.
+     *
+     * @return micro-tokens
+     */
+    public long capacityMicro() {
+        return capacityMicro;
+    }
+
+    /**
+     * Returns the time until the level covers an amount if nothing is taken.
+     *
+     * @param micro number of micro-tokens
+     * @return milliseconds; {@link Long#MAX_VALUE} if it never does
+     */
+    public long millisUntil(long micro) {
+        if (micro <= levelMicro) {
+            return 0;
+        }
+        if (micro > capacityMicro || microPerMillis == 0) {
+            return Long.MAX_VALUE;
+        }
+        return (micro - levelMicro + microPerMillis - 1) / microPerMillis;
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/rate/RateLimitPropertyTest.java
@@ -0,0 +1,82 @@
+package io.oleandermoor.state.rate;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.oleandermoor.state.rate.RateSimulation.Faults;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.constraints.IntRange;
+
+/** Guards against tokens over a limit: in every interval all entries spend at most rate·t + burst. */
+class RateLimitPropertyTest {
+
+    private static final RateLimit LIMIT = new RateLimit(10_000, 20_000);
+    private static final int ENTRIES = 4;
+    private static final long RUN_MILLIS = 60_000;
+
+    /** Kinds of faults; each run uses one, or all of them. */
+    enum Kind {
+        NO_FAULT(Faults.NONE),
+        MESSAGES_LOST_REPEATED_LATE(new Faults(15, 15, 15, 0, 0, 0, 0)),
+        OWNER_CHANGES(new Faults(0, 0, 5, 6_000, 0, 0, 0)),
+        OWNER_PAUSED_PAST_LEASE(new Faults(0, 0, 5, 0, 10_000, 0, 0)),
+        ENTRIES_PAUSED(new Faults(0, 0, 5, 0, 0, 5_000, 0)),
+        ENTRIES_RESTARTED(new Faults(2, 2, 2, 0, 0, 0, 15_000)),
+        OWNER_AND_STORE_LOST(new Faults(2, 2, 5, 0, 0, 0, 0)),
+        ALL(new Faults(5, 5, 5, 20_000, 30_000, 20_000, 40_000));
+
+        final Faults faults;
+
+        Kind(Faults faults) {
+            this.faults = faults;
+        }
+    }
+
+    @Property(tries = 240, seed = "20261204", shrinking = ShrinkingMode.OFF)
+    void keepsTheLimitUnderFaults(@ForAll Kind kind, @ForAll @IntRange(max = 1_000_000) int seed) {
+        RateSimulation simulation = simulation(kind.faults, seed);
+        boolean outages = kind == Kind.OWNER_AND_STORE_LOST || kind == Kind.ALL;
+        while (simulation.millis < RUN_MILLIS) {
+            if (outages) {
+                simulation.storeDown = simulation.millis % 30_000 > 18_000;
+                simulation.ownerUnreachable = simulation.millis % 17_000 > 9_000;
+            }
+            simulation.step();
+            offerLoad(simulation);
+        }
+        assertThat(simulation.excess(LIMIT)).isLessThanOrEqualTo(0);
+        assertThat(simulation.granted).as("the run must exercise grants").isGreaterThan(50);
+    }
+
+    @Property(tries = 30, seed = "20261205", shrinking = ShrinkingMode.OFF)
+    void keepsTheLargerLimitWhileLimitsChange(@ForAll @IntRange(max = 1_000_000) int seed) {
+        RateSimulation simulation = simulation(new Faults(5, 5, 5, 20_000, 0, 20_000, 0), seed);
+        while (simulation.millis < RUN_MILLIS) {
+            if (simulation.millis % 7_000 == 0) {
+                simulation.configure(simulation.random.nextBoolean() ? LIMIT : new RateLimit(3_000, 5_000));
+            }
+            simulation.step();
+            offerLoad(simulation);
+        }
+        assertThat(simulation.excess(LIMIT)).isLessThanOrEqualTo(0);
+    }
+
+    private static RateSimulation simulation(Faults faults, long seed) {
+        return new RateSimulation(RateSettings.defaults(ENTRIES), LIMIT, faults, ENTRIES, seed);
+    }
+
+    /** Offers about three times the rate, in waves so that buckets fill between them, with some large requests. */
+    private static void offerLoad(RateSimulation simulation) {
+        boolean wave = simulation.millis / 3_000 % 2 == 0;
+        for (RateSimulation.Entry entry : simulation.entries()) {
+            if (!entry.paused() && simulation.random.nextInt(wave ? 40 : 800) == 0) {
+                boolean large = simulation.random.nextInt(40) == 0;
+                boolean small = simulation.random.nextBoolean();
+                long reserved = large ? 18_000 : small ? 1 + simulation.random.nextInt(240) : 2_000;
+                long used = simulation.random.nextBoolean() ? reserved : simulation.random.nextLong(reserved);
+                entry.offer(reserved, used, simulation.random.nextLong(15_000));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/rate/RateSimulation.java
@@ -0,0 +1,278 @@
+package io.oleandermoor.state.rate;
+
+import io.oleandermoor.state.identity.InstanceId;
+import io.oleandermoor.state.identity.TeamName;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.function.LongUnaryOperator;
+import java.util.stream.Collectors;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Deterministic driver of one owner at a time and several entries under virtual time, with faults. */
+final class RateSimulation {
+
+    /** Faults of one run; percentages of messages, and mean times between events in milliseconds (0 for never). */
+    record Faults(int lost, int repeated, int late, long ownerChange, long ownerPause, long entryPause, long restart) {
+        static final Faults NONE = new Faults(0, 0, 0, 0, 0, 0, 0);
+    }
+
+    record Spend(long millis, long used) {}
+
+    private record Delivery(long millis, Runnable action) {}
+
+    static final TeamName TEAM = new TeamName("press");
+    private static final long PATIENCE_MILLIS = 800;
+    private static final long STEP_MILLIS = 5;
+
+    private final RateSettings settings;
+    private final Faults faults;
+    final UniformRandomProvider random;
+    private final PriorityQueue<Delivery> deliveries =
+            new PriorityQueue<>((a, b) -> Long.compare(a.millis(), b.millis()));
+    private final List<Entry> entries = new ArrayList<>();
+    private final Map<RateClientId, Long> registrations = new HashMap<>();
+    private final Map<Long, long[]> spends = new HashMap<>();
+    Map<TeamName, RateLimit> limits;
+    long millis;
+    long refused;
+    long granted;
+    private long grantId;
+    private long incarnation;
+    private Owner owner;
+    private long leaseEndMillis;
+    private long term;
+    boolean storeDown;
+    boolean ownerUnreachable;
+
+    RateSimulation(RateSettings settings, RateLimit limit, Faults faults, int entryCount, long seed) {
+        this.settings = settings;
+        this.faults = faults;
+        this.limits = Map.of(TEAM, limit);
+        this.random = RandomSource.XO_SHI_RO_256_PP.create(seed);
+        for (int index = 0; index < entryCount; index++) {
+            entries.add(new Entry(index));
+        }
+    }
+
+    /** A clock with its own offset and a rate that differs by up to 1%. */
+    private LongUnaryOperator clock() {
+        long offset = random.nextLong(1_000_000);
+        long perMille = 990 + 20 * random.nextLong(2);
+        return time -> offset + time * perMille / 1_000;
+    }
+
+    private boolean chance(long meanMillis) {
+        return meanMillis > 0 && random.nextLong(meanMillis) < STEP_MILLIS;
+    }
+
+    private final class Owner {
+        final LongUnaryOperator clock = clock();
+        final RateOwner core;
+        long pausedUntil;
+        long renewedMillis = millis;
+
+        Owner() {
+            leaseEndMillis = millis + settings.leaseMillis();
+            core = new RateOwner(settings, ++term, now() + settings.leaseMillis() - settings.marginMillis());
+            readStore();
+        }
+
+        long now() {
+            return clock.applyAsLong(millis);
+        }
+
+        void readStore() {
+            Set<RateClientId> known = registrations.keySet();
+            core.registrations(known, now(), now());
+            core.configure(limits, now());
+        }
+
+        void step() {
+            if (millis < pausedUntil) {
+                return;
+            }
+            if (chance(faults.ownerPause())) {
+                pausedUntil = millis + random.nextLong(2 * settings.leaseMillis());
+            }
+            if (!storeDown && millis - renewedMillis >= settings.leaseMillis() / 3) {
+                renewedMillis = millis;
+                if (millis < leaseEndMillis && owner == this) {
+                    leaseEndMillis = millis + settings.leaseMillis();
+                    core.renewed(now() + settings.leaseMillis() - settings.marginMillis());
+                    readStore();
+                }
+            }
+        }
+
+        void receive(RateRequest request, Entry from) {
+            if (millis < pausedUntil) {
+                deliveries.add(new Delivery(pausedUntil, () -> receive(request, from)));
+                return;
+            }
+            Optional<RateResponse> response = core.handle(request, now());
+            response.ifPresent(value -> send(() -> from.receive(value)));
+        }
+    }
+
+    final class Entry {
+        final int index;
+        RateClient core;
+        private LongUnaryOperator clock;
+        private long pausedUntil;
+        private final List<long[]> waiting = new ArrayList<>();
+        private RateClientId id;
+
+        Entry(int index) {
+            this.index = index;
+            restart();
+        }
+
+        void restart() {
+            waiting.clear();
+            registrations.remove(id);
+            clock = clock();
+            id = new RateClientId(new InstanceId("entry-" + index), ++incarnation);
+            core = new RateClient(settings, id, now());
+            core.configure(limits, now());
+            registrations.put(id, millis);
+            core.registered(now());
+        }
+
+        long now() {
+            return clock.applyAsLong(millis);
+        }
+
+        /** Offers a request that reserves and later uses the tokens given. */
+        void offer(long reserved, long used, long durationMillis) {
+            waiting.add(new long[] {reserved, used, durationMillis, millis + PATIENCE_MILLIS});
+            retryWaiting();
+        }
+
+        private void retryWaiting() {
+            waiting.removeIf(request -> decided(request));
+            sendNext();
+        }
+
+        private boolean decided(long[] request) {
+            RateClient client = core;
+            RateDecision decision = client.reserve(TEAM, request[0], now());
+            if (decision instanceof RateDecision.Granted grant) {
+                long key = grantId++;
+                granted++;
+                spends.put(key, new long[] {millis, request[0]});
+                deliveries.add(new Delivery(millis + request[2], () -> {
+                    if (client == core) {
+                        spends.get(key)[1] = request[1];
+                        core.settle(grant.reservation(), request[1]);
+                    }
+                }));
+                return true;
+            }
+            boolean given = !(decision instanceof RateDecision.AskOwner) || millis > request[3];
+            refused += given ? 1 : 0;
+            return given;
+        }
+
+        void receive(RateResponse response) {
+            if (millis < pausedUntil) {
+                deliveries.add(new Delivery(pausedUntil, () -> receive(response)));
+                return;
+            }
+            core.accept(response, now());
+            retryWaiting();
+        }
+
+        private void sendNext() {
+            core.nextRequest(now()).ifPresent(request -> {
+                Owner target = owner;
+                if (target != null && !ownerUnreachable) {
+                    send(() -> target.receive(request, this));
+                }
+            });
+        }
+
+        boolean paused() {
+            return millis < pausedUntil;
+        }
+
+        void step() {
+            if (chance(faults.restart())) {
+                restart();
+            }
+            if (chance(faults.entryPause())) {
+                pausedUntil = millis + random.nextLong(2 * settings.validMillis());
+            }
+            if (!paused() && millis % 50 == 0) {
+                retryWaiting();
+            }
+        }
+    }
+
+    private void send(Runnable action) {
+        int copies = random.nextInt(100) < faults.lost() ? 0 : random.nextInt(100) < faults.repeated() ? 2 : 1;
+        for (int copy = 0; copy < copies; copy++) {
+            long delay = 1 + random.nextInt(4);
+            if (random.nextInt(100) < faults.late()) {
+                delay = random.nextLong(2 * settings.validMillis());
+            }
+            deliveries.add(new Delivery(millis + delay, action));
+        }
+    }
+
+    List<Entry> entries() {
+        return entries;
+    }
+
+    /** Advances by one step of 5 ms. */
+    void step() {
+        millis += STEP_MILLIS;
+        while (!deliveries.isEmpty() && deliveries.peek().millis() <= millis) {
+            deliveries.remove().action().run();
+        }
+        if (owner != null) {
+            owner.step();
+        }
+        if (chance(faults.ownerChange()) && owner != null) {
+            // The old owner keeps answering what it received, but no longer renews.
+            Owner old = owner;
+            old.renewedMillis = Long.MAX_VALUE / 2;
+        }
+        if (!storeDown && millis >= leaseEndMillis) {
+            owner = new Owner();
+        }
+        entries.forEach(Entry::step);
+    }
+
+    void configure(RateLimit limit) {
+        limits = Map.of(TEAM, limit);
+        for (Entry entry : entries) {
+            deliveries.add(
+                    new Delivery(millis + random.nextLong(5_000), () -> entry.core.configure(limits, entry.now())));
+        }
+    }
+
+    /**
+     * Returns by how many tokens the spending exceeds rate·t + burst in the worst interval; at most 0 if it keeps it.
+     */
+    double excess(RateLimit limit) {
+        List<Spend> sorted = spends.values().stream()
+                .map(spend -> new Spend(spend[0], spend[1]))
+                .sorted((a, b) -> Long.compare(a.millis(), b.millis()))
+                .collect(Collectors.toList());
+        double level = limit.burst();
+        long last = 0;
+        double worst = Double.NEGATIVE_INFINITY;
+        for (Spend spend : sorted) {
+            level = Math.min(limit.burst(), level + limit.rate() * (spend.millis() - last) / 1_000.0) - spend.used();
+            last = spend.millis();
+            worst = Math.max(worst, -level);
+        }
+        return worst;
+    }
+}
