Add the routing core with affinity, slow start and outlier ejection

Requests need an upstream chosen at a cost that does not depend on the fleet. Weighed: scanning all copies by reported load, which is kept as the baseline LEAST_LOADED; it gathers requests at one upstream when reports lag. The chosen policy examines at most 8 copies: two holders of the prompt prefix, two random ones, and others only when those are unusable or full.

A restart of an upstream creates a new state object, so remembered prefixes, load and health of the earlier incarnation are unreachable without a scan.

--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/OutlierDetector.java
@@ -0,0 +1,120 @@
+package io.oleandermoor.state.routing;
+
+import java.util.Arrays;
+import java.util.function.BooleanSupplier;
+
+/**
+ * Decides which upstreams are ejected because they fail or are much slower than the others. After an ejection one
+ * request at a time probes the upstream; its success ends the ejection and its failure starts a longer one. The state
+ * is kept for each upstream and changed only under the lock of the routing table.
+ */
+public final class OutlierDetector {
+
+    /** Time without a new ejection after which earlier ones no longer lengthen the next, in milliseconds. */
+    private static final long FORGIVENESS_MILLIS = 600_000;
+
+    /** Number of other copies whose latency is compared, so that the cost does not grow with the fleet. */
+    private static final int COMPARED_COPIES = 8;
+
+    /** Keeps the shifted length of an ejection within a long. */
+    private static final int MAXIMUM_DOUBLINGS = 20;
+
+    private final OutlierSettings settings;
+
+    /** Whether an upstream may get a request. */
+    enum Availability {
+        AVAILABLE,
+        PROBE,
+        EJECTED
+    }
+
+    /**
+     * Creates a detector.
+     *
+     * @param settings the limits
+     */
+    public OutlierDetector(OutlierSettings settings) {
+        this.settings = settings;
+    }
+
+    Availability availability(UpstreamHealth health, long nowMillis) {
+        if (nowMillis < health.ejectedUntilMillis) {
+            return Availability.EJECTED;
+        }
+        if (!health.probing) {
+            return Availability.AVAILABLE;
+        }
+        boolean waiting = health.probeInFlight && nowMillis - health.probeSentMillis < settings.probeTimeoutMillis();
+        return waiting ? Availability.EJECTED : Availability.PROBE;
+    }
+
+    void sent(UpstreamHealth health, long nowMillis) {
+        if (health.probing && nowMillis >= health.ejectedUntilMillis) {
+            health.probeSentMillis = nowMillis;
+            health.probeInFlight = true;
+        }
+    }
+
+    /** Takes a success. A success during an ejection belongs to earlier work and changes nothing. */
+    void succeeded(UpstreamHealth health, long nowMillis) {
+        if (nowMillis >= health.ejectedUntilMillis) {
+            health.probing = false;
+            health.probeInFlight = false;
+            health.consecutiveFailures = 0;
+        }
+    }
+
+    /** Takes a failure and returns whether it ejected the upstream. */
+    boolean failed(UpstreamHealth health, long nowMillis, BooleanSupplier permitted) {
+        if (nowMillis < health.ejectedUntilMillis) {
+            return false;
+        }
+        health.consecutiveFailures++;
+        if (!health.probing && health.consecutiveFailures < settings.consecutiveFailures()) {
+            return false;
+        }
+        return eject(health, nowMillis, permitted);
+    }
+
+    boolean eject(UpstreamHealth health, long nowMillis, BooleanSupplier permitted) {
+        if (!permitted.getAsBoolean()) {
+            health.restore();
+            return false;
+        }
+        if (health.ejections > 0 && nowMillis - health.lastEjectionMillis > FORGIVENESS_MILLIS) {
+            health.ejections = 0;
+        }
+        int doublings = Math.min(health.ejections, MAXIMUM_DOUBLINGS);
+        long length = Math.min(settings.maximumEjectionMillis(), settings.baseEjectionMillis() << doublings);
+        health.ejections++;
+        health.lastEjectionMillis = nowMillis;
+        health.consecutiveFailures = 0;
+        health.probeInFlight = false;
+        health.probing = true;
+        health.ejectedUntilMillis = nowMillis + length;
+        return true;
+    }
+
+    /** Returns whether a copy is much slower than a sample of the others, starting at the given index. */
+    boolean isSlow(Copy copy, CopyGroup group, int start) {
+        if (copy.latencySamples() < settings.latencySamples()) {
+            return false;
+        }
+        double[] others = new double[COMPARED_COPIES];
+        int found = 0;
+        int examined = Math.min(group.all.length, COMPARED_COPIES + 1);
+        for (int step = 0; step < examined && found < COMPARED_COPIES; step++) {
+            Copy other = group.all[Math.floorMod(start + step, group.all.length)];
+            if (other != copy && other.latencySamples() >= settings.latencySamples()) {
+                others[found++] = other.latencyMillis();
+            }
+        }
+        if (found == 0) {
+            return false;
+        }
+        Arrays.sort(others, 0, found);
+        double median = others[(found - 1) / 2];
+        double limit = Math.max(median * settings.latencyFactor(), median + settings.latencyFloorMillis());
+        return copy.latencyMillis() > limit;
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/Router.java
@@ -0,0 +1,167 @@
+package io.oleandermoor.state.routing;
+
+import io.oleandermoor.state.identity.UpstreamId;
+import java.util.Optional;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Chooses an upstream for each request and learns from the results. A caller reports each request that it sends and its
+ * result. Safe for use by several threads; see {@link RoutingTable} for the lock.
+ */
+public final class Router {
+
+    /** Number of results of one copy between two comparisons of its latency with the others. */
+    private static final int RESULTS_BETWEEN_COMPARISONS = 16;
+
+    private final RoutingTable table;
+    private final RoutingSettings settings;
+    private final PrefixAffinity affinity;
+    private final OutlierDetector detector;
+
+    /**
+     * Creates a router.
+     *
+     * @param table the ready copies
+     * @param settings the settings
+     */
+    public Router(RoutingTable table, RoutingSettings settings) {
+        this.table = table;
+        this.settings = settings;
+        this.affinity = new PrefixAffinity(settings.affinityEntries());
+        this.detector = new OutlierDetector(settings.outliers());
+    }
+
+    /**
+     * Chooses an upstream. With the affinity policy an ejected upstream is chosen only if no other was found among the
+     * candidates.
+     *
+     * @param query what the request asks for
+     * @param nowMillis the time in milliseconds
+     * @param random the source of random candidates
+     * @return the choice, empty if no ready upstream is left
+     */
+    public Optional<RouteChoice> choose(RouteQuery query, long nowMillis, UniformRandomProvider random) {
+        Selection selection = new Selection(this, query, nowMillis, random);
+        Candidate candidate = settings.policy().select(selection);
+        if (candidate == null) {
+            return Optional.empty();
+        }
+        UpstreamState upstream = candidate.copy().upstream;
+        return Optional.of(new RouteChoice(
+                upstream.id,
+                upstream.incarnation,
+                candidate.ready(),
+                candidate.heldBlocks(),
+                selection.examinedCount()));
+    }
+
+    /**
+     * Records that a request was sent to the chosen upstream.
+     *
+     * @param choice the choice
+     * @param prefix the prompt prefix of the request
+     * @param nowMillis the time in milliseconds
+     */
+    public void sent(RouteChoice choice, PromptPrefix prefix, long nowMillis) {
+        UpstreamState upstream = current(choice);
+        if (upstream == null) {
+            return;
+        }
+        table.change(() -> {
+            upstream.sent(nowMillis);
+            detector.sent(upstream.health, nowMillis);
+        });
+        affinity.sent(upstream, prefix, nowMillis);
+    }
+
+    /**
+     * Records that a request succeeded.
+     *
+     * @param choice the choice
+     * @param latencyMillis the time to the first token, or to the answer of a plain service, in milliseconds
+     * @param nowMillis the time in milliseconds
+     */
+    public void succeeded(RouteChoice choice, double latencyMillis, long nowMillis) {
+        UpstreamState upstream = current(choice);
+        if (upstream == null) {
+            return;
+        }
+        table.change(() -> {
+            detector.succeeded(upstream.health, nowMillis);
+            Copy copy = upstream.copies().get(choice.ready());
+            CopyGroup group = table.group(choice.ready());
+            if (copy == null || group == null) {
+                return;
+            }
+            copy.addLatency(latencyMillis);
+            boolean due = copy.latencySamples() % RESULTS_BETWEEN_COMPARISONS == 0;
+            if (due && detector.isSlow(copy, group, copy.latencySamples())) {
+                boolean ejected = detector.eject(upstream.health, nowMillis, () -> table.mayEject(upstream, nowMillis));
+                if (ejected) {
+                    copy.clearLatency();
+                }
+            }
+        });
+    }
+
+    /**
+     * Records that a request failed for a reason that lies with the upstream.
+     *
+     * @param choice the choice
+     * @param nowMillis the time in milliseconds
+     */
+    public void failed(RouteChoice choice, long nowMillis) {
+        UpstreamState upstream = current(choice);
+        if (upstream != null) {
+            table.change(() -> detector.failed(upstream.health, nowMillis, () -> table.mayEject(upstream, nowMillis)));
+        }
+    }
+
+    /**
+     * Takes a cache event of an engine.
+     *
+     * @param upstream the upstream
+     * @param incarnation the incarnation of the agent that sent the event
+     * @param event the event
+     */
+    public void cacheEvent(UpstreamId upstream, long incarnation, CacheEvent event) {
+        UpstreamState state = table.upstream(upstream);
+        if (state != null && state.incarnation == incarnation) {
+            affinity.cacheEvent(state, event);
+        }
+    }
+
+    /**
+     * Returns whether an upstream is ejected at present.
+     *
+     * @param upstream the upstream
+     * @param nowMillis the time in milliseconds
+     * @return true if its requests go elsewhere while others are available
+     */
+    public boolean isEjected(UpstreamId upstream, long nowMillis) {
+        UpstreamState state = table.upstream(upstream);
+        return state != null && detector.availability(state.health, nowMillis) == OutlierDetector.Availability.EJECTED;
+    }
+
+    RoutingTable table() {
+        return table;
+    }
+
+    RoutingSettings settings() {
+        return settings;
+    }
+
+    PrefixAffinity affinity() {
+        return affinity;
+    }
+
+    OutlierDetector detector() {
+        return detector;
+    }
+
+    private @Nullable UpstreamState current(RouteChoice choice) {
+        UpstreamState state = table.upstream(choice.upstream());
+        return state != null && state.incarnation == choice.incarnation() ? state : null;
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/UpstreamHealth.java
@@ -0,0 +1,20 @@
+package io.oleandermoor.state.routing;
+
+/** Failures and ejections of one upstream. Written under the lock of the routing table and read without it. */
+final class UpstreamHealth {
+
+    volatile long ejectedUntilMillis = Long.MIN_VALUE;
+    volatile boolean probing;
+    volatile boolean probeInFlight;
+    volatile long probeSentMillis;
+    int consecutiveFailures;
+    int ejections;
+    long lastEjectionMillis;
+
+    void restore() {
+        ejectedUntilMillis = Long.MIN_VALUE;
+        probing = false;
+        probeInFlight = false;
+        consecutiveFailures = 0;
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/UpstreamState.java
@@ -0,0 +1,64 @@
+package io.oleandermoor.state.routing;
+
+import io.oleandermoor.state.identity.FailureDomain;
+import io.oleandermoor.state.identity.UpstreamId;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * What an entry knows about one incarnation of an upstream. A restart creates a new object, so everything remembered
+ * for the earlier incarnation is forgotten. Written under the lock of the routing table and read without it.
+ */
+final class UpstreamState {
+
+    final UpstreamId id;
+    final FailureDomain failureDomain;
+    final long incarnation;
+    final UpstreamHealth health = new UpstreamHealth();
+    /** Sequence of the last cache event. Guarded by the lock of the prefix table. */
+    long lastCacheSequence;
+    /** Prefix blocks used before this time are not trusted. Guarded by the lock of the prefix table. */
+    long cacheTrustedSinceMillis = Long.MIN_VALUE;
+
+    private final SendHistory history = new SendHistory();
+    private volatile Map<RouteTarget, Copy> copies = Map.of();
+    private volatile @Nullable UpstreamLoad load;
+    private volatile int sentSinceReport;
+
+    UpstreamState(UpstreamRecord record) {
+        this.id = record.upstream();
+        this.failureDomain = record.failureDomain();
+        this.incarnation = record.incarnation();
+    }
+
+    Map<RouteTarget, Copy> copies() {
+        return copies;
+    }
+
+    void replaceCopies(Map<RouteTarget, Copy> newCopies) {
+        copies = Map.copyOf(newCopies);
+    }
+
+    @Nullable
+    UpstreamLoad load() {
+        return load;
+    }
+
+    int sentSinceReport() {
+        return sentSinceReport;
+    }
+
+    void sent(long nowMillis) {
+        history.add(nowMillis);
+        sentSinceReport = sentSinceReport + 1;
+    }
+
+    /** Takes a report unless a later measurement is known already. */
+    void report(UpstreamLoad newLoad) {
+        UpstreamLoad known = load;
+        if (known == null || newLoad.measuredAtMillis() >= known.measuredAtMillis()) {
+            sentSinceReport = history.since(newLoad.measuredAtMillis());
+            load = newLoad;
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/routing/RouterTest.java
@@ -0,0 +1,278 @@
+package io.oleandermoor.state.routing;
+
+import static io.oleandermoor.state.routing.SimulatedFleet.HOME;
+import static io.oleandermoor.state.routing.SimulatedFleet.MODEL;
+import static io.oleandermoor.state.routing.SimulatedFleet.record;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.oleandermoor.state.identity.AdapterName;
+import io.oleandermoor.state.identity.FailureDomain;
+import io.oleandermoor.state.identity.UpstreamId;
+import java.util.HashSet;
+import java.util.Set;
+import java.util.stream.IntStream;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.LongRange;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class RouterTest {
+
+    private static final RouteTarget TARGET = new RouteTarget.OfModel(MODEL);
+
+    static UniformRandomProvider random(long seed) {
+        return RandomSource.XO_RO_SHI_RO_128_PP.create(seed);
+    }
+
+    private static PromptPrefix prompt(long conversation, int turns) {
+        byte[] bytes = new byte[PromptPrefix.BLOCK_BYTES * turns];
+        random(conversation).nextBytes(bytes);
+        return PromptPrefix.of("m", bytes);
+    }
+
+    @Nested
+    class Load {
+
+        private int maximumQueue(RoutingPolicy policy, long seed) {
+            SimulatedFleet fleet = new SimulatedFleet(policy, 4, 10, 500, 300);
+            UniformRandomProvider random = random(seed);
+            for (long now = 0; now < 20_000; now++) {
+                fleet.report(now);
+                if (random.nextDouble() < 0.14) {
+                    fleet.request(random.nextInt(4), PromptPrefix.empty(), 200 + random.nextInt(400), now, random);
+                }
+            }
+            return fleet.maximumQueue;
+        }
+
+        @Test
+        @DisplayName("Guards against herding: every entry sending to the upstream that was idle in the last report")
+        void staysFarBelowLeastLoadedWithLaggingReports() {
+            for (long seed = 1; seed <= 20; seed++) {
+                int affinity = maximumQueue(RoutingPolicy.AFFINITY, seed);
+                int leastLoaded = maximumQueue(RoutingPolicy.LEAST_LOADED, seed);
+                assertThat(affinity)
+                        .as("seed %d", seed)
+                        .isLessThan(leastLoaded / 2)
+                        .isLessThan(16);
+            }
+        }
+
+        @Test
+        @DisplayName("Guards against one hot prefix overloading the upstream that holds it")
+        void imbalanceIsBoundedUnderStrongAffinity() {
+            SimulatedFleet fleet = new SimulatedFleet(RoutingPolicy.AFFINITY, 1, 4, 50, 0);
+            UniformRandomProvider random = random(7);
+            PromptPrefix hot = prompt(1, 20);
+            int widest = 0;
+            for (long now = 0; now < 20_000; now++) {
+                fleet.report(now);
+                if (random.nextDouble() < 0.05) {
+                    fleet.request(0, hot, 400, now, random);
+                    long time = now;
+                    fleet.nodes.forEach(node -> node.ends.removeIf(end -> end <= time));
+                    int most = fleet.nodes.stream()
+                            .mapToInt(node -> node.ends.size())
+                            .max()
+                            .orElse(0);
+                    int least = fleet.nodes.stream()
+                            .mapToInt(node -> node.ends.size())
+                            .min()
+                            .orElse(0);
+                    widest = Math.max(widest, most - least);
+                }
+            }
+            double benefit = RoutingSettings.defaults(RoutingPolicy.AFFINITY).affinityBenefit();
+            // The benefit allows half of the slots; the rest is the error of reports that are up to 50 ms old.
+            assertThat(widest).isLessThanOrEqualTo((int) (benefit * SimulatedFleet.SLOTS) + 3);
+        }
+
+        @Test
+        @DisplayName("Guards against requests sent after a report being forgotten when a late report arrives")
+        void countsRequestsSentAfterTheMeasurement() {
+            SendHistory history = new SendHistory();
+            IntStream.range(0, 1000).forEach(history::add);
+            assertThat(history.since(32 * SendHistory.PERIOD_MILLIS)).isZero();
+            assertThat(history.since(900)).isBetween(100, 100 + (int) SendHistory.PERIOD_MILLIS);
+            history.add(100_000);
+            assertThat(history.since(0)).isEqualTo(1);
+        }
+    }
+
+    @Nested
+    class Affinity {
+
+        private double hitRate(RoutingPolicy policy, long seed) {
+            SimulatedFleet fleet = new SimulatedFleet(policy, 1, 6, 200, 200);
+            UniformRandomProvider random = random(seed);
+            int[] turns = new int[60];
+            for (long now = 0; now < 30_000; now += 1 + random.nextInt(40)) {
+                fleet.report(now - now % 200);
+                int conversation = random.nextInt(turns.length);
+                turns[conversation] = Math.min(30, turns[conversation] + 1);
+                fleet.request(0, prompt(conversation, turns[conversation]), 300, now, random);
+            }
+            return (double) fleet.hits / fleet.blocks;
+        }
+
+        @Test
+        @DisplayName("Guards against conversations losing their cached prefix at each turn")
+        void hitsMoreThanRoundRobin() {
+            for (long seed = 1; seed <= 20; seed++) {
+                double affinity = hitRate(RoutingPolicy.AFFINITY, seed);
+                double roundRobin = hitRate(RoutingPolicy.ROUND_ROBIN, seed);
+                assertThat(affinity).as("seed %d", seed).isGreaterThan(0.6).isGreaterThan(1.5 * roundRobin);
+            }
+        }
+
+        @Test
+        @DisplayName("Guards against trusting the cache of an upstream that restarted")
+        void forgetsOnRestart() {
+            SimulatedFleet fleet = new SimulatedFleet(RoutingPolicy.AFFINITY, 1, 3, 50, 0);
+            Router router = fleet.routers.get(0);
+            PromptPrefix prefix = prompt(3, 10);
+            RouteQuery query = RouteQuery.forModel(MODEL, HOME).withPrefix(prefix);
+            RouteChoice first = router.choose(query, 0, random(1)).orElseThrow();
+            router.sent(first, prefix, 0);
+            assertThat(router.choose(query, 1, random(2)).orElseThrow().heldBlocks())
+                    .isEqualTo(10);
+            fleet.tables.get(0).update(record(first.upstream(), 2, 1, UpstreamStatus.READY), 2);
+            assertThat(router.choose(query, 3, random(3)).orElseThrow().heldBlocks())
+                    .isZero();
+        }
+
+        @Test
+        @DisplayName("Guards against late and missing cache events removing or keeping the wrong blocks")
+        void takesEventsLateAndWithGaps() {
+            UpstreamState state = new UpstreamState(record(new UpstreamId("u"), 1, 1, UpstreamStatus.READY));
+            PrefixAffinity affinity = new PrefixAffinity(1024);
+            PromptPrefix prefix = prompt(5, 4);
+            long[] none = {};
+            long[] last = {prefix.hash(3)};
+            affinity.sent(state, prefix, 100);
+            affinity.cacheEvent(state, new CacheEvent(1, 50, none, last));
+            assertThat(affinity.heldBlocks(state, prefix))
+                    .as("evicted before it was sent")
+                    .isEqualTo(4);
+            affinity.cacheEvent(state, new CacheEvent(2, 150, none, last));
+            assertThat(affinity.heldBlocks(state, prefix)).isEqualTo(3);
+            affinity.cacheEvent(state, new CacheEvent(1, 150, last, none));
+            assertThat(affinity.heldBlocks(state, prefix)).as("repeated event").isEqualTo(3);
+            affinity.cacheEvent(state, new CacheEvent(9, 20_000, none, none));
+            assertThat(affinity.heldBlocks(state, prefix))
+                    .as("events were lost")
+                    .isZero();
+        }
+    }
+
+    @Nested
+    class Membership {
+
+        private final RoutingTable table = new RoutingTable();
+        private final Router router = new Router(table, RoutingSettings.defaults(RoutingPolicy.AFFINITY));
+
+        @Test
+        @DisplayName("Guards against an adapter request loading the adapter again elsewhere, and against failing it")
+        void prefersLoadedAdapterThenBaseModel() {
+            RouteTarget adapter = new RouteTarget.OfAdapter(new AdapterName("x"));
+            UpstreamId loaded = new UpstreamId("loaded");
+            for (int index = 0; index < 20; index++) {
+                table.update(record(new UpstreamId("u" + index), 1, 1, UpstreamStatus.READY), 0);
+            }
+            table.update(new UpstreamRecord(loaded, HOME, 1, 1, UpstreamStatus.READY, Set.of(TARGET, adapter)), 0);
+            RouteQuery query = RouteQuery.forAdapter(new AdapterName("x"), MODEL, HOME);
+            assertThat(router.choose(query, 20_000, random(1)).orElseThrow().upstream())
+                    .isEqualTo(loaded);
+            RouteChoice other = router.choose(query.withExcluded(Set.of(loaded)), 20_000, random(1))
+                    .orElseThrow();
+            assertThat(other.ready()).isEqualTo(TARGET);
+        }
+
+        @Test
+        @DisplayName("Guards against crossing failure domains without need, and against staying when home is full")
+        void prefersTheHomeDomainUntilItIsFull() {
+            UpstreamId near = new UpstreamId("near");
+            UpstreamId far = new UpstreamId("far");
+            table.update(record(near, 1, 1, UpstreamStatus.READY), 0);
+            table.update(
+                    new UpstreamRecord(far, new FailureDomain("b"), 1, 1, UpstreamStatus.READY, Set.of(TARGET)), 0);
+            table.report(near, 1, new UpstreamLoad(1, 0, 8, 0, 1));
+            table.report(far, 1, new UpstreamLoad(0, 0, 8, 0, 1));
+            RouteQuery query = RouteQuery.forModel(MODEL, HOME);
+            assertThat(router.choose(query, 20_000, random(1)).orElseThrow().upstream())
+                    .isEqualTo(near);
+            table.report(near, 1, new UpstreamLoad(8, 4, 8, 0, 2));
+            assertThat(router.choose(query, 20_000, random(1)).orElseThrow().upstream())
+                    .isEqualTo(far);
+        }
+
+        @Test
+        @DisplayName("Guards against a fresh copy taking all requests while its caches are empty")
+        void startsFreshCopiesSlowly() {
+            SimulatedFleet fleet = new SimulatedFleet(RoutingPolicy.AFFINITY, 1, 3, 50, 0);
+            fleet.nodes.add(new SimulatedFleet.Node("fresh"));
+            fleet.tables.get(0).update(record(new UpstreamId("fresh"), 1, 1, UpstreamStatus.READY), 0);
+            UniformRandomProvider random = random(11);
+            for (long now = 0; now < 3000; now += 20) {
+                fleet.report(now - now % 50);
+                fleet.request(0, PromptPrefix.empty(), 400, now, random);
+            }
+            int fresh = fleet.nodes.get(3).started;
+            assertThat(fresh).isBetween(1, 150 / 4 / 2);
+            SlowStart slowStart = new SlowStart(10_000, 0.1);
+            assertThat(slowStart.weight(0, 0)).isEqualTo(0.1);
+            assertThat(slowStart.weight(0, 5_000)).isBetween(0.5, 0.6);
+            assertThat(slowStart.weight(0, 10_000)).isEqualTo(1);
+        }
+    }
+
+    @Property(tries = 300, seed = "42")
+    void neverChoosesLeavingOrExcludedUpstreams(
+            @ForAll @IntRange(min = 1, max = 30) int size, @ForAll @LongRange(min = 1) long seed) {
+        UniformRandomProvider random = random(seed);
+        for (RoutingPolicy policy : RoutingPolicy.values()) {
+            RoutingTable table = new RoutingTable();
+            Router router = new Router(table, RoutingSettings.defaults(policy));
+            Set<UpstreamId> usable = new HashSet<>();
+            Set<UpstreamId> excluded = new HashSet<>();
+            PromptPrefix prefix = prompt(1, 3);
+            for (int index = 0; index < size; index++) {
+                UpstreamId id = new UpstreamId("u" + index);
+                table.update(record(id, 1, 1, UpstreamStatus.READY), 0);
+                router.sent(new RouteChoice(id, 1, TARGET, 0, 0), prefix, 1);
+                if (random.nextInt(4) == 0) {
+                    table.update(record(id, 1, 3, UpstreamStatus.LEAVING), 2);
+                    table.update(record(id, 1, 2, UpstreamStatus.READY), 3);
+                    if (random.nextBoolean()) {
+                        table.remove(id, 3);
+                        table.update(record(id, 1, 2, UpstreamStatus.READY), 4);
+                    }
+                } else if (excluded.size() < 3 && random.nextInt(4) == 0) {
+                    excluded.add(id);
+                } else {
+                    usable.add(id);
+                }
+                for (int failure = 0; failure < random.nextInt(8); failure++) {
+                    router.failed(new RouteChoice(id, 1, TARGET, 0, 0), 4);
+                }
+            }
+            RouteQuery query =
+                    RouteQuery.forModel(MODEL, HOME).withPrefix(prefix).withExcluded(excluded);
+            for (int draw = 0; draw < 20; draw++) {
+                var choice = router.choose(query, 5, random);
+                assertThat(choice.isPresent()).isEqualTo(!usable.isEmpty());
+                choice.ifPresent(chosen -> {
+                    assertThat(usable).contains(chosen.upstream());
+                    if (policy == RoutingPolicy.AFFINITY) {
+                        assertThat(chosen.examined()).isLessThanOrEqualTo(8);
+                    }
+                });
+            }
+        }
+    }
+}
