Add the ledger core: outcomes, attempts, once records and crashes

Agents and entries must never run a non-repeatable call twice and never say "not run" wrongly, although messages are lost, repeated and late and processes die.

The agent's ledger records a tombstone for each attempt it reports as not run. When it is full it says nothing, or UNKNOWN, because a refusal that cannot be remembered may become false. A forgotten attempt looks like one never seen, so the tracker trusts such an answer only while the attempt is younger than the retention.

--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/ledger/AttemptTracker.java
@@ -0,0 +1,289 @@
+package io.oleandermoor.state.ledger;
+
+import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.ledger.AttemptDecision.DropReason;
+import io.oleandermoor.state.ledger.AttemptDecision.ReplyReason;
+import java.util.HashSet;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Follows one request of a caller through its attempts and decides after each event what the entry does next. A
+ * non-repeatable request gets another attempt only after the agent has confirmed that the last one did not run, and
+ * NOT_RUN is said only when that holds for every attempt. Not safe for use by several threads; an entry handles the
+ * events of one request one after the other.
+ */
+public final class AttemptTracker {
+
+    private static final AttemptDecision AWAIT = new AttemptDecision.Await();
+    private static final AttemptDecision DROP_FOREIGN = new AttemptDecision.Drop(DropReason.FOREIGN);
+    private static final AttemptDecision DROP_REPEATED = new AttemptDecision.Drop(DropReason.REPEATED);
+    private static final AttemptDecision DROP_GAP = new AttemptDecision.Drop(DropReason.GAP);
+    private static final AttemptDecision DROP_ENDED = new AttemptDecision.Drop(DropReason.ENDED);
+
+    private final TrackedRequest request;
+    private final RetryPermission permission;
+    private final Set<UpstreamId> tried = new HashSet<>();
+    private @Nullable AttemptKey current;
+    private @Nullable UpstreamId upstream;
+    private long incarnation;
+    private long sentAtMillis;
+    private int attempts;
+    private int movedAttempts;
+    private int nextOffset;
+    private boolean attaching;
+    private boolean cancelling;
+    private boolean callerGone;
+    private boolean mayHaveRun;
+    private boolean ended;
+
+    /**
+     * Creates a tracker of a request that has not been sent anywhere.
+     *
+     * @param request the request
+     * @param permission the budget for retries
+     */
+    public AttemptTracker(TrackedRequest request, RetryPermission permission) {
+        this.request = request;
+        this.permission = permission;
+    }
+
+    /**
+     * Begins the next attempt. Called before its dispatch message is handed to a connection.
+     *
+     * @param chosen the upstream
+     * @param agentIncarnation the incarnation of its agent
+     * @param nowMillis the time in milliseconds
+     * @return the key of the attempt
+     * @throws IllegalStateException if an attempt is under way or the request has ended
+     */
+    public AttemptKey begin(UpstreamId chosen, long agentIncarnation, long nowMillis) {
+        if (current != null || ended) {
+            throw new IllegalStateException("request " + request.id() + " has an attempt under way or has ended");
+        }
+        attempts++;
+        AttemptKey key = new AttemptKey(request.id(), attempts);
+        current = key;
+        upstream = chosen;
+        incarnation = agentIncarnation;
+        sentAtMillis = nowMillis;
+        attaching = false;
+        return key;
+    }
+
+    /**
+     * Returns the number of tokens that were forwarded to the caller.
+     *
+     * @return the offset of the next token
+     */
+    public int nextOffset() {
+        return nextOffset;
+    }
+
+    /**
+     * Returns whether the request has ended.
+     *
+     * @return true if nothing more is done for it
+     */
+    public boolean isEnded() {
+        return ended;
+    }
+
+    /**
+     * Decides what follows from an event.
+     *
+     * @param event the event
+     * @param nowMillis the time in milliseconds
+     * @return the decision
+     */
+    public AttemptDecision on(AttemptEvent event, long nowMillis) {
+        if (ended) {
+            return DROP_ENDED;
+        }
+        if (event instanceof AttemptEvent.OfAttempt ofAttempt) {
+            AttemptKey key = current;
+            return key == null || !ofAttempt.key().equals(key) ? DROP_FOREIGN : onAttempt(ofAttempt, key, nowMillis);
+        }
+        if (event instanceof AttemptEvent.NoUpstream none) {
+            return reply(unlessRun(), ReplyReason.NO_UPSTREAM, none.retryAfterMillis());
+        }
+        if (event instanceof AttemptEvent.DeadlinePassed) {
+            return onDeadline();
+        }
+        if (event instanceof AttemptEvent.CallerGone) {
+            return onCallerGone();
+        }
+        return cancelling ? reply(Outcome.UNKNOWN, ReplyReason.DEADLINE, 0) : AWAIT;
+    }
+
+    private AttemptDecision onAttempt(AttemptEvent.OfAttempt event, AttemptKey key, long nowMillis) {
+        if (event instanceof AttemptEvent.ChunkArrived arrived) {
+            return onChunk(arrived.chunk(), key);
+        }
+        if (event instanceof AttemptEvent.Finished finished) {
+            return onFinished(finished.result(), key, nowMillis);
+        }
+        if (event instanceof AttemptEvent.NotRun notRun) {
+            // A later incarnation knows nothing of what this attempt did before the agent restarted.
+            return notRun.incarnation() == incarnation
+                    ? onNotRun(notRun.reason(), notRun.retryAfterMillis(), nowMillis)
+                    : onLost(Optional.empty(), nowMillis);
+        }
+        if (event instanceof AttemptEvent.NotSent) {
+            return onNotRun(NotRunReason.UPSTREAM_UNREACHABLE, 0, nowMillis);
+        }
+        if (event instanceof AttemptEvent.Reconnected reconnected) {
+            return reconnected.incarnation() == incarnation ? query(key) : onLost(Optional.empty(), nowMillis);
+        }
+        if (event instanceof AttemptEvent.Silence) {
+            return query(key);
+        }
+        if (event instanceof AttemptEvent.QueryAnswered answered) {
+            return onState(answered.state(), answered.incarnation(), false, key, nowMillis);
+        }
+        if (event instanceof AttemptEvent.AttachFailed failed) {
+            return onState(failed.state(), failed.incarnation(), true, key, nowMillis);
+        }
+        if (event instanceof AttemptEvent.AgentDead) {
+            return onLost(Optional.empty(), nowMillis);
+        }
+        return AWAIT;
+    }
+
+    private AttemptDecision onChunk(TextChunk chunk, AttemptKey key) {
+        if (chunk.offset() == nextOffset) {
+            nextOffset = chunk.end();
+            attaching = false;
+            return new AttemptDecision.Forward(chunk);
+        }
+        // A chunk that overlaps the end cannot be split and is treated like one that leaves a gap.
+        return chunk.end() <= nextOffset ? DROP_REPEATED : attachOnce(key);
+    }
+
+    private AttemptDecision attachOnce(AttemptKey key) {
+        if (attaching) {
+            return DROP_GAP;
+        }
+        attaching = true;
+        return new AttemptDecision.Attach(key, nextOffset);
+    }
+
+    private AttemptDecision query(AttemptKey key) {
+        attaching = false;
+        return new AttemptDecision.Query(key);
+    }
+
+    private AttemptDecision onFinished(AttemptResult result, AttemptKey key, long nowMillis) {
+        if (result.reason().isComplete()) {
+            if (result.endOffset() > nextOffset) {
+                return attachOnce(key);
+            }
+            return reply(Outcome.RAN, ReplyReason.COMPLETE, Optional.of(result), 0);
+        }
+        if (!request.repeatable()) {
+            return reply(Outcome.UNKNOWN, ReplyReason.FAILED, Optional.of(result), 0);
+        }
+        mayHaveRun = true;
+        if (!result.reason().isContinuable()) {
+            return reply(Outcome.RAN, ReplyReason.DEADLINE, Optional.of(result), 0);
+        }
+        if (result.reason() == FinishReason.MOVED && isRetryInTime(nowMillis)) {
+            movedAttempts++;
+            return retry(Optional.empty());
+        }
+        return mayRetry(nowMillis)
+                ? retry(Optional.empty())
+                : reply(Outcome.RAN, ReplyReason.FAILED, Optional.of(result), 0);
+    }
+
+    private AttemptDecision onNotRun(NotRunReason reason, long retryAfterMillis, long nowMillis) {
+        if (reason.isRetryUseful() && mayRetry(nowMillis)) {
+            return retry(Optional.empty());
+        }
+        return reply(unlessRun(), cancelling ? ReplyReason.DEADLINE : ReplyReason.REFUSED, retryAfterMillis);
+    }
+
+    private AttemptDecision onState(
+            AttemptState state, long answering, boolean attachFailed, AttemptKey key, long nowMillis) {
+        if (answering != incarnation) {
+            return onLost(Optional.empty(), nowMillis);
+        }
+        if (state == AttemptState.NOT_RUN) {
+            boolean trusted = nowMillis - sentAtMillis <= request.trustedAnswerMillis();
+            return trusted ? onNotRun(NotRunReason.NEVER_SEEN, 0, nowMillis) : onLost(Optional.empty(), nowMillis);
+        }
+        if (state == AttemptState.UNKNOWN) {
+            return onLost(Optional.empty(), nowMillis);
+        }
+        if (!attachFailed) {
+            return attachOnce(key);
+        }
+        if (!request.repeatable()) {
+            return state == AttemptState.FINISHED ? reply(Outcome.RAN, ReplyReason.LOST, 0) : AWAIT;
+        }
+        return onLost(Optional.of(key), nowMillis);
+    }
+
+    /** Handles an attempt that may have run and whose answer cannot be had. */
+    private AttemptDecision onLost(Optional<AttemptKey> stillRunning, long nowMillis) {
+        mayHaveRun = true;
+        if (request.repeatable() && mayRetry(nowMillis)) {
+            return retry(stillRunning);
+        }
+        return reply(Outcome.UNKNOWN, cancelling ? ReplyReason.DEADLINE : ReplyReason.LOST, 0);
+    }
+
+    private AttemptDecision onDeadline() {
+        AttemptKey key = current;
+        if (key == null) {
+            return reply(unlessRun(), ReplyReason.DEADLINE, 0);
+        }
+        cancelling = true;
+        return new AttemptDecision.Cancel(key);
+    }
+
+    private AttemptDecision onCallerGone() {
+        AttemptKey key = current;
+        callerGone = true;
+        if (key == null) {
+            return reply(unlessRun(), ReplyReason.CALLER_GONE, 0);
+        }
+        if (!request.repeatable()) {
+            return AWAIT;
+        }
+        ended = true;
+        return new AttemptDecision.Cancel(key);
+    }
+
+    private boolean isRetryInTime(long nowMillis) {
+        return !cancelling && !callerGone && nowMillis < request.deadlineMillis();
+    }
+
+    private boolean mayRetry(long nowMillis) {
+        return isRetryInTime(nowMillis) && attempts - movedAttempts < request.maximumAttempts() && permission.tryTake();
+    }
+
+    private AttemptDecision retry(Optional<AttemptKey> cancelled) {
+        if (upstream != null) {
+            tried.add(upstream);
+        }
+        current = null;
+        return new AttemptDecision.Retry(cancelled, Set.copyOf(tried), nextOffset);
+    }
+
+    private Outcome unlessRun() {
+        return mayHaveRun ? Outcome.UNKNOWN : Outcome.NOT_RUN;
+    }
+
+    private AttemptDecision reply(Outcome outcome, ReplyReason reason, long retryAfterMillis) {
+        return reply(outcome, reason, Optional.empty(), retryAfterMillis);
+    }
+
+    private AttemptDecision reply(
+            Outcome outcome, ReplyReason reason, Optional<AttemptResult> result, long retryAfterMillis) {
+        ended = true;
+        current = null;
+        return new AttemptDecision.Reply(outcome, reason, result, retryAfterMillis);
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/ledger/LedgerRecord.java
@@ -0,0 +1,103 @@
+package io.oleandermoor.state.ledger;
+
+import io.oleandermoor.state.identity.InstanceId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+
+/** What the ledger remembers of one attempt. Guarded by the lock of the ledger. */
+final class LedgerRecord {
+
+    /** Marks a record whose entry is connected. */
+    static final long ATTACHED = Long.MAX_VALUE;
+
+    final AttemptKey key;
+    final boolean repeatable;
+    AttemptState state;
+    NotRunReason reason = NotRunReason.UNSPECIFIED;
+
+    @Nullable
+    InstanceId entry;
+
+    @Nullable
+    AttemptResult result;
+
+    long endedAtMillis;
+    long detachedAtMillis = ATTACHED;
+    boolean replayDropped;
+    private @Nullable ArrayDeque<TextChunk> chunks;
+    private int nextOffset;
+    private int bytes;
+
+    LedgerRecord(AttemptKey key, boolean repeatable, AttemptState state, int resumeOffset) {
+        this.key = key;
+        this.repeatable = repeatable;
+        this.state = state;
+        this.nextOffset = resumeOffset;
+    }
+
+    int bytes() {
+        return bytes;
+    }
+
+    /** Adds a chunk, dropping the oldest beyond the limit, and returns the change of the number of bytes. */
+    int add(TextChunk chunk, int limit) {
+        if (chunks == null) {
+            chunks = new ArrayDeque<>();
+        }
+        int before = bytes;
+        chunks.add(chunk);
+        bytes += chunk.text().length();
+        nextOffset = chunk.end();
+        while (bytes > limit && !chunks.isEmpty()) {
+            bytes -= chunks.removeFirst().text().length();
+        }
+        return bytes - before;
+    }
+
+    int setResult(AttemptResult newResult, int limit) {
+        int length = newResult.body().length();
+        if (bytes + length > limit) {
+            replayDropped = true;
+            return dropReplay();
+        }
+        result = newResult;
+        bytes += length;
+        return length;
+    }
+
+    /** Drops what could be replayed and returns the change of the number of bytes. */
+    int dropReplay() {
+        int before = bytes;
+        chunks = null;
+        result = null;
+        replayDropped = true;
+        bytes = 0;
+        return -before;
+    }
+
+    int nextOffset() {
+        return nextOffset;
+    }
+
+    /** Returns the chunks from an offset, or null if it is not the start of a buffered chunk or the end. */
+    @Nullable
+    List<TextChunk> chunksFrom(int offset) {
+        if (replayDropped) {
+            return null;
+        }
+        if (offset == nextOffset) {
+            return List.of();
+        }
+        List<TextChunk> found = new ArrayList<>();
+        if (chunks != null) {
+            for (TextChunk chunk : chunks) {
+                if (chunk.offset() >= offset) {
+                    found.add(chunk);
+                }
+            }
+        }
+        return found.isEmpty() || found.get(0).offset() != offset ? null : found;
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/ledger/LedgerSettings.java
@@ -0,0 +1,49 @@
+package io.oleandermoor.state.ledger;
+
+/**
+ * Limits of the ledger of an agent.
+ *
+ * @param maximumRecords number of attempts remembered, including those that did not run; each takes about 200 bytes
+ * @param maximumActive number of attempts that wait or run
+ * @param maximumBytesPerAttempt characters of text and bytes of body kept for replay, for each attempt
+ * @param maximumBytes the same for all attempts together
+ * @param maximumMessageDelayMillis longest time that a message can be under way, in milliseconds
+ * @param retentionMillis time for which the end of an attempt is remembered, in milliseconds; it must exceed the
+ *     longest delay, so that a late message never meets a forgotten attempt
+ * @param reattachMillis time for which repeatable work continues without its entry, in milliseconds
+ */
+public record LedgerSettings(
+        int maximumRecords,
+        int maximumActive,
+        int maximumBytesPerAttempt,
+        long maximumBytes,
+        long maximumMessageDelayMillis,
+        long retentionMillis,
+        long reattachMillis) {
+
+    /** Checks the limits. */
+    public LedgerSettings {
+        if (maximumActive < 1 || maximumRecords < maximumActive) {
+            throw new IllegalArgumentException("maximumRecords must be at least maximumActive, and that positive");
+        }
+        if (maximumBytesPerAttempt < 1 || maximumBytes < maximumBytesPerAttempt) {
+            throw new IllegalArgumentException(
+                    "maximumBytes must be at least maximumBytesPerAttempt, and that positive");
+        }
+        if (maximumMessageDelayMillis < 0 || retentionMillis <= maximumMessageDelayMillis) {
+            throw new IllegalArgumentException("retentionMillis must exceed maximumMessageDelayMillis");
+        }
+        if (reattachMillis < 0) {
+            throw new IllegalArgumentException("reattachMillis must not be negative, was " + reattachMillis);
+        }
+    }
+
+    /**
+     * Returns the usual limits.
+     *
+     * @return 65,536 records kept for 10 minutes, with 256 KiB for each attempt and 64 MiB in total
+     */
+    public static LedgerSettings defaults() {
+        return new LedgerSettings(65_536, 8_192, 256 << 10, 64L << 20, 60_000, 600_000, 5_000);
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/ledger/RequestLedger.java
@@ -0,0 +1,341 @@
+package io.oleandermoor.state.ledger;
+
+import io.oleandermoor.state.identity.InstanceId;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Remembers the attempts that an agent has seen and decides what each message about them means. It guarantees that an
+ * attempt starts at most once, and that one reported as not run never starts. Safe for use by several threads; its lock
+ * has place 7 in the lock order.
+ */
+public final class RequestLedger {
+
+    private final Object lock = new Object();
+    private final LedgerSettings settings;
+    private final Map<AttemptKey, LedgerRecord> records = new HashMap<>();
+    private final ArrayDeque<LedgerRecord> ended = new ArrayDeque<>();
+    private final ArrayDeque<LedgerRecord> replayable = new ArrayDeque<>();
+    private final LinkedHashSet<LedgerRecord> detached = new LinkedHashSet<>();
+    private int active;
+    private long bytes;
+
+    /**
+     * Creates an empty ledger.
+     *
+     * @param settings the limits
+     */
+    public RequestLedger(LedgerSettings settings) {
+        this.settings = settings;
+    }
+
+    /**
+     * Takes a dispatched attempt.
+     *
+     * @param key the attempt
+     * @param repeatable whether the call may run more than once
+     * @param entry the entry that sent it
+     * @param resumeOffset number of tokens that the caller has already
+     * @param nowMillis the time in milliseconds
+     * @return what to do
+     */
+    public DispatchDecision dispatch(
+            AttemptKey key, boolean repeatable, InstanceId entry, int resumeOffset, long nowMillis) {
+        synchronized (lock) {
+            LedgerRecord known = records.get(key);
+            if (known != null) {
+                return known.state == AttemptState.NOT_RUN
+                        ? new DispatchDecision.Refuse(known.reason)
+                        : new DispatchDecision.Duplicate(known.state);
+            }
+            if (records.size() >= settings.maximumRecords()) {
+                return new DispatchDecision.Ignore();
+            }
+            LedgerRecord record = new LedgerRecord(key, repeatable, AttemptState.WAITING, resumeOffset);
+            record.entry = entry;
+            records.put(key, record);
+            active++;
+            if (active > settings.maximumActive()) {
+                endNotRun(record, NotRunReason.BUSY, nowMillis);
+                return new DispatchDecision.Refuse(NotRunReason.BUSY);
+            }
+            return new DispatchDecision.Admit();
+        }
+    }
+
+    /**
+     * Asks whether a waiting attempt may be sent to the upstream now. After true it counts as running.
+     *
+     * @param key the attempt
+     * @return true if it must be sent; false if it was cancelled or has started already
+     */
+    public boolean start(AttemptKey key) {
+        synchronized (lock) {
+            LedgerRecord record = records.get(key);
+            if (record == null || record.state != AttemptState.WAITING) {
+                return false;
+            }
+            record.state = AttemptState.RUNNING;
+            return true;
+        }
+    }
+
+    /**
+     * Gives up a waiting attempt.
+     *
+     * @param key the attempt
+     * @param reason why it does not run
+     * @param nowMillis the time in milliseconds
+     * @return true if the attempt did not run and never will; false if it has started, or is unknown
+     */
+    public boolean refuse(AttemptKey key, NotRunReason reason, long nowMillis) {
+        synchronized (lock) {
+            LedgerRecord record = records.get(key);
+            if (record != null && record.state == AttemptState.WAITING) {
+                endNotRun(record, reason, nowMillis);
+            }
+            return record != null && record.state == AttemptState.NOT_RUN;
+        }
+    }
+
+    /**
+     * Takes a chunk of a running attempt.
+     *
+     * @param key the attempt
+     * @param chunk the chunk
+     * @return true if it is the next chunk of a running attempt and its entry is connected, so that it is sent on
+     */
+    public boolean append(AttemptKey key, TextChunk chunk) {
+        synchronized (lock) {
+            LedgerRecord record = records.get(key);
+            if (record == null || record.state != AttemptState.RUNNING || chunk.offset() != record.nextOffset()) {
+                return false;
+            }
+            bytes += record.add(chunk, settings.maximumBytesPerAttempt());
+            dropOldestReplays();
+            return record.detachedAtMillis == LedgerRecord.ATTACHED;
+        }
+    }
+
+    /**
+     * Takes the end of a running attempt.
+     *
+     * @param key the attempt
+     * @param result the result
+     * @param nowMillis the time in milliseconds
+     * @return true if the attempt was running
+     */
+    public boolean finish(AttemptKey key, AttemptResult result, long nowMillis) {
+        synchronized (lock) {
+            LedgerRecord record = records.get(key);
+            if (record == null || record.state != AttemptState.RUNNING) {
+                return false;
+            }
+            bytes += record.setResult(result, settings.maximumBytesPerAttempt());
+            end(record, AttemptState.FINISHED, nowMillis);
+            if (!record.replayDropped) {
+                replayable.add(record);
+            }
+            dropOldestReplays();
+            return true;
+        }
+    }
+
+    /**
+     * Takes the loss of a running attempt: the upstream gave no answer, and the call may or may not have taken effect.
+     *
+     * @param key the attempt
+     * @param nowMillis the time in milliseconds
+     * @return true if the attempt was running
+     */
+    public boolean lose(AttemptKey key, long nowMillis) {
+        synchronized (lock) {
+            LedgerRecord record = records.get(key);
+            if (record == null || record.state != AttemptState.RUNNING) {
+                return false;
+            }
+            bytes += record.dropReplay();
+            end(record, AttemptState.UNKNOWN, nowMillis);
+            return true;
+        }
+    }
+
+    /**
+     * Takes the wish of an entry to stop an attempt. An attempt never seen is refused from then on.
+     *
+     * @param key the attempt
+     * @param nowMillis the time in milliseconds
+     * @return what to do
+     */
+    public CancelDecision cancel(AttemptKey key, long nowMillis) {
+        synchronized (lock) {
+            LedgerRecord record = records.get(key);
+            if (record == null) {
+                boolean remembered = rememberNotRun(key, NotRunReason.CANCELLED_BEFORE_START, nowMillis);
+                return remembered ? CancelDecision.NOT_RUN : CancelDecision.NOTHING;
+            }
+            return switch (record.state) {
+                case WAITING -> {
+                    endNotRun(record, NotRunReason.CANCELLED_BEFORE_START, nowMillis);
+                    yield CancelDecision.NOT_RUN;
+                }
+                case NOT_RUN -> CancelDecision.NOT_RUN;
+                case RUNNING -> record.repeatable ? CancelDecision.STOP : CancelDecision.CONTINUE;
+                case FINISHED, UNKNOWN -> CancelDecision.NOTHING;
+            };
+        }
+    }
+
+    /**
+     * Answers what became of an attempt. One never seen is refused from then on.
+     *
+     * @param key the attempt
+     * @param nowMillis the time in milliseconds
+     * @return the state; UNKNOWN if an attempt never seen cannot be remembered because the ledger is full
+     */
+    public AttemptState query(AttemptKey key, long nowMillis) {
+        synchronized (lock) {
+            LedgerRecord record = records.get(key);
+            if (record != null) {
+                return record.state;
+            }
+            return rememberNotRun(key, NotRunReason.NEVER_SEEN, nowMillis)
+                    ? AttemptState.NOT_RUN
+                    : AttemptState.UNKNOWN;
+        }
+    }
+
+    /**
+     * Continues an attempt on a new connection of an entry. One never seen is refused from then on.
+     *
+     * @param key the attempt
+     * @param offset number of tokens that the entry has
+     * @param entry the entry
+     * @param nowMillis the time in milliseconds
+     * @return what to send
+     */
+    public AttachDecision attach(AttemptKey key, int offset, InstanceId entry, long nowMillis) {
+        synchronized (lock) {
+            LedgerRecord record = records.get(key);
+            if (record == null) {
+                return new AttachDecision.Unavailable(query(key, nowMillis));
+            }
+            if (record.state == AttemptState.NOT_RUN || record.state == AttemptState.UNKNOWN) {
+                return new AttachDecision.Unavailable(record.state);
+            }
+            List<TextChunk> chunks = record.chunksFrom(offset);
+            if (chunks == null) {
+                return new AttachDecision.Unavailable(record.state);
+            }
+            record.entry = entry;
+            record.detachedAtMillis = LedgerRecord.ATTACHED;
+            detached.remove(record);
+            return new AttachDecision.Replay(record.state, chunks, Optional.ofNullable(record.result));
+        }
+    }
+
+    /**
+     * Notes that the connection to an entry was lost.
+     *
+     * @param entry the entry
+     * @param nowMillis the time in milliseconds
+     */
+    public void connectionLost(InstanceId entry, long nowMillis) {
+        synchronized (lock) {
+            for (LedgerRecord record : records.values()) {
+                if (!record.state.isFinal()
+                        && record.detachedAtMillis == LedgerRecord.ATTACHED
+                        && entry.equals(record.entry)) {
+                    record.detachedAtMillis = nowMillis;
+                    detached.add(record);
+                }
+            }
+        }
+    }
+
+    /**
+     * Forgets attempts whose retention has ended and finds repeatable work whose entry did not attach again. Waiting
+     * work among it is given up here.
+     *
+     * @param nowMillis the time in milliseconds
+     * @return running attempts to stop at the upstream
+     */
+    public List<AttemptKey> expire(long nowMillis) {
+        synchronized (lock) {
+            LedgerRecord oldest = ended.peekFirst();
+            while (oldest != null && nowMillis - oldest.endedAtMillis >= settings.retentionMillis()) {
+                ended.removeFirst();
+                bytes += oldest.dropReplay();
+                records.remove(oldest.key);
+                oldest = ended.peekFirst();
+            }
+            return abandoned(nowMillis);
+        }
+    }
+
+    /**
+     * Returns the number of attempts that are remembered.
+     *
+     * @return the number of records
+     */
+    public int size() {
+        synchronized (lock) {
+            return records.size();
+        }
+    }
+
+    private List<AttemptKey> abandoned(long nowMillis) {
+        List<AttemptKey> stop = new ArrayList<>();
+        for (LedgerRecord record : List.copyOf(detached)) {
+            if (nowMillis - record.detachedAtMillis < settings.reattachMillis()) {
+                break;
+            }
+            detached.remove(record);
+            if (record.state == AttemptState.WAITING) {
+                endNotRun(record, NotRunReason.CANCELLED_BEFORE_START, nowMillis);
+            } else if (record.state == AttemptState.RUNNING && record.repeatable) {
+                stop.add(record.key);
+            }
+        }
+        return stop;
+    }
+
+    private boolean rememberNotRun(AttemptKey key, NotRunReason reason, long nowMillis) {
+        if (records.size() >= settings.maximumRecords()) {
+            return false;
+        }
+        LedgerRecord record = new LedgerRecord(key, false, AttemptState.WAITING, 0);
+        records.put(key, record);
+        active++;
+        endNotRun(record, reason, nowMillis);
+        return true;
+    }
+
+    private void endNotRun(LedgerRecord record, NotRunReason reason, long nowMillis) {
+        record.reason = reason;
+        end(record, AttemptState.NOT_RUN, nowMillis);
+    }
+
+    private void end(LedgerRecord record, AttemptState state, long nowMillis) {
+        record.state = state;
+        record.endedAtMillis = nowMillis;
+        detached.remove(record);
+        ended.add(record);
+        active--;
+    }
+
+    private void dropOldestReplays() {
+        @Nullable LedgerRecord oldest = replayable.peekFirst();
+        while (oldest != null && (bytes > settings.maximumBytes() || oldest.replayDropped)) {
+            replayable.removeFirst();
+            bytes += oldest.dropReplay();
+            oldest = replayable.peekFirst();
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/ledger/RequestLedgerTest.java
@@ -0,0 +1,103 @@
+package io.oleandermoor.state.ledger;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.oleandermoor.state.identity.InstanceId;
+import io.oleandermoor.state.identity.RequestId;
+import java.util.List;
+import org.junit.jupiter.api.DisplayName;
+import org.junit.jupiter.api.Test;
+
+class RequestLedgerTest {
+
+    private static final InstanceId ENTRY = new InstanceId("entry");
+
+    private final RequestLedger ledger = new RequestLedger(new LedgerSettings(4, 2, 10, 25, 100, 1_000, 50));
+
+    private static AttemptKey key(int number) {
+        return new AttemptKey(new RequestId(0, number), 1);
+    }
+
+    private void run(int number) {
+        assertThat(ledger.dispatch(key(number), true, ENTRY, 0, 0)).isInstanceOf(DispatchDecision.Admit.class);
+        assertThat(ledger.start(key(number))).isTrue();
+    }
+
+    private boolean append(int number, int offset, String text) {
+        return ledger.append(key(number), new TextChunk(offset, 1, text));
+    }
+
+    private static AttemptResult result(int end) {
+        return new AttemptResult(FinishReason.COMPLETE, 200, List.of(), Body.empty(), end);
+    }
+
+    @Test
+    @DisplayName("Guards against a tombstone that is forgotten before the message it must refuse arrives")
+    void remembersTombstonesForTheRetention() {
+        assertThat(ledger.query(key(1), 0)).isEqualTo(AttemptState.NOT_RUN);
+        assertThat(ledger.expire(999)).isEmpty();
+        assertThat(ledger.dispatch(key(1), false, ENTRY, 0, 999))
+                .isEqualTo(new DispatchDecision.Refuse(NotRunReason.NEVER_SEEN));
+        ledger.expire(1_000);
+        assertThat(ledger.size()).isZero();
+        assertThatThrownBy(() -> new LedgerSettings(4, 2, 10, 25, 1_000, 1_000, 50))
+                .hasMessageContaining("retentionMillis");
+    }
+
+    @Test
+    @DisplayName("Guards against a full ledger saying not run without being able to remember it")
+    void saysNothingItCannotRemember() {
+        run(1);
+        run(2);
+        assertThat(ledger.dispatch(key(3), false, ENTRY, 0, 0))
+                .isEqualTo(new DispatchDecision.Refuse(NotRunReason.BUSY));
+        ledger.query(key(4), 0);
+        assertThat(ledger.dispatch(key(5), false, ENTRY, 0, 0)).isEqualTo(new DispatchDecision.Ignore());
+        assertThat(ledger.query(key(5), 0)).isEqualTo(AttemptState.UNKNOWN);
+        assertThat(ledger.cancel(key(5), 0)).isEqualTo(CancelDecision.NOTHING);
+        assertThat(ledger.size()).isEqualTo(4);
+    }
+
+    @Test
+    @DisplayName("Guards against unbounded buffers, and against a replay that leaves a gap")
+    void replaysWhatIsBuffered() {
+        run(1);
+        assertThat(append(1, 0, "aaaa")).isTrue();
+        append(1, 1, "bbbb");
+        assertThat(append(1, 1, "bbbb")).as("repeated chunk").isFalse();
+        append(1, 2, "cccc");
+        assertThat(ledger.attach(key(1), 0, ENTRY, 1))
+                .as("dropped from the buffer")
+                .isEqualTo(new AttachDecision.Unavailable(AttemptState.RUNNING));
+        ledger.finish(key(1), result(3), 2);
+        AttachDecision.Replay replay = (AttachDecision.Replay) ledger.attach(key(1), 1, ENTRY, 3);
+        assertThat(replay.chunks()).extracting(TextChunk::text).containsExactly("bbbb", "cccc");
+        assertThat(replay.result()).contains(result(3));
+        for (int number = 2; number <= 4; number++) {
+            run(number);
+            append(number, 0, "dddddddddd");
+            ledger.finish(key(number), result(1), 4);
+        }
+        assertThat(ledger.attach(key(1), 1, ENTRY, 5))
+                .as("oldest replay beyond the total limit")
+                .isEqualTo(new AttachDecision.Unavailable(AttemptState.FINISHED));
+        assertThat(ledger.attach(key(4), 0, ENTRY, 5)).isInstanceOf(AttachDecision.Replay.class);
+    }
+
+    @Test
+    @DisplayName("Guards against work for a dead entry holding slots, and against stopping non-repeatable work")
+    void stopsAbandonedRepeatableWorkOnly() {
+        run(1);
+        ledger.dispatch(key(2), false, ENTRY, 0, 0);
+        ledger.start(key(2));
+        ledger.connectionLost(ENTRY, 10);
+        assertThat(append(1, 0, "a")).as("nobody to send it to").isFalse();
+        assertThat(ledger.expire(59)).isEmpty();
+        assertThat(ledger.expire(60)).containsExactly(key(1));
+        assertThat(ledger.cancel(key(1), 61)).isEqualTo(CancelDecision.STOP);
+        assertThat(ledger.cancel(key(2), 61)).isEqualTo(CancelDecision.CONTINUE);
+        assertThat(ledger.attach(key(1), 0, ENTRY, 62)).isInstanceOf(AttachDecision.Replay.class);
+        assertThat(append(1, 1, "b")).isTrue();
+    }
+}
