--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/Main.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/Main.java
@@ -11,6 +11,6 @@
      * @param arguments the command line
      */
     public static void main(String[] arguments) {
-        System.out.println("oleandermoor " + arguments.length);
+        System.exit(new CommandLine(CommandContext.system()).run(arguments).status());
     }
 }
--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/package-info.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/package-info.java
@@ -1,4 +1,4 @@
-/** Root of the command module. */
+/** The {@code oleandermoor} command line: checks, administration of a running deployment, and start of processes. */
 @NullMarked
 package io.oleandermoor.command;
 
