--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/Draft.java
@@ -0,0 +1,228 @@
+package io.oleandermoor.state.placement;
+
+import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.memory.AdapterVersion;
+import io.oleandermoor.state.memory.EngineListing;
+import io.oleandermoor.state.memory.ModelVersion;
+import io.oleandermoor.state.memory.Residency;
+import io.oleandermoor.state.placement.PlacementPlan.Wanted;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SortedMap;
+import java.util.TreeMap;
+
+/** A plan in the making. Keeps the wanted copies within the memory of each engine. */
+final class Draft {
+    private final IndexedFleet fleet;
+    private final IntList[] modelsOn;
+    private final IntList[] adaptersOn;
+    private final IntList[] enginesOf;
+    private final IntList[] enginesOfAdapter;
+    private final int[][] copiesInDomain;
+    private final long[] free;
+    private final double[] load;
+
+    Draft(IndexedFleet fleet) {
+        this.fleet = fleet;
+        int engines = fleet.engines.size();
+        modelsOn = lists(engines);
+        adaptersOn = lists(engines);
+        enginesOf = lists(fleet.models.size());
+        enginesOfAdapter = lists(fleet.adapters.size());
+        copiesInDomain = new int[fleet.models.size()][fleet.domains];
+        free = new long[engines];
+        load = new double[engines];
+        for (int engine = 0; engine < engines; engine++) {
+            free[engine] = fleet.usable[engine] ? fleet.engines.get(engine).memoryMegabytes() : 0;
+        }
+    }
+
+    private static IntList[] lists(int count) {
+        IntList[] lists = new IntList[count];
+        for (int index = 0; index < count; index++) {
+            lists[index] = new IntList();
+        }
+        return lists;
+    }
+
+    /** Adds the only ready copy of each model first, so that no other copy takes its place. */
+    void keepOnlyReadyCopies() {
+        for (int engine = 0; engine < fleet.readyOn.length; engine++) {
+            for (int model : fleet.readyOn[engine]) {
+                if (fleet.readyCopies[model] == 1) {
+                    addIfItFits(engine, model);
+                }
+            }
+        }
+    }
+
+    /** Adds what a plan wants, as far as it is still configured and fits. */
+    void keepPlan(PlacementPlan plan) {
+        plan.upstreams().forEach((upstream, wanted) -> {
+            int engine = fleet.engineNumber(upstream);
+            if (engine < 0 || !fleet.usable[engine]) {
+                return;
+            }
+            for (ModelVersion version : wanted.models()) {
+                int model = fleet.modelNumber(version.name());
+                if (model >= 0) {
+                    addIfItFits(engine, model);
+                }
+            }
+            for (AdapterVersion version : wanted.adapters()) {
+                int adapter = fleet.adapterNumber(version.name());
+                if (adapter >= 0) {
+                    addAdapterIfItFits(engine, adapter);
+                }
+            }
+        });
+    }
+
+    /** Adds copies that are resident although no plan wants them. */
+    void keepResidents() {
+        for (int engine = 0; engine < fleet.engines.size(); engine++) {
+            for (EngineListing.Entry resident : fleet.engines.get(engine).residents()) {
+                if (fleet.usable[engine] && resident.residency() != Residency.UNLOADING) {
+                    keepResident(engine, resident);
+                }
+            }
+        }
+    }
+
+    private void keepResident(int engine, EngineListing.Entry resident) {
+        if (resident.weights() instanceof ModelVersion version) {
+            int model = fleet.modelNumber(version.name());
+            if (model >= 0) {
+                addIfItFits(engine, model);
+            }
+        } else if (resident.weights() instanceof AdapterVersion version) {
+            int adapter = fleet.adapterNumber(version.name());
+            if (adapter >= 0) {
+                addAdapterIfItFits(engine, adapter);
+            }
+        }
+    }
+
+    private void addIfItFits(int engine, int model) {
+        if (fleet.usable[engine] && free[engine] >= fleet.modelMemory(model) && !modelsOn[engine].contains(model)) {
+            add(engine, model);
+        }
+    }
+
+    /** Returns whether the copy was added. */
+    boolean addAdapterIfItFits(int engine, int adapter) {
+        if (enginesOfAdapter[adapter].size() >= PlacementSettings.ADAPTER_COPIES
+                || adaptersOn[engine].contains(adapter)
+                || !modelsOn[engine].contains(fleet.baseOf[adapter])
+                || free[engine] < fleet.adapterMemory(adapter)) {
+            return false;
+        }
+        adaptersOn[engine].add(adapter);
+        enginesOfAdapter[adapter].add(engine);
+        free[engine] -= fleet.adapterMemory(adapter);
+        return true;
+    }
+
+    void add(int engine, int model) {
+        modelsOn[engine].add(model);
+        enginesOf[model].add(engine);
+        copiesInDomain[model][fleet.domain[engine]]++;
+        free[engine] -= fleet.modelMemory(model);
+        load[engine] += plannedShare(model);
+    }
+
+    /** Removes a copy together with the adapters that depend on it. */
+    void remove(int engine, int model) {
+        modelsOn[engine].remove(model);
+        enginesOf[model].remove(engine);
+        copiesInDomain[model][fleet.domain[engine]]--;
+        free[engine] += fleet.modelMemory(model);
+        load[engine] -= plannedShare(model);
+        for (int adapter : fleet.adaptersOf[model]) {
+            if (adaptersOn[engine].contains(adapter)) {
+                adaptersOn[engine].remove(adapter);
+                enginesOfAdapter[adapter].remove(engine);
+                free[engine] += fleet.adapterMemory(adapter);
+            }
+        }
+    }
+
+    /** Returns the demand of one copy when all wanted copies are present. */
+    double plannedShare(int model) {
+        return fleet.demand[model] / Math.max(1, fleet.target[model]);
+    }
+
+    /** Replaces the planned shares of demand by those that follow from the copies in the draft. */
+    void settleLoad() {
+        for (int engine = 0; engine < load.length; engine++) {
+            load[engine] = 0;
+            for (int index = 0; index < modelsOn[engine].size(); index++) {
+                int model = modelsOn[engine].get(index);
+                load[engine] += fleet.demand[model] / enginesOf[model].size();
+            }
+        }
+    }
+
+    IntList modelsOn(int engine) {
+        return modelsOn[engine];
+    }
+
+    IntList adaptersOn(int engine) {
+        return adaptersOn[engine];
+    }
+
+    IntList enginesOf(int model) {
+        return enginesOf[model];
+    }
+
+    IntList enginesOfAdapter(int adapter) {
+        return enginesOfAdapter[adapter];
+    }
+
+    int copies(int model) {
+        return enginesOf[model].size();
+    }
+
+    int copiesInDomain(int model, int domain) {
+        return copiesInDomain[model][domain];
+    }
+
+    long free(int engine) {
+        return free[engine];
+    }
+
+    double load(int engine) {
+        return load[engine];
+    }
+
+    void addLoad(int engine, double tokensPerSecond) {
+        load[engine] += tokensPerSecond;
+    }
+
+    /** Returns what each usable engine is wanted to hold. */
+    SortedMap<UpstreamId, Wanted> toUpstreams() {
+        ModelVersion[] models = fleet.models.stream().map(ModelVersion::of).toArray(ModelVersion[]::new);
+        AdapterVersion[] adapters =
+                fleet.adapters.stream().map(AdapterVersion::of).toArray(AdapterVersion[]::new);
+        SortedMap<UpstreamId, Wanted> result = new TreeMap<>();
+        for (int engine = 0; engine < modelsOn.length; engine++) {
+            if (fleet.usable[engine]) {
+                UpstreamId id = fleet.engines.get(engine).id();
+                result.put(id, wanted(engine, models, adapters));
+            }
+        }
+        return result;
+    }
+
+    private Wanted wanted(int engine, ModelVersion[] models, AdapterVersion[] adapters) {
+        List<ModelVersion> wantedModels = new ArrayList<>(modelsOn[engine].size());
+        for (int model : modelsOn[engine].toSortedArray()) {
+            wantedModels.add(models[model]);
+        }
+        List<AdapterVersion> wantedAdapters = new ArrayList<>(adaptersOn[engine].size());
+        for (int adapter : adaptersOn[engine].toSortedArray()) {
+            wantedAdapters.add(adapters[adapter]);
+        }
+        return new Wanted(wantedModels, wantedAdapters);
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/FleetState.java
@@ -0,0 +1,73 @@
+package io.oleandermoor.state.placement;
+
+import io.oleandermoor.state.configuration.Adapter;
+import io.oleandermoor.state.configuration.Configuration;
+import io.oleandermoor.state.configuration.Model;
+import io.oleandermoor.state.identity.ModelName;
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Input of placement: the engines, what is configured, and the demand. Immutable.
+ *
+ * @param engines the engines, sorted by identifier
+ * @param models the configured models, sorted by name
+ * @param adapters the configured adapters of configured models, sorted by name
+ * @param demand the demand of each model; models without an entry have none
+ */
+public record FleetState(
+        List<EngineState> engines, List<Model> models, List<Adapter> adapters, Map<ModelName, ModelDemand> demand) {
+
+    /** Sorts the lists, so that equal content gives an equal plan. */
+    public FleetState {
+        engines = sorted(engines, Comparator.comparing(EngineState::id), "engines");
+        models = sorted(models, Comparator.comparing(Model::name), "models");
+        adapters = sorted(adapters, Comparator.comparing(Adapter::name), "adapters");
+        demand = Map.copyOf(demand);
+    }
+
+    /**
+     * Returns the state of a fleet that is to serve a configuration.
+     *
+     * @param engines the engines
+     * @param configuration the models and adapters
+     * @param demand the demand of each model
+     * @return the state
+     */
+    public static FleetState of(
+            Collection<EngineState> engines, Configuration configuration, Map<ModelName, ModelDemand> demand) {
+        return new FleetState(
+                List.copyOf(engines),
+                List.copyOf(configuration.models()),
+                List.copyOf(configuration.adapters()),
+                demand);
+    }
+
+    /**
+     * Returns the demand for a model.
+     *
+     * @param model the name of the model
+     * @return its demand, {@link ModelDemand#NONE} if none is known
+     */
+    public ModelDemand demandOf(ModelName model) {
+        return demand.getOrDefault(model, ModelDemand.NONE);
+    }
+
+    private static <T> List<T> sorted(List<T> list, Comparator<T> order, String what) {
+        List<T> result = list;
+        for (int index = 1; index < result.size(); index++) {
+            if (order.compare(result.get(index - 1), result.get(index)) >= 0) {
+                result = list.stream().sorted(order).toList();
+                break;
+            }
+        }
+        for (int index = 1; index < result.size(); index++) {
+            if (order.compare(result.get(index - 1), result.get(index)) == 0) {
+                throw new IllegalArgumentException(what + " contains an element twice: " + result.get(index));
+            }
+        }
+        return List.copyOf(result);
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/IndexedFleet.java
@@ -0,0 +1,220 @@
+package io.oleandermoor.state.placement;
+
+import io.oleandermoor.state.configuration.Adapter;
+import io.oleandermoor.state.configuration.Model;
+import io.oleandermoor.state.identity.AdapterName;
+import io.oleandermoor.state.identity.FailureDomain;
+import io.oleandermoor.state.identity.ModelName;
+import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.memory.AdapterVersion;
+import io.oleandermoor.state.memory.EngineListing;
+import io.oleandermoor.state.memory.ModelVersion;
+import io.oleandermoor.state.memory.Residency;
+import io.oleandermoor.state.memory.Weights;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/** A fleet state with engines, models, adapters and domains numbered in the order of their names. */
+final class IndexedFleet {
+    final PlacementSettings settings;
+    final PlacementPolicy policy;
+    final List<EngineState> engines;
+    final List<Model> models;
+    final List<Adapter> adapters;
+
+    /** For each engine: its failure domain. */
+    final int[] domain;
+
+    final int domains;
+
+    /** For each engine: whether copies can be planned on it. */
+    final boolean[] usable;
+
+    /** For each model: its adapters. */
+    final int[][] adaptersOf;
+
+    /** For each adapter: its base model. */
+    final int[] baseOf;
+
+    /** For each model: tokens/s to plan for. */
+    final double[] demand;
+
+    /** For each model: wanted copies. */
+    final int[] target;
+
+    /** For each model: copies that are never given up for other models' demand. */
+    final int[] retained;
+
+    /** For each model: copies that come before any copy for demand. */
+    final int[] desired;
+
+    /** For each engine: models that are ready there in any version, sorted. */
+    final int[][] readyOn;
+
+    /** For each engine: adapters that are ready there in any version. */
+    final int[][] readyAdaptersOn;
+
+    /** For each model: ready copies on usable engines. */
+    final int[] readyCopies;
+
+    private final Map<UpstreamId, Integer> engineIndex;
+    private final Map<ModelName, Integer> modelIndex;
+    private final Map<AdapterName, Integer> adapterIndex;
+
+    IndexedFleet(FleetState state, PlacementPolicy policy, PlacementSettings settings) {
+        this.settings = settings;
+        this.policy = policy;
+        engines = state.engines();
+        models = state.models();
+        adapters = state.adapters();
+        engineIndex = new HashMap<>(engines.size() * 2);
+        modelIndex = new HashMap<>(models.size() * 2);
+        adapterIndex = new HashMap<>(adapters.size() * 2);
+        domain = new int[engines.size()];
+        usable = new boolean[engines.size()];
+        domains = indexEngines();
+        for (int model = 0; model < models.size(); model++) {
+            modelIndex.put(models.get(model).name(), model);
+        }
+        baseOf = new int[adapters.size()];
+        adaptersOf = indexAdapters();
+        readyOn = new int[engines.size()][];
+        readyAdaptersOn = new int[engines.size()][];
+        readyCopies = new int[models.size()];
+        indexResidents();
+        demand = new double[models.size()];
+        target = new int[models.size()];
+        retained = new int[models.size()];
+        desired = new int[models.size()];
+        setTargets(state);
+    }
+
+    private int indexEngines() {
+        Map<FailureDomain, Integer> numbers = new HashMap<>();
+        for (int engine = 0; engine < engines.size(); engine++) {
+            EngineState state = engines.get(engine);
+            engineIndex.put(state.id(), engine);
+            usable[engine] = state.status() == EngineStatus.LIVE;
+            Integer number = numbers.get(state.domain());
+            if (number == null) {
+                number = numbers.size();
+                numbers.put(state.domain(), number);
+            }
+            domain[engine] = number;
+        }
+        return numbers.size();
+    }
+
+    private int[][] indexAdapters() {
+        int[][] result = new int[models.size()][0];
+        for (int adapter = 0; adapter < adapters.size(); adapter++) {
+            adapterIndex.put(adapters.get(adapter).name(), adapter);
+            int base = modelNumber(adapters.get(adapter).model());
+            baseOf[adapter] = base;
+            if (base >= 0) {
+                result[base] = Arrays.copyOf(result[base], result[base].length + 1);
+                result[base][result[base].length - 1] = adapter;
+            }
+        }
+        return result;
+    }
+
+    private void indexResidents() {
+        for (int engine = 0; engine < engines.size(); engine++) {
+            IntList ready = new IntList();
+            IntList readyAdapters = new IntList();
+            for (EngineListing.Entry resident : engines.get(engine).residents()) {
+                if (usable[engine] && resident.residency() == Residency.READY) {
+                    indexReady(resident.weights(), ready, readyAdapters);
+                }
+            }
+            readyOn[engine] = ready.toSortedArray();
+            readyAdaptersOn[engine] = readyAdapters.toSortedArray();
+            for (int model : readyOn[engine]) {
+                readyCopies[model]++;
+            }
+        }
+    }
+
+    private void indexReady(Weights weights, IntList ready, IntList readyAdapters) {
+        boolean isModel = weights instanceof ModelVersion;
+        int number = weights instanceof ModelVersion version
+                ? modelNumber(version.name())
+                : adapterNumber(((AdapterVersion) weights).name());
+        IntList list = isModel ? ready : readyAdapters;
+        if (number >= 0 && !list.contains(number)) {
+            list.add(number);
+        }
+    }
+
+    private void setTargets(FleetState state) {
+        long memory = 0;
+        int usableEngines = 0;
+        for (int engine = 0; engine < engines.size(); engine++) {
+            memory += usable[engine] ? engines.get(engine).memoryMegabytes() : 0;
+            usableEngines += usable[engine] ? 1 : 0;
+        }
+        long oneOfEach = models.stream().mapToLong(Model::memoryMegabytes).sum()
+                + adapters.stream().mapToLong(Adapter::memoryMegabytes).sum();
+        // A tenth stays free, because memory is split over engines and cannot be filled exactly.
+        int evenCopies = oneOfEach == 0 ? 0 : (int) Math.min(usableEngines, memory * 9 / 10 / oneOfEach);
+        for (int model = 0; model < models.size(); model++) {
+            demand[model] =
+                    policy.planningDemand(state.demandOf(models.get(model).name()));
+            int least =
+                    Math.max(PlacementSettings.DESIRED_COPIES, models.get(model).minimumCopies());
+            desired[model] = Math.min(usableEngines, least);
+            target[model] = Math.min(
+                    usableEngines, Math.max(desired[model], policy.targetCopies(demand[model], evenCopies, settings)));
+            int busy = settings.copiesFor(demand[model], settings.releaseUtilization());
+            retained[model] =
+                    policy.hasHysteresis() ? Math.min(usableEngines, Math.max(target[model], busy)) : target[model];
+        }
+    }
+
+    int engineNumber(UpstreamId upstream) {
+        return engineIndex.getOrDefault(upstream, -1);
+    }
+
+    int modelNumber(ModelName name) {
+        return modelIndex.getOrDefault(name, -1);
+    }
+
+    int adapterNumber(AdapterName name) {
+        return adapterIndex.getOrDefault(name, -1);
+    }
+
+    long modelMemory(int model) {
+        return models.get(model).memoryMegabytes();
+    }
+
+    long adapterMemory(int adapter) {
+        return adapters.get(adapter).memoryMegabytes();
+    }
+
+    boolean isReady(int engine, int model) {
+        return contains(readyOn[engine], readyOn[engine].length, model);
+    }
+
+    boolean isAdapterReady(int engine, int adapter) {
+        return contains(readyAdaptersOn[engine], readyAdaptersOn[engine].length, adapter);
+    }
+
+    /** Returns whether the configured version of a model is ready or being loaded on an engine. */
+    boolean hasConfiguredVersion(int engine, int model) {
+        ModelVersion wanted = ModelVersion.of(models.get(model));
+        return engines.get(engine).residents().stream()
+                .anyMatch(resident -> resident.weights().equals(wanted) && resident.residency() != Residency.UNLOADING);
+    }
+
+    static boolean contains(int[] array, int length, int value) {
+        for (int index = 0; index < length; index++) {
+            if (array[index] == value) {
+                return true;
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/PlacementPlanner.java
@@ -0,0 +1,165 @@
+package io.oleandermoor.state.placement;
+
+import io.oleandermoor.state.configuration.Adapter;
+import io.oleandermoor.state.configuration.Model;
+import io.oleandermoor.state.finding.Findings;
+import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.memory.ModelVersion;
+import java.util.Comparator;
+import java.util.Optional;
+import java.util.stream.IntStream;
+
+/**
+ * Computes plans. The same input gives the same plan. Immutable and safe for use by several threads.
+ *
+ * <p>A plan never holds more on an upstream than its memory. It gives up a ready copy only while another wanted copy of
+ * the model is ready, so that each change of a plan can be executed at once, without two models waiting for each
+ * other's memory.
+ */
+public final class PlacementPlanner {
+    private final PlacementPolicy policy;
+    private final PlacementSettings settings;
+
+    /**
+     * Creates a planner.
+     *
+     * @param policy how many copies to plan
+     * @param settings assumptions and thresholds
+     */
+    public PlacementPlanner(PlacementPolicy policy, PlacementSettings settings) {
+        this.policy = policy;
+        this.settings = settings;
+    }
+
+    /**
+     * Computes a plan for all models.
+     *
+     * @param state the fleet
+     * @param last the plan in force; empty if there is none
+     * @param version the position of the new plan
+     * @param findings receives what could not be placed
+     * @return the plan, with as much as possible placed
+     */
+    public PlacementPlan plan(FleetState state, Optional<PlacementPlan> last, PlanVersion version, Findings findings) {
+        IndexedFleet fleet = new IndexedFleet(state, policy, settings);
+        Draft draft = new Draft(fleet);
+        draft.keepOnlyReadyCopies();
+        last.ifPresent(draft::keepPlan);
+        draft.keepResidents();
+        complete(fleet, draft, false, Placer.largestFirst(fleet));
+        if (uncovered(fleet, draft) > 0) {
+            draft = better(fleet, draft, packed(fleet, Placer.largestFirst(fleet)));
+            draft = better(fleet, draft, packed(fleet, Placer.smallestFirst(fleet)));
+        }
+        report(fleet, draft, findings);
+        return new PlacementPlan(version, draft.toUpstreams());
+    }
+
+    /**
+     * Computes a plan from the last one by placing again only the models that a change concerns. Moves no other copies
+     * except surplus ones, whose memory it may use.
+     *
+     * @param state the fleet after the change
+     * @param last the plan in force
+     * @param change what differs from the state that {@code last} was computed for
+     * @param version the position of the new plan
+     * @param findings receives what could not be placed
+     * @return the plan
+     */
+    public PlacementPlan replan(
+            FleetState state, PlacementPlan last, FleetChange change, PlanVersion version, Findings findings) {
+        IndexedFleet fleet = new IndexedFleet(state, policy, settings);
+        Draft draft = new Draft(fleet);
+        draft.keepOnlyReadyCopies();
+        draft.keepPlan(last);
+        Placer placer = new Placer(fleet, draft, false);
+        placer.place(concerned(fleet, draft, last, change), Placer.largestFirst(fleet));
+        placer.placeAdapters();
+        report(fleet, draft, findings);
+        return new PlacementPlan(version, draft.toUpstreams());
+    }
+
+    private int[] concerned(IndexedFleet fleet, Draft draft, PlacementPlan last, FleetChange change) {
+        boolean[] concerned = new boolean[fleet.models.size()];
+        change.models().forEach(name -> mark(concerned, fleet.modelNumber(name)));
+        boolean memoryAdded = false;
+        for (UpstreamId upstream : change.upstreams()) {
+            for (ModelVersion version : last.wanted(upstream).models()) {
+                mark(concerned, fleet.modelNumber(version.name()));
+            }
+            int engine = fleet.engineNumber(upstream);
+            memoryAdded |= engine >= 0 && fleet.usable[engine];
+        }
+        for (int model = 0; model < concerned.length; model++) {
+            int wanted = memoryAdded ? fleet.desired[model] : 1;
+            concerned[model] |= draft.copies(model) < wanted;
+        }
+        return IntStream.range(0, concerned.length)
+                .filter(model -> concerned[model])
+                .toArray();
+    }
+
+    private static void mark(boolean[] marks, int index) {
+        if (index >= 0) {
+            marks[index] = true;
+        }
+    }
+
+    private void complete(IndexedFleet fleet, Draft draft, boolean packs, Comparator<Integer> firstOrder) {
+        Placer placer = new Placer(fleet, draft, packs);
+        placer.place(IntStream.range(0, fleet.models.size()).toArray(), firstOrder);
+        if (policy.hasHysteresis()) {
+            placer.rebalance();
+        }
+        placer.placeAdapters();
+    }
+
+    private Draft packed(IndexedFleet fleet, Comparator<Integer> firstOrder) {
+        Draft draft = new Draft(fleet);
+        draft.keepOnlyReadyCopies();
+        complete(fleet, draft, true, firstOrder);
+        return draft;
+    }
+
+    private static Draft better(IndexedFleet fleet, Draft first, Draft second) {
+        return uncovered(fleet, second) < uncovered(fleet, first) ? second : first;
+    }
+
+    private static long uncovered(IndexedFleet fleet, Draft draft) {
+        return IntStream.range(0, fleet.models.size())
+                .filter(model -> draft.copies(model) == 0)
+                .count();
+    }
+
+    private static void report(IndexedFleet fleet, Draft draft, Findings findings) {
+        for (int index = 0; index < fleet.models.size(); index++) {
+            Model model = fleet.models.get(index);
+            int copies = draft.copies(index);
+            String place = "models/" + model.name();
+            if (copies == 0) {
+                findings.error(place, "no engine has " + model.memoryMegabytes() + " MB left for a copy");
+            } else if (copies < model.minimumCopies()) {
+                findings.warning(
+                        place, "only " + copies + " of at least " + model.minimumCopies() + " copies fit in memory");
+            } else if (isInOneDomain(fleet, draft, index)) {
+                findings.warning(place, "all " + copies + " copies are in one failure domain");
+            }
+        }
+        for (int index = 0; index < fleet.adapters.size(); index++) {
+            Adapter adapter = fleet.adapters.get(index);
+            if (draft.enginesOfAdapter(index).size() == 0) {
+                findings.error(
+                        "adapters/" + adapter.name(),
+                        "no engine with model '" + adapter.model() + "' has " + adapter.memoryMegabytes() + " MB left");
+            }
+        }
+    }
+
+    private static boolean isInOneDomain(IndexedFleet fleet, Draft draft, int model) {
+        if (fleet.domains == 1) {
+            return false;
+        }
+        int first = fleet.domain[draft.enginesOf(model).get(0)];
+        return draft.copiesInDomain(model, first) == draft.copies(model);
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/PlanVersion.java
@@ -0,0 +1,20 @@
+package io.oleandermoor.state.placement;
+
+import java.util.Comparator;
+
+/**
+ * Position of a plan among all plans.
+ *
+ * @param term the fencing number of the placement owner
+ * @param sequence the number of the plan within the term
+ */
+public record PlanVersion(long term, long sequence) implements Comparable<PlanVersion> {
+
+    private static final Comparator<PlanVersion> ORDER =
+            Comparator.comparingLong(PlanVersion::term).thenComparingLong(PlanVersion::sequence);
+
+    @Override
+    public int compareTo(PlanVersion other) {
+        return ORDER.compare(this, other);
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/Residents.java
@@ -0,0 +1,126 @@
+package io.oleandermoor.state.placement;
+
+import io.oleandermoor.state.configuration.Adapter;
+import io.oleandermoor.state.configuration.Model;
+import io.oleandermoor.state.identity.AdapterName;
+import io.oleandermoor.state.identity.ModelName;
+import io.oleandermoor.state.memory.AdapterVersion;
+import io.oleandermoor.state.memory.EngineListing;
+import io.oleandermoor.state.memory.ModelVersion;
+import io.oleandermoor.state.memory.Residency;
+import io.oleandermoor.state.memory.Weights;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** Copies on the usable engines, by model or adapter, any version together. Steps already computed are included. */
+final class Residents {
+
+    /** One ready copy. */
+    record Copy(EngineState engine, Weights weights, boolean wanted) {}
+
+    private final Map<Object, List<Copy>> ready = new HashMap<>();
+    private final Map<Object, Integer> present = new HashMap<>();
+    private final Map<ModelName, Model> models = new HashMap<>();
+    private final Map<AdapterName, Adapter> adapters = new HashMap<>();
+
+    Residents(PlacementPlan plan, FleetState state) {
+        state.models().forEach(model -> models.put(model.name(), model));
+        state.adapters().forEach(adapter -> adapters.put(adapter.name(), adapter));
+        for (EngineState engine : state.engines()) {
+            if (engine.status() == EngineStatus.LIVE) {
+                for (EngineListing.Entry resident : engine.residents()) {
+                    add(plan, engine, resident);
+                }
+            }
+        }
+    }
+
+    private void add(PlacementPlan plan, EngineState engine, EngineListing.Entry resident) {
+        Weights weights = resident.weights();
+        if (resident.residency() == Residency.READY) {
+            ready.computeIfAbsent(name(weights), name -> new ArrayList<>(2))
+                    .add(new Copy(engine, weights, isWanted(plan, engine, weights)));
+        }
+        if (resident.residency() != Residency.UNLOADING) {
+            addPresent(weights);
+        }
+    }
+
+    static boolean isWanted(PlacementPlan plan, EngineState engine, Weights weights) {
+        PlacementPlan.Wanted wanted = plan.wanted(engine.id());
+        return weights.isAdapter()
+                ? wanted.adapters().contains(weights)
+                : wanted.models().contains(weights);
+    }
+
+    /** Returns the name as a key that is common to all versions. */
+    private static Object name(Weights weights) {
+        if (weights instanceof ModelVersion version) {
+            return version.name();
+        }
+        return ((AdapterVersion) weights).name();
+    }
+
+    boolean isConfigured(Weights weights) {
+        Object name = name(weights);
+        return models.containsKey(name) || adapters.containsKey(name);
+    }
+
+    /** Returns the memory of configured weights. */
+    long memory(Weights weights) {
+        if (weights instanceof ModelVersion version) {
+            Model model = models.get(version.name());
+            return model == null ? 0 : model.memoryMegabytes();
+        }
+        Adapter adapter = adapters.get(((AdapterVersion) weights).name());
+        return adapter == null ? 0 : adapter.memoryMegabytes();
+    }
+
+    /** Returns the model that weights need or are; empty for an adapter that is not configured. */
+    Optional<ModelName> base(Weights weights) {
+        if (weights instanceof ModelVersion version) {
+            return Optional.of(version.name());
+        }
+        return Optional.ofNullable(adapters.get(((AdapterVersion) weights).name()))
+                .map(Adapter::model);
+    }
+
+    /** Returns how many copies are ready, being loaded, or about to be loaded. */
+    int presentCopies(Weights weights) {
+        return present.getOrDefault(name(weights), 0);
+    }
+
+    void addPresent(Weights weights) {
+        present.merge(name(weights), 1, Integer::sum);
+    }
+
+    /** Returns the ready copies that no step unloads. */
+    List<Copy> ready(Weights weights) {
+        return ready.getOrDefault(name(weights), List.of());
+    }
+
+    /** Returns a ready copy other than the given one, if possible one that the plan wants. */
+    Optional<Copy> retained(EngineState engine, Weights weights) {
+        Optional<Copy> retained = Optional.empty();
+        for (Copy copy : ready(weights)) {
+            boolean same =
+                    copy.engine().id().equals(engine.id()) && copy.weights().equals(weights);
+            if (!same && (copy.wanted() || retained.isEmpty())) {
+                retained = Optional.of(copy);
+                if (copy.wanted()) {
+                    return retained;
+                }
+            }
+        }
+        return retained;
+    }
+
+    void removeReady(EngineState engine, Weights weights) {
+        ready.getOrDefault(name(weights), new ArrayList<>())
+                .removeIf(copy ->
+                        copy.engine().id().equals(engine.id()) && copy.weights().equals(weights));
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/package-info.java
@@ -0,0 +1,8 @@
+/**
+ * Placement of models and adapters on engines: the plan, the steps that lead to it safely, the limits of the weight
+ * store, and the demand forecast.
+ */
+@NullMarked
+package io.oleandermoor.state.placement;
+
+import org.jspecify.annotations.NullMarked;
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/memory/FakeFleetSlot.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/memory/FakeFleetSlot.java
@@ -22,7 +22,6 @@
     long largestUse;
     int executedLoads;
     int executedOldTermOrders;
-    int takeOvers;
 
     private record Event(long time, long number, Runnable action) {}
 
@@ -70,14 +69,19 @@
 
     private void replaceAgent() {
         agents.add(new Agent());
-        takeOvers++;
+        if (random.nextBoolean()) {
+            agents.get(agents.size() - 1).requestListing();
+        }
     }
 
     /** Delivers a message no, one or two times between now and the given time. */
     private void transmit(long latest, Runnable delivery) {
         int copies = random.nextInt(5) == 0 ? 0 : 1 + random.nextInt(2);
         for (int copy = 0; copy < copies; copy++) {
-            schedule(now + random.nextLong(Math.max(1, latest - now + 1)), delivery);
+            // Immediate and latest possible deliveries are frequent, because they are the ones that cross others.
+            long share =
+                    random.nextInt(3) == 0 ? random.nextLong(latest - now + 1) : (latest - now) * random.nextInt(2);
+            schedule(now + share, delivery);
         }
     }
 
@@ -158,8 +162,10 @@
         }
 
         private void sendUnsent() {
-            // At an engine that honours fencing numbers, a replaced agent may have been paused after its last check.
-            boolean pausedAfterCheck = settings.fencing() == Fencing.HONOURED && knownRevision != revision;
+            // The agent may have been paused between its last check and the sending. At an engine that ignores fencing
+            // numbers this is excluded for a replaced agent: nothing could then stop the order.
+            boolean replaced = knownRevision != revision;
+            boolean pausedAfterCheck = replaced ? settings.fencing() == Fencing.HONOURED : random.nextBoolean();
             for (Order order : unsent) {
                 if (pausedAfterCheck) {
                     transmit(now + LONGEST_DELAY, () -> execute(order, this));
