--- a/oleandermoor-operator/src/test/java/io/oleandermoor/operator/DocumentReaderTest.java
+++ b/oleandermoor-operator/src/test/java/io/oleandermoor/operator/DocumentReaderTest.java
@@ -5,9 +5,11 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
 import example.ExampleDeployment;
 import io.oleandermoor.state.configuration.ConfigurationDocument;
 import io.oleandermoor.state.finding.Finding;
+import io.oleandermoor.state.finding.Findings;
 import io.oleandermoor.state.finding.InvalidInputException;
 import java.io.ByteArrayInputStream;
 import java.io.ByteArrayOutputStream;
@@ -18,6 +20,7 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.stream.StreamSupport;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -152,6 +155,52 @@
             }
         }
 
+        /** Guards against the schema requiring a field that the reader does not, or the other way round. */
+        @Test
+        void requireWhatTheReaderRequires() throws Exception {
+            JsonNode definitions = new ObjectMapper()
+                    .readTree(docs.resolve("configuration-schema.json").toFile())
+                    .path("$defs");
+            ObjectNode full = fullDocument();
+            checkRequired(full, "/teams/0", definitions.path("Team"));
+            checkRequired(full, "/keys/0", definitions.path("ApiKey"));
+            checkRequired(full, "/models/0", definitions.path("Model"));
+            checkRequired(full, "/adapters/0", definitions.path("Adapter"));
+            checkRequired(full, "/routes/0", definitions.path("Route"));
+            checkRequired(full, "/settings", definitions.path("FleetSettings"));
+            checkRequired(full, "/settings/admission", definitions.path("AdmissionSettings"));
+            checkRequired(full, "/settings/weightStore", definitions.path("WeightStoreLimits"));
+            checkRequired(full, "/settings/openingHours/0", definitions.path("OpeningHours"));
+        }
+
+        private ObjectNode fullDocument() throws Exception {
+            ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+            ExampleDeployment.printFull(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+            ObjectNode document = (ObjectNode) new ObjectMapper().readTree(bytes.toByteArray());
+            document.withArrayProperty("keys")
+                    .addObject()
+                    .put("id", "key-1")
+                    .put("team", "cafe")
+                    .put("hash", "0".repeat(64));
+            return document;
+        }
+
+        private void checkRequired(ObjectNode full, String pointer, JsonNode definition) throws Exception {
+            for (var property : definition.path("properties").properties()) {
+                ObjectNode changed = full.deepCopy();
+                ((ObjectNode) changed.at(pointer)).remove(property.getKey());
+                Findings findings = new Findings();
+                new DocumentReader().read(changed.toString().getBytes(StandardCharsets.UTF_8), findings);
+                boolean missing = findings.list().stream()
+                        .anyMatch(finding -> finding.message().equals("is missing")
+                                && finding.place().contains("." + property.getKey() + " "));
+                boolean required = StreamSupport.stream(
+                                definition.path("required").spliterator(), false)
+                        .anyMatch(name -> name.asText().equals(property.getKey()));
+                assertThat(missing).as(pointer + "/" + property.getKey()).isEqualTo(required);
+            }
+        }
+
         private void check(JsonNode object, Class<?> type, String page) {
             List<String> components = Arrays.stream(type.getRecordComponents())
                     .map(RecordComponent::getName)
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/SettingsReader.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/SettingsReader.java
@@ -14,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
+import java.util.Set;
 import org.apache.commons.configuration2.INIConfiguration;
 import org.apache.commons.configuration2.SubnodeConfiguration;
 import org.apache.commons.configuration2.ex.ConfigurationException;
@@ -100,12 +101,17 @@
             return;
         }
         LineIndex lines = new LineIndex(text);
-        for (String section : configuration.getSections()) {
+        Set<String> sections = configuration.getSections();
+        for (String section : sections) {
             SubnodeConfiguration content = configuration.getSection(section);
             Iterator<ImmutableNode> nodes =
                     content.getNodeModel().getNodeHandler().getRootNode().iterator();
             while (nodes.hasNext()) {
                 ImmutableNode node = nodes.next();
+                // The part of the file before the first section is returned together with the sections.
+                if (section == null && sections.contains(node.getNodeName())) {
+                    continue;
+                }
                 String setting = Objects.requireNonNullElse(section, "") + "." + node.getNodeName();
                 String origin = lines.place(name, setting);
                 String value = Objects.toString(node.getValue(), "").strip();
--- a/oleandermoor-transport/src/test/java/io/oleandermoor/transport/settings/SettingsTest.java
+++ b/oleandermoor-transport/src/test/java/io/oleandermoor/transport/settings/SettingsTest.java
@@ -125,6 +125,18 @@
                             "ERROR agent.ini:27 other.key: is not a setting of role agent");
         }
 
+        /** Guards against a misplaced setting being overlooked or reported under another name. */
+        @Test
+        void includeSettingsOutsideOfTheirSection() {
+            String text = "stray = 1\n" + AGENT + "[a.b]\nc.d = \"1, 2\"\n[Listen]\nADMIN = 1 ; comment\nnothing\n";
+            assertThat(problems(text))
+                    .containsExactlyInAnyOrder(
+                            "ERROR agent.ini:1 .stray: is not a setting of role agent",
+                            "ERROR agent.ini:25 a.b.c.d: is not a setting of role agent",
+                            "ERROR agent.ini:27 Listen.ADMIN: is not a setting of role agent",
+                            "ERROR agent.ini:28 Listen.nothing: is not a setting of role agent");
+        }
+
         /** Guards against a process that fails to listen only after it has started. */
         @Test
         void includeTheSamePortTwice() {
