Prove the safety of placement steps under random disturbances

Steps must not overcommit memory, give up a last ready copy, break the order of repair or exceed the limits of the weight store. 300 random fleets of 4 to 13 engines with 300 steps each pass (seed 5101), for all three policies.

A second property (seed 5102, 100 fleets) requires that the plan is reached once the fleet is quiet. It found that a new version of a model was never loaded where adapters of the old one stayed: such adapters are now unloaded first.

--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/Draft.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/Draft.java
@@ -199,6 +199,20 @@
         load[engine] += tokensPerSecond;
     }
 
+    /**
+     * Returns whether the only wanted copy is also the only ready one, has an old version, and leaves no room for the
+     * new version beside it. Such a model needs a second copy before it can change its version.
+     */
+    boolean lacksRoomForNewVersion(int model) {
+        if (copies(model) != 1 || fleet.readyCopies[model] != 1) {
+            return false;
+        }
+        int engine = enginesOf[model].get(0);
+        return fleet.isReady(engine, model)
+                && !fleet.hasConfiguredVersion(engine, model)
+                && fleet.engines.get(engine).freeMegabytes() < fleet.modelMemory(model);
+    }
+
     /** Returns what each usable engine is wanted to hold. */
     SortedMap<UpstreamId, Wanted> toUpstreams() {
         ModelVersion[] models = fleet.models.stream().map(ModelVersion::of).toArray(ModelVersion[]::new);
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/PlacementPlanner.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/PlacementPlanner.java
@@ -138,6 +138,11 @@
             String place = "models/" + model.name();
             if (copies == 0) {
                 findings.error(place, "no engine has " + model.memoryMegabytes() + " MB left for a copy");
+            } else if (draft.lacksRoomForNewVersion(index)) {
+                findings.error(
+                        place,
+                        "version '" + model.version() + "' fits neither beside the only ready copy nor on another"
+                                + " engine");
             } else if (copies < model.minimumCopies()) {
                 findings.warning(
                         place, "only " + copies + " of at least " + model.minimumCopies() + " copies fit in memory");
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/Placer.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/Placer.java
@@ -77,14 +77,8 @@
         }
     }
 
-    /** A new version needs a second copy when it does not fit beside the only ready copy of the old version. */
     private int requiredCopies(int model) {
-        if (draft.copies(model) != 1 || fleet.readyCopies[model] != 1) {
-            return 1;
-        }
-        int engine = draft.enginesOf(model).get(0);
-        boolean replacesOnlyCopy = fleet.isReady(engine, model) && !fleet.hasConfiguredVersion(engine, model);
-        return replacesOnlyCopy && fleet.engines.get(engine).freeMegabytes() < fleet.modelMemory(model) ? 2 : 1;
+        return draft.lacksRoomForNewVersion(model) ? 2 : 1;
     }
 
     private void placeDesired(int[] models) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/StepPlanner.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/StepPlanner.java
@@ -35,6 +35,7 @@
     private final Residents residents;
     private final Map<UpstreamId, Long> free = new HashMap<>();
     private final Map<UpstreamId, Long> missing = new HashMap<>();
+    private final Map<UpstreamId, Integer> blockedClass = new HashMap<>();
     private final Map<ModelName, Integer> unreadyWanted = new HashMap<>();
     private final List<PlacementStep> steps = new ArrayList<>();
 
@@ -60,11 +61,14 @@
     }
 
     private record Candidate(EngineState engine, Weights weights, int copies, double demand) {
-        private static final Comparator<Candidate> ORDER = Comparator.comparingInt(
-                        (Candidate candidate) -> Math.min(2, candidate.copies))
+        private static final Comparator<Candidate> ORDER = Comparator.comparingInt(Candidate::repairClass)
                 .thenComparing(Comparator.comparingDouble(Candidate::demand).reversed())
                 .thenComparing(Candidate::weights, Weights.ORDER)
                 .thenComparing(candidate -> candidate.engine().id());
+
+        int repairClass() {
+            return Math.min(2, copies);
+        }
     }
 
     private void load(StepLimits limits) {
@@ -114,7 +118,7 @@
         for (Weights adapter : wanted.adapters()) {
             boolean baseReady = residents
                     .base(adapter)
-                    .filter(base -> isModelReady(engine, base))
+                    .filter(base -> isWantedVersionReady(engine, base))
                     .isPresent();
             if (baseReady && residency(engine, adapter).isEmpty()) {
                 candidates.add(candidate(engine, adapter));
@@ -131,12 +135,19 @@
         return new Candidate(engine, weights, residents.presentCopies(weights), demand);
     }
 
+    /**
+     * Takes memory for a load. A load that does not fit yet keeps less urgent ones from the free memory of its engine.
+     * Loads of equal urgency do not wait, because a plan never wants more than fits.
+     */
     private boolean setMemoryAside(Candidate candidate) {
         UpstreamId upstream = candidate.engine().id();
         long memory = residents.memory(candidate.weights());
         long left = free.getOrDefault(upstream, 0L);
-        if (missing.containsKey(upstream) || left < memory) {
+        int repairClass = candidate.repairClass();
+        boolean yields = repairClass > blockedClass.getOrDefault(upstream, repairClass);
+        if (yields || left < memory) {
             missing.merge(upstream, memory, Long::sum);
+            blockedClass.putIfAbsent(upstream, repairClass);
             return false;
         }
         free.put(upstream, left - memory);
@@ -189,8 +200,12 @@
         if (retained.isEmpty() && residents.isConfigured(weights)) {
             return false;
         }
-        if (weights instanceof ModelVersion version && hasDependentAdapter(engine, version)) {
-            return false;
+        if (weights instanceof ModelVersion version && !isOtherVersionReady(engine, version)) {
+            List<EngineListing.Entry> dependent = dependentAdapters(engine, version);
+            if (!dependent.isEmpty()) {
+                dependent.forEach(adapter -> unloadForModel(engine, adapter));
+                return false;
+            }
         }
         residents.removeReady(engine, weights);
         steps.add(new PlacementStep(
@@ -202,15 +217,26 @@
         return true;
     }
 
-    /** Returns whether an adapter on the engine would lose its base model; another version of the base also counts. */
-    private boolean hasDependentAdapter(EngineState engine, ModelVersion version) {
-        boolean otherVersion = residents.ready(version).stream()
+    /** Unloads an adapter whose base model has to go, even if the adapter is wanted again beside the next version. */
+    private void unloadForModel(EngineState engine, EngineListing.Entry adapter) {
+        boolean isReady = residents.ready(adapter.weights()).stream()
+                .anyMatch(copy -> copy.engine().id().equals(engine.id()));
+        if (isReady) {
+            unload(engine, adapter);
+        }
+    }
+
+    private boolean isOtherVersionReady(EngineState engine, ModelVersion version) {
+        return residents.ready(version).stream()
                 .anyMatch(copy -> copy.engine().id().equals(engine.id())
                         && !copy.weights().equals(version));
-        return !otherVersion
-                && engine.residents().stream()
-                        .filter(resident -> resident.weights().isAdapter())
-                        .anyMatch(resident -> residents.base(resident.weights()).equals(Optional.of(version.name())));
+    }
+
+    private List<EngineListing.Entry> dependentAdapters(EngineState engine, ModelVersion version) {
+        return engine.residents().stream()
+                .filter(resident -> resident.weights().isAdapter())
+                .filter(resident -> residents.base(resident.weights()).equals(Optional.of(version.name())))
+                .toList();
     }
 
     private static Optional<Residency> residency(EngineState engine, Weights weights) {
@@ -220,10 +246,12 @@
                 .findFirst();
     }
 
-    private static boolean isModelReady(EngineState engine, ModelName model) {
+    /** Returns whether an adapter can be loaded. A base model of an old version is about to be unloaded. */
+    private boolean isWantedVersionReady(EngineState engine, ModelName model) {
         return engine.residents().stream()
                 .anyMatch(resident -> resident.residency() == Residency.READY
                         && resident.weights() instanceof ModelVersion version
-                        && version.name().equals(model));
+                        && version.name().equals(model)
+                        && Residents.isWanted(plan, engine, version));
     }
 }
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/placement/PlacementPropertyTest.java
@@ -0,0 +1,139 @@
+package io.oleandermoor.state.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.oleandermoor.state.configuration.Model;
+import io.oleandermoor.state.identity.ModelName;
+import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.placement.PlacementSimulation.Engine;
+import java.util.List;
+import java.util.SplittableRandom;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.ShrinkingMode;
+import net.jqwik.api.statistics.Statistics;
+
+class PlacementPropertyTest {
+    private static final int STEPS = 300;
+
+    /**
+     * Guards against steps that overcommit memory, give up a last ready copy, break the order of repair or exceed the
+     * limits of the weight store, while demand changes and upstreams and failure domains come and go.
+     */
+    @Property(seed = "5101", tries = 300, shrinking = ShrinkingMode.OFF)
+    void stepsAreSafe(@ForAll long seed, @ForAll PlacementPolicy policy) {
+        SplittableRandom random = new SplittableRandom(seed);
+        PlacementSimulation simulation = randomFleet(random, policy);
+        for (int step = 0; step < STEPS; step++) {
+            disturb(simulation, random);
+            simulation.tick(500 + random.nextInt(1_500), random.nextInt(20) == 0);
+        }
+        assertThat(simulation.violations).isEmpty();
+        assertRateHolds(simulation.modelLoadStarts);
+    }
+
+    /** Guards against a plan that is never reached because its steps wait for each other. */
+    @Property(seed = "5102", tries = 100, shrinking = ShrinkingMode.OFF)
+    void demandPlanIsReachedInQuietTimes(@ForAll long seed) {
+        SplittableRandom random = new SplittableRandom(seed);
+        PlacementSimulation simulation = randomFleet(random, PlacementPolicy.DEMAND);
+        for (int step = 0; step < 100; step++) {
+            disturb(simulation, random);
+            simulation.tick(1_000, step % 30 == 0);
+        }
+        simulation.engines.forEach(engine -> engine.status = EngineStatus.LIVE);
+        for (int step = 0; step < 400; step++) {
+            simulation.tick(1_000, step % 30 == 0);
+        }
+        assertThat(simulation.violations).isEmpty();
+        if (!simulation.findings.hasErrors()) {
+            assertThat(simulation.models.keySet()).allMatch(simulation::isServed);
+            simulation.tick(1_000, true);
+            assertThat(simulation.unreached()).isEmpty();
+        }
+        Statistics.label("plans with errors").collect(simulation.findings.hasErrors());
+        int before = simulation.steps;
+        simulation.tick(1_000, true);
+        assertThat(simulation.steps).isEqualTo(before);
+    }
+
+    private static PlacementSimulation randomFleet(SplittableRandom random, PlacementPolicy policy) {
+        PlacementSimulation simulation = new PlacementSimulation(policy, 4_000 + random.nextInt(8_000));
+        int engines = 4 + random.nextInt(10);
+        int domains = 2 + random.nextInt(3);
+        for (int number = 0; number < engines; number++) {
+            simulation.engines.add(new Engine(number, domains, 80_000));
+        }
+        int models = 2 + random.nextInt(2 * engines);
+        for (int number = 0; number < models; number++) {
+            simulation.addModel(number, 6_000 + random.nextInt(40_000), random.nextInt(4));
+        }
+        simulation.models.keySet().forEach(model -> setDemand(simulation, random, model));
+        simulation.tick(1_000, true);
+        return simulation;
+    }
+
+    private static void setDemand(PlacementSimulation simulation, SplittableRandom random, ModelName model) {
+        double present = random.nextInt(4) == 0 ? random.nextDouble(1_500) : random.nextDouble(100);
+        simulation.demand.put(model, new ModelDemand(present, present * (0.5 + random.nextDouble())));
+        simulation.changedModels.add(model);
+    }
+
+    private static void disturb(PlacementSimulation simulation, SplittableRandom random) {
+        Engine engine = simulation.engines.get(random.nextInt(simulation.engines.size()));
+        List<ModelName> names = List.copyOf(simulation.models.keySet());
+        ModelName name = names.get(random.nextInt(names.size()));
+        switch (random.nextInt(40)) {
+            case 0, 1, 2, 3 -> setDemand(simulation, random, name);
+            case 4 -> lose(simulation, engine);
+            case 5 ->
+                simulation.engines.stream()
+                        .filter(other -> other.domain.equals(engine.domain) && random.nextInt(4) == 0)
+                        .forEach(other -> lose(simulation, other));
+            case 6 -> leave(simulation, engine);
+            case 7, 8, 9, 10, 11 ->
+                simulation.engines.stream()
+                        .filter(other -> other.status != EngineStatus.LIVE)
+                        .findFirst()
+                        .ifPresent(other -> replace(simulation, other));
+            case 12 -> {
+                Model old = simulation.models.get(name);
+                String version = "" + (Integer.parseInt(old.version()) + 1);
+                simulation.models.put(name, new Model(name, version, old.memoryMegabytes(), old.minimumCopies()));
+                simulation.changedModels.add(name);
+            }
+            default -> {
+                // Most steps pass without a disturbance, so that loads can finish.
+            }
+        }
+    }
+
+    private static void lose(PlacementSimulation simulation, Engine engine) {
+        engine.lose();
+        simulation.changedEngines.add(engine.id);
+    }
+
+    private static void leave(PlacementSimulation simulation, Engine engine) {
+        if (engine.status == EngineStatus.LIVE) {
+            engine.status = EngineStatus.LEAVING;
+            simulation.changedEngines.add(engine.id);
+        }
+    }
+
+    private static void replace(PlacementSimulation simulation, Engine engine) {
+        engine.lose();
+        engine.status = EngineStatus.LIVE;
+        UpstreamId id = engine.id;
+        simulation.changedEngines.add(id);
+    }
+
+    private static void assertRateHolds(List<Long> starts) {
+        double rate = PlacementSimulation.LIMITS.modelLoadsPerSecond();
+        for (int first = 0; first < starts.size(); first++) {
+            for (int last = first; last < starts.size(); last++) {
+                double seconds = (starts.get(last) - starts.get(first)) / 1000.0;
+                assertThat(last - first + 1).isLessThanOrEqualTo((int) (seconds * rate + Math.max(1, rate) + 1e-9));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/placement/PlacementSimulation.java
@@ -0,0 +1,254 @@
+package io.oleandermoor.state.placement;
+
+import io.oleandermoor.state.configuration.Adapter;
+import io.oleandermoor.state.configuration.Model;
+import io.oleandermoor.state.finding.Findings;
+import io.oleandermoor.state.identity.AdapterName;
+import io.oleandermoor.state.identity.FailureDomain;
+import io.oleandermoor.state.identity.ModelName;
+import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.memory.EngineListing;
+import io.oleandermoor.state.memory.ModelVersion;
+import io.oleandermoor.state.memory.Order;
+import io.oleandermoor.state.memory.Residency;
+import io.oleandermoor.state.memory.Weights;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.TreeMap;
+
+/** A fleet under virtual time that follows the plans of one policy and checks each step. */
+final class PlacementSimulation {
+    static final double ENGINE_TOKENS = 400;
+    static final WeightStoreLimits LIMITS = new WeightStoreLimits(1.5, 7, 55, 60_000, 5_000);
+
+    /** One engine. Weights in progress have an end time. */
+    static final class Engine {
+        final UpstreamId id;
+        final FailureDomain domain;
+        final long memory;
+        EngineStatus status = EngineStatus.LIVE;
+        final Map<Weights, EngineListing.Entry> residents = new TreeMap<>(Weights.ORDER);
+        final Map<Weights, Long> ends = new HashMap<>();
+
+        Engine(int number, int domains, long memory) {
+            id = new UpstreamId(String.format("u%03d", number));
+            domain = new FailureDomain("d" + number % domains);
+            this.memory = memory;
+        }
+
+        boolean isReady(ModelName model) {
+            return residents.values().stream()
+                    .anyMatch(entry -> entry.residency() == Residency.READY
+                            && entry.weights() instanceof ModelVersion version
+                            && version.name().equals(model));
+        }
+
+        void lose() {
+            status = EngineStatus.DOWN;
+            residents.clear();
+            ends.clear();
+        }
+    }
+
+    final List<Engine> engines = new ArrayList<>();
+    final Map<ModelName, Model> models = new TreeMap<>();
+    final List<Adapter> adapters = new ArrayList<>();
+    final Map<ModelName, ModelDemand> demand = new TreeMap<>();
+    final List<Long> modelLoadStarts = new ArrayList<>();
+    final List<String> violations = new ArrayList<>();
+    final Set<ModelName> changedModels = new HashSet<>();
+    final Set<UpstreamId> changedEngines = new HashSet<>();
+    Findings findings = new Findings();
+    PlacementPlan plan = new PlacementPlan(new PlanVersion(1, 0), new TreeMap<>());
+    long now;
+    int steps;
+
+    private final PlacementPlanner planner;
+    private final WeightStoreLimiter limiter = new WeightStoreLimiter(LIMITS, 0);
+    private final long modelLoadMillis;
+
+    PlacementSimulation(PlacementPolicy policy, long modelLoadMillis) {
+        planner = new PlacementPlanner(policy, PlacementSettings.forEngines(ENGINE_TOKENS));
+        this.modelLoadMillis = modelLoadMillis;
+    }
+
+    void addModel(int number, long memory, int adapterCount) {
+        Model model = new Model(new ModelName(String.format("m%03d", number)), "1", memory, 1);
+        models.put(model.name(), model);
+        for (int index = 0; index < adapterCount; index++) {
+            adapters.add(new Adapter(new AdapterName("a" + number + "-" + index), model.name(), "1", 300));
+        }
+    }
+
+    FleetState state() {
+        return new FleetState(
+                engines.stream()
+                        .map(engine -> new EngineState(
+                                engine.id,
+                                engine.domain,
+                                engine.memory,
+                                engine.status,
+                                List.copyOf(engine.residents.values())))
+                        .toList(),
+                List.copyOf(models.values()),
+                adapters,
+                demand);
+    }
+
+    /** Advances the time, plans (fully or for the recorded changes), and takes the steps that are possible. */
+    void tick(long millis, boolean full) {
+        now += millis;
+        engines.forEach(this::finish);
+        FleetState state = state();
+        Findings found = new Findings();
+        PlanVersion version = new PlanVersion(1, plan.version().sequence() + 1);
+        if (full) {
+            plan = planner.plan(state, Optional.of(plan), version, found);
+            findings = found;
+        } else if (!changedModels.isEmpty() || !changedEngines.isEmpty()) {
+            plan = planner.replan(state, plan, new FleetChange(changedModels, changedEngines), version, found);
+            findings = found;
+        }
+        changedModels.clear();
+        changedEngines.clear();
+        checkPlan();
+        List<PlacementStep> next = StepPlanner.steps(plan, state, limiter.startable(now));
+        checkRepairOrder(next);
+        for (PlacementStep step : next) {
+            take(step);
+        }
+        check(limiter.inFlight(false, now) <= LIMITS.concurrentModelLoads(), "too many model loads");
+        check(limiter.inFlight(true, now) <= LIMITS.concurrentAdapterLoads(), "too many adapter loads");
+    }
+
+    private void finish(Engine engine) {
+        for (Weights weights : List.copyOf(engine.ends.keySet())) {
+            if (engine.ends.get(weights) <= now) {
+                engine.ends.remove(weights);
+                EngineListing.Entry entry = engine.residents.remove(weights);
+                if (entry.residency() == Residency.LOADING) {
+                    engine.residents.put(
+                            weights, new EngineListing.Entry(weights, entry.memoryMegabytes(), Residency.READY));
+                    limiter.release(engine.id, weights, now);
+                }
+            }
+        }
+    }
+
+    private void take(PlacementStep step) {
+        steps++;
+        Engine engine = engines.stream()
+                .filter(candidate -> candidate.id.equals(step.upstream()))
+                .findFirst()
+                .orElseThrow();
+        check(engine.status == EngineStatus.LIVE, step + " on an engine that is not live");
+        boolean isLoad = step.kind() == Order.Kind.LOAD;
+        if (isLoad) {
+            LoadPermitDecision permit =
+                    limiter.request(new LoadPermitRequest(engine.id, step.weights(), 0, -steps), now);
+            check(permit instanceof LoadPermitDecision.Granted, step + " without a permit");
+        }
+        if (isLoad && !step.weights().isAdapter()) {
+            modelLoadStarts.add(now);
+        }
+        Residency residency = isLoad ? Residency.LOADING : Residency.UNLOADING;
+        engine.residents.put(
+                step.weights(), new EngineListing.Entry(step.weights(), step.memoryMegabytes(), residency));
+        engine.ends.put(step.weights(), now + (isLoad && !step.weights().isAdapter() ? modelLoadMillis : 100));
+        long used = engine.residents.values().stream()
+                .mapToLong(EngineListing.Entry::memoryMegabytes)
+                .sum();
+        check(used <= engine.memory, step + " overcommits memory");
+        if (!isLoad && step.weights() instanceof ModelVersion version && models.containsKey(version.name())) {
+            check(isServed(version.name()), step + " gives up the last ready copy");
+        }
+        if (isLoad && step.weights().isAdapter()) {
+            Adapter adapter = adapters.stream()
+                    .filter(other -> other.name().value().equals(step.weights().nameText()))
+                    .findFirst()
+                    .orElseThrow();
+            check(engine.isReady(adapter.model()), step + " without its base model");
+        }
+    }
+
+    boolean isServed(ModelName model) {
+        return engines.stream().anyMatch(engine -> engine.status == EngineStatus.LIVE && engine.isReady(model));
+    }
+
+    /** Returns what the plan wants and is not ready, and what is resident although the plan does not want it. */
+    List<String> unreached() {
+        List<String> differences = new ArrayList<>();
+        for (Engine engine : engines) {
+            Set<Weights> wanted = new HashSet<>(plan.wanted(engine.id).models());
+            wanted.addAll(plan.wanted(engine.id).adapters());
+            Set<Weights> actual = engine.residents.keySet();
+            wanted.stream()
+                    .filter(weights -> !actual.contains(weights))
+                    .forEach(weights -> differences.add(engine.id + " lacks " + weights));
+            actual.stream()
+                    .filter(weights -> !wanted.contains(weights))
+                    .forEach(weights -> differences.add(engine.id + " still has " + weights));
+        }
+        return differences;
+    }
+
+    private void checkPlan() {
+        for (Engine engine : engines) {
+            long wanted = plan.wanted(engine.id).models().stream()
+                    .mapToLong(version -> Optional.ofNullable(models.get(version.name()))
+                            .map(Model::memoryMegabytes)
+                            .orElse(0L))
+                    .sum();
+            wanted += plan.wanted(engine.id).adapters().size() * 300L;
+            check(wanted <= engine.memory, "the plan overcommits " + engine.id);
+        }
+    }
+
+    private void checkRepairOrder(List<PlacementStep> next) {
+        Map<ModelName, Integer> copies = new HashMap<>();
+        Map<UpstreamId, Long> free = new HashMap<>();
+        for (Engine engine : engines) {
+            long used = 0;
+            for (EngineListing.Entry entry : engine.residents.values()) {
+                used += entry.memoryMegabytes();
+                if (entry.weights() instanceof ModelVersion version
+                        && entry.residency() != Residency.UNLOADING
+                        && engine.status == EngineStatus.LIVE) {
+                    copies.merge(version.name(), 1, Integer::sum);
+                }
+            }
+            free.put(engine.id, engine.memory - used);
+        }
+        int lastClass = 0;
+        for (PlacementStep step : next) {
+            if (step.kind() == Order.Kind.LOAD && step.weights() instanceof ModelVersion version) {
+                int repairClass = Math.min(2, copies.getOrDefault(version.name(), 0));
+                check(repairClass >= lastClass, step + " comes after a less urgent load");
+                lastClass = repairClass;
+                copies.merge(version.name(), 1, Integer::sum);
+                free.merge(step.upstream(), -step.memoryMegabytes(), Long::sum);
+            }
+        }
+        for (Engine engine : engines) {
+            for (ModelVersion wanted : plan.wanted(engine.id).models()) {
+                boolean startable = engine.status == EngineStatus.LIVE
+                        && models.containsKey(wanted.name())
+                        && !copies.containsKey(wanted.name())
+                        && free.get(engine.id) >= models.get(wanted.name()).memoryMegabytes()
+                        && engine.residents.get(wanted) == null;
+                check(!startable || lastClass == 0, "a less urgent load comes before " + wanted);
+            }
+        }
+    }
+
+    private void check(boolean holds, String message) {
+        if (!holds) {
+            violations.add(now + " ms: " + message);
+        }
+    }
+}
