--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/DaemonRegistry.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/DaemonRegistry.java
@@ -31,10 +31,10 @@
     /**
      * Returns the launchers of this distribution.
      *
-     * @return the registry; the daemons and stand-ins add their launchers here
+     * @return the registry
      */
     public static DaemonRegistry standard() {
-        return new DaemonRegistry(List.of());
+        return new DaemonRegistry(RoleLaunchers.all());
     }
 
     /**
--- a/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/configuration/ConfigurationLog.java
+++ b/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/configuration/ConfigurationLog.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.atomic.AtomicLong;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -110,6 +111,19 @@
                 .map(state -> new ConfigurationUpdate(state.configuration(), state.changesAfter(version)));
     }
 
+    /**
+     * Returns the version at which a change was accepted.
+     *
+     * @param changeId the identifier of the change set
+     * @return the version, empty if it is not accepted, or a {@link StoreException} if the service did not answer
+     */
+    public Single<OptionalLong> find(String changeId) {
+        return load().map(state -> {
+            Long version = state.changeIds().get(changeId);
+            return version == null ? OptionalLong.empty() : OptionalLong.of(version);
+        });
+    }
+
     private Single<ChangeAnswer> accept(ChangeSet changeSet, long expectedVersion, int round) {
         if (round > MAXIMUM_ROUNDS) {
             return Single.error(new StoreException("the head is moved by others too often, or its reads are stale"));
--- a/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/lease/LeaseValidity.java
+++ b/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/lease/LeaseValidity.java
@@ -23,6 +23,10 @@
         return nowMillis < validUntilMillis;
     }
 
+    long validUntilMillis() {
+        return validUntilMillis;
+    }
+
     long sentMillis() {
         return validUntilMillis - validMillis;
     }
--- a/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/lease/Ownership.java
+++ b/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/lease/Ownership.java
@@ -46,6 +46,15 @@
         return !ended && lease.isValid(nowMillis);
     }
 
+    /**
+     * Returns until when the present validity lasts without a renewal.
+     *
+     * @return a time of the clock given to the lease keeper, in milliseconds; in the past once the term has ended
+     */
+    public long validUntilMillis() {
+        return ended ? Long.MIN_VALUE : lease.validUntilMillis();
+    }
+
     LeaseValidity lease() {
         return lease;
     }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
@@ -1,54 +1,49 @@
 package io.oleandermoor.daemon.agent;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
-import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import com.google.protobuf.ByteString;
+import io.oleandermoor.daemon.health.AdministrationServer;
+import io.oleandermoor.daemon.health.AdministrationServer.Readiness;
+import io.oleandermoor.daemon.network.FloodingItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
 import io.oleandermoor.daemon.network.UpstreamDescription;
-import io.oleandermoor.protocol.message.CallKind;
-import io.oleandermoor.protocol.message.Dispatch;
 import io.oleandermoor.protocol.message.Envelope;
-import io.oleandermoor.protocol.message.Header;
-import io.oleandermoor.protocol.message.HttpCall;
-import io.oleandermoor.protocol.message.Item;
-import io.oleandermoor.protocol.message.Items;
 import io.oleandermoor.protocol.message.Load;
-import io.oleandermoor.protocol.message.NotRun;
-import io.oleandermoor.protocol.message.NotRunReason;
-import io.oleandermoor.protocol.message.RequestKey;
 import io.oleandermoor.protocol.message.Role;
-import io.oleandermoor.transport.address.Addresses;
+import io.oleandermoor.state.admission.AdmissionPolicy;
+import io.oleandermoor.state.admission.QueueSettings;
+import io.oleandermoor.state.identity.InstanceId;
+import io.oleandermoor.state.identity.ServiceName;
+import io.oleandermoor.state.ledger.LedgerSettings;
+import io.oleandermoor.state.ledger.RequestLedger;
+import io.oleandermoor.transport.client.EngineControl;
+import io.oleandermoor.transport.client.EngineControl.Resident;
 import io.oleandermoor.transport.client.HttpClients;
-import io.oleandermoor.transport.client.UpstreamCall;
 import io.oleandermoor.transport.client.UpstreamClient;
 import io.oleandermoor.transport.http.HttpResponse;
-import io.oleandermoor.transport.http.HttpServer;
-import io.oleandermoor.transport.http.JoobyHttpServer;
 import io.oleandermoor.transport.log.LogEvent;
+import io.oleandermoor.transport.metrics.ProcessMetrics;
 import io.oleandermoor.transport.peer.PeerConnection;
 import io.oleandermoor.transport.peer.PeerIdentity;
 import io.oleandermoor.transport.peer.PeerListener;
 import io.oleandermoor.transport.platform.InstanceListClient;
+import io.oleandermoor.transport.settings.AgentSettings;
+import io.oleandermoor.transport.settings.CommonSettings;
+import io.oleandermoor.transport.settings.Settings;
+import io.oleandermoor.transport.worker.WorkerPool;
 import io.reactivex.rxjava3.core.Observable;
-import io.reactivex.rxjava3.disposables.Disposable;
+import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.io.IOException;
 import java.time.Duration;
-import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
-import okhttp3.MediaType;
+import java.util.function.LongSupplier;
 import okhttp3.OkHttpClient;
-import okhttp3.Request;
-import okhttp3.RequestBody;
-import okhttp3.Response;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
 
 /** The process beside one upstream. */
 public final class AgentDaemon implements PeerListener, AutoCloseable {
@@ -57,49 +52,104 @@
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
+    private static final LongSupplier NOW_MILLIS = () -> System.nanoTime() / 1_000_000;
+
     private static final Duration UPSTREAM_SILENCE = Duration.ofSeconds(60);
 
+    private static final int LARGEST_QUEUE = 1024;
+
     private static final int POLL_MILLIS = 500;
 
-    private final AgentSettings settings;
+    private static final int EXPIRE_MILLIS = 1_000;
+
+    /** Time after the announcement that it is leaving in which an agent still takes new work. */
+    private static final long LEAVING_GRACE_MILLIS = 3_000;
+
+    private static final long DRAIN_POLL_MILLIS = 50;
+
+    private final Settings settings;
+
+    private final InstanceId instance;
 
     private final long incarnation = System.currentTimeMillis();
 
-    private final OkHttpClient client = HttpClients.create(UPSTREAM_SILENCE);
+    private final ProcessMetrics metrics = new ProcessMetrics();
 
-    private final UpstreamClient upstream;
+    private final WorkerPool workers;
 
     private final PeerNetwork network;
 
-    private final AtomicInteger running = new AtomicInteger();
+    private final FloodingItemExchange items;
+
+    private final FairWaitingQueue queue;
+
+    private final RequestExecutor executor;
+
+    private final UpstreamMonitor monitor;
 
-    private final Map<RequestKey, UpstreamCall> calls = new ConcurrentHashMap<>();
+    private final CompositeDisposable timers = new CompositeDisposable();
 
-    private volatile UpstreamDescription description;
+    private List<Resident> residents = List.of();
 
-    private volatile long sequence;
+    private long sequence;
 
-    private Disposable poll = Disposable.disposed();
+    private boolean leaving;
 
-    private HttpServer administration = new ClosedServer();
+    private volatile boolean accepting = true;
+
+    private @Nullable AdministrationServer administration;
 
     /**
      * Creates the daemon without opening anything.
      *
-     * @param settings the settings
+     * @param settings settings of the agent's schema
      */
-    public AgentDaemon(AgentSettings settings) {
+    public AgentDaemon(Settings settings) {
         this.settings = settings;
-        this.upstream = new UpstreamClient(client, settings.upstream().address());
+        this.instance = settings.get(CommonSettings.INSTANCE_ID);
+        int configured = settings.get(CommonSettings.WORKERS);
+        this.workers = new WorkerPool(
+                configured > 0 ? configured : Runtime.getRuntime().availableProcessors());
+        OkHttpClient platform = HttpClients.create(settings.get(CommonSettings.PLATFORM_TIMEOUT));
+        OkHttpClient upstreamClient = HttpClients.create(UPSTREAM_SILENCE);
+        String upstreamAddress = settings.get(AgentSettings.UPSTREAM_ADDRESS).toString();
         PeerIdentity self = new PeerIdentity(
-                settings.instance(), Role.AGENT, incarnation, settings.failureDomain(), settings.peerAddress());
+                instance.value(),
+                Role.AGENT,
+                incarnation,
+                settings.get(CommonSettings.FAILURE_DOMAIN).value(),
+                settings.get(CommonSettings.PEER_ADDRESS).toString());
         this.network = new PeerNetwork(
                 self,
-                new InstanceListClient(client, settings.instanceListAddress()),
-                instance -> false,
+                new InstanceListClient(
+                        platform, settings.get(CommonSettings.INSTANCE_LIST).toString()),
+                other -> false,
                 this,
                 this::load);
-        this.description = describe(List.of());
+        this.items = new FloodingItemExchange(network::connections);
+        this.queue = new FairWaitingQueue(
+                new QueueSettings(AdmissionPolicy.FAIR, settings.get(AgentSettings.SLOTS), LARGEST_QUEUE, 1, 1, 10),
+                NOW_MILLIS);
+        CrashWatch crashes = new CrashWatch(
+                settings.get(AgentSettings.UPSTREAM_ID),
+                settings.get(AgentSettings.UPSTREAM_ADDRESS).toSocketAddress(),
+                items,
+                NOW_MILLIS);
+        this.executor = new RequestExecutor(
+                new RequestExecutor.Parts(
+                        new RequestLedger(LedgerSettings.defaults()),
+                        queue,
+                        new UpstreamClient(upstreamClient, upstreamAddress),
+                        crashes,
+                        network::connection,
+                        this::load,
+                        () -> accepting),
+                workers,
+                metrics,
+                NOW_MILLIS);
+        this.monitor = new UpstreamMonitor(
+                new EngineControl(upstreamClient, upstreamAddress, settings.get(AgentSettings.ORDER_DELAY_LIMIT)),
+                this::observed);
     }
 
     /**
@@ -108,153 +158,140 @@
      * @throws IOException if an address cannot be bound
      */
     public void start() throws IOException {
-        administration = JoobyHttpServer.start(
-                Addresses.parse(settings.administrationAddress()),
-                1 << 16,
-                exchange -> exchange.respond(HttpResponse.text(200, "ok\n")));
-        network.start(Addresses.parse(settings.peerAddress()));
-        if (settings.upstream().service().isEmpty()) {
-            poll = Observable.interval(0, POLL_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
-                    .subscribe(tick -> pollModels());
+        administration = new AdministrationServer(
+                settings.get(CommonSettings.ADMIN_ADDRESS),
+                settings.get(CommonSettings.ADMINISTRATION_BODY_LIMIT).intValue(),
+                metrics,
+                () -> accepting ? Readiness.READY : new Readiness(false, "leaving"),
+                exchange -> exchange.respond(HttpResponse.text(404, "not found\n")));
+        network.start(settings.get(CommonSettings.PEER_ADDRESS).toSocketAddress());
+        announce();
+        if (settings.find(AgentSettings.SERVICE_NAME).isEmpty()) {
+            timers.add(Observable.interval(0, POLL_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
+                    .subscribe(tick -> monitor.poll()));
         }
+        timers.add(Observable.interval(EXPIRE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
+                .subscribe(tick -> executor.expire()));
+        metrics.gauge("oleandermoor_attempts", "Attempts that wait or run", executor::size);
         LogEvent.of("agent_started")
-                .with("instance", settings.instance())
-                .with("upstream", settings.upstream().id())
+                .with("instance", instance)
+                .with("upstream", settings.get(AgentSettings.UPSTREAM_ID))
                 .info(LOGGER);
     }
 
     @Override
     public void opened(PeerConnection connection) {
-        connection.send(announcement());
+        items.opened(connection);
     }
 
     @Override
     public void received(PeerConnection connection, Envelope envelope) {
-        switch (envelope.getPayloadCase()) {
-            case DISPATCH -> run(connection, envelope.getDispatch());
-            case CANCEL -> cancel(envelope.getCancel().getKey());
-            default -> {
-                // Heartbeats only keep the connection alive.
-            }
+        if (envelope.hasItems()) {
+            items.received(envelope.getItems());
+        } else {
+            executor.received(connection, envelope);
         }
     }
 
     @Override
     public void closed(PeerConnection connection) {
-        // Requests go on; the entry asks about them over a new connection.
+        executor.connectionLost(connection.remote().instance());
+    }
+
+    /**
+     * Stops gracefully: announces that the upstream is leaving, refuses new work after the grace time, and waits until
+     * running work has ended. Streams that would take longer than the drain limit go on at other upstreams.
+     */
+    public void stop() {
+        leave();
+        sleep(LEAVING_GRACE_MILLIS);
+        accepting = false;
+        long until = NOW_MILLIS.getAsLong()
+                + settings.get(CommonSettings.DRAIN_LIMIT).toMillis();
+        while (executor.size() > 0 && NOW_MILLIS.getAsLong() < until) {
+            sleep(DRAIN_POLL_MILLIS);
+        }
+        executor.moveAll();
+        // Non-repeatable calls cannot go elsewhere; they are waited for.
+        while (executor.size() > 0) {
+            sleep(DRAIN_POLL_MILLIS);
+        }
+        // Gives the last messages time to leave.
+        sleep(DRAIN_POLL_MILLIS);
+        LogEvent.of("agent_stopped").with("instance", instance).info(LOGGER);
+        close();
     }
 
     @Override
     public void close() {
-        poll.dispose();
+        timers.dispose();
         network.close();
-        administration.close();
+        if (administration != null) {
+            administration.close();
+        }
+        workers.close();
     }
 
     private Load load() {
         return Load.newBuilder()
-                .setRunning(running.get())
-                .setSlots(settings.upstream().slots())
+                .setRunning(queue.running())
+                .setQueued(queue.waiting())
+                .setSlots(settings.get(AgentSettings.SLOTS))
+                .setExpectedWaitMillis((int) Math.min(Integer.MAX_VALUE, queue.expectedWaitMillis()))
                 .build();
     }
 
-    private void run(PeerConnection entry, Dispatch dispatch) {
-        running.incrementAndGet();
-        RunningRequest request = new RunningRequest(dispatch, entry, () -> {
-            running.decrementAndGet();
-            calls.remove(dispatch.getKey());
-        });
-        try {
-            HttpCall call = dispatch.getCall();
-            UpstreamCall started = dispatch.getKind() == CallKind.COMPLETION
-                    ? upstream.complete(EngineBody.of(dispatch), request)
-                    : upstream.call(
-                            call.getMethod(),
-                            call.getPath(),
-                            headers(call),
-                            call.getBody().toByteArray(),
-                            request);
-            calls.put(dispatch.getKey(), started);
-        } catch (IOException | IllegalArgumentException exception) {
-            running.decrementAndGet();
-            entry.send(Envelope.newBuilder()
-                    .setNotRun(NotRun.newBuilder().setKey(dispatch.getKey()).setReason(NotRunReason.REFUSED_CONTENT))
-                    .build());
-        }
-    }
-
-    private void cancel(RequestKey key) {
-        UpstreamCall call = calls.get(key);
-        if (call != null) {
-            call.cancel();
-        }
-    }
-
-    private static Map<String, String> headers(HttpCall call) {
-        Map<String, String> headers = new HashMap<>();
-        for (Header header : call.getHeadersList()) {
-            headers.put(header.getName(), header.getValue());
-        }
-        return headers;
+    private synchronized void leave() {
+        leaving = true;
+        LogEvent.of("agent_leaving").with("instance", instance).info(LOGGER);
+        announce();
     }
 
-    private void pollModels() {
-        Request request = new Request.Builder()
-                .url("http://" + settings.upstream().address() + "/v2/repository/index")
-                .post(RequestBody.create("{\"ready\":true}", MediaType.get("application/json")))
-                .build();
-        List<String> models = new ArrayList<>();
-        try (Response response = client.newCall(request).execute()) {
-            for (JsonNode entry : MAPPER.readTree(response.body().bytes())) {
-                if (entry.path("state").asText().equals("READY")) {
-                    models.add(entry.path("name").asText());
-                }
-            }
-        } catch (IOException exception) {
-            LogEvent.of("upstream_unreachable")
-                    .with("upstream", settings.upstream().id())
-                    .with("reason", exception.getMessage())
-                    .warn(LOGGER);
-        }
-        UpstreamDescription next = describe(models);
-        if (!next.equals(description)) {
-            description = next;
-            sequence++;
-            network.broadcast(announcement());
+    private synchronized void observed(Optional<List<Resident>> listing) {
+        List<Resident> next = listing.orElse(List.of());
+        if (!next.equals(residents)) {
+            residents = next;
+            announce();
         }
     }
 
-    private UpstreamDescription describe(List<String> models) {
-        AgentSettings.Upstream target = settings.upstream();
-        return new UpstreamDescription(
-                settings.instance(), target.id(), target.service(), settings.failureDomain(), false, models);
-    }
-
-    private Envelope announcement() {
+    private synchronized void announce() {
+        sequence++;
+        UpstreamDescription description = new UpstreamDescription(
+                instance.value(),
+                settings.get(AgentSettings.UPSTREAM_ID).value(),
+                settings.find(AgentSettings.SERVICE_NAME)
+                        .map(ServiceName::value)
+                        .orElse(""),
+                settings.get(CommonSettings.FAILURE_DOMAIN).value(),
+                leaving,
+                incarnation,
+                sequence,
+                ready(false),
+                ready(true));
         try {
-            Item item = Item.newBuilder()
-                    .setName(UpstreamDescription.ITEM_PREFIX + settings.instance())
-                    .setVersion(incarnation + sequence)
-                    .setContent(ByteString.copyFrom(MAPPER.writeValueAsBytes(description)))
-                    .build();
-            return Envelope.newBuilder()
-                    .setItems(Items.newBuilder().addItems(item))
-                    .build();
+            // The incarnation in milliseconds leaves room below it for a sequence number of each announcement.
+            items.publish(
+                    UpstreamDescription.ITEM_PREFIX + description.upstream(),
+                    incarnation * 1000 + sequence,
+                    MAPPER.writeValueAsBytes(description));
         } catch (JsonProcessingException exception) {
             throw new IllegalStateException("a description can always be written as JSON", exception);
         }
     }
 
-    private static final class ClosedServer implements HttpServer {
-
-        @Override
-        public int port() {
-            return 0;
-        }
+    private List<String> ready(boolean adapters) {
+        return residents.stream()
+                .filter(resident -> resident.adapter() == adapters && resident.isReady())
+                .map(Resident::name)
+                .toList();
+    }
 
-        @Override
-        public void close() {
-            // Nothing was started.
+    private static void sleep(long millis) {
+        try {
+            Thread.sleep(millis);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
         }
     }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
@@ -1,66 +1,462 @@
 package io.oleandermoor.daemon.entry;
 
-import io.oleandermoor.protocol.message.Chunk;
+import com.google.protobuf.ByteString;
+import io.oleandermoor.daemon.entry.TokenService.TokenDecision;
+import io.oleandermoor.protocol.mapping.AttemptMessages;
 import io.oleandermoor.protocol.message.Dispatch;
-import io.oleandermoor.protocol.message.FinishReason;
-import io.oleandermoor.protocol.message.Finished;
-import io.oleandermoor.protocol.message.NotRun;
+import io.oleandermoor.protocol.message.Envelope;
+import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.ledger.AttemptDecision;
+import io.oleandermoor.state.ledger.AttemptEvent;
+import io.oleandermoor.state.ledger.AttemptKey;
+import io.oleandermoor.state.ledger.AttemptTracker;
+import io.oleandermoor.state.ledger.OnceCall;
+import io.oleandermoor.state.ledger.OnceDecision;
+import io.oleandermoor.state.ledger.Outcome;
+import io.oleandermoor.state.ledger.TextChunk;
+import io.oleandermoor.state.ledger.TrackedRequest;
+import io.oleandermoor.state.routing.RouteChoice;
+import io.oleandermoor.transport.log.LogEvent;
+import io.oleandermoor.transport.peer.PeerConnection;
+import java.util.HashSet;
+import java.util.HexFormat;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
 
-/** One request of a caller while it runs. Used by one worker at a time. */
+/**
+ * One request of a caller from its arrival to its answer. Carries out what the {@link AttemptTracker} decides. All
+ * methods run on the worker of the request.
+ */
 final class ActiveRequest {
 
-    private final Dispatch dispatch;
+    /** Attempts for one request, those that a stopping agent moved elsewhere not counted. */
+    static final int MAXIMUM_ATTEMPTS = 4;
+
+    /** Age of an attempt up to which "never seen" is trusted; half of the retention of the agents' ledgers. */
+    static final long TRUSTED_ANSWER_MILLIS = 300_000;
+
+    /** Time without a message after which the agent is asked about an attempt. */
+    static final long SILENCE_MILLIS = 5_000;
+
+    /** Time to wait for the result of a cancellation. */
+    private static final long CANCEL_GRACE_MILLIS = 2_000;
+
+    private static final Logger LOGGER = LogManager.getLogger(ActiveRequest.class);
+
+    private final CallerRequest request;
 
     private final Responder responder;
 
-    private int tokens;
+    private final EntryServices services;
+
+    private final Executor worker;
+
+    private final Consumer<ActiveRequest> onEnd;
+
+    private final AttemptTracker tracker;
+
+    private final StringBuilder text = new StringBuilder();
+
+    private final long arrivedNanos = System.nanoTime();
+
+    private Consumer<Long> settle = used -> {};
+
+    private Optional<OnceCall> onceCall = Optional.empty();
+
+    private Optional<RouteChoice> choice = Optional.empty();
+
+    private @Nullable PeerConnection agent;
+
+    private @Nullable AttemptKey key;
+
+    private long attemptSentMillis;
+
+    private long lastHeardMillis;
+
+    private long lastTextNanos;
+
+    private long promptTokens;
+
+    private Runnable deadlineTimer = () -> {};
+
+    private Runnable silenceTimer = () -> {};
+
+    private boolean successReported;
 
     private boolean ended;
 
-    ActiveRequest(Dispatch dispatch, Responder responder) {
-        this.dispatch = dispatch;
+    ActiveRequest(
+            CallerRequest request,
+            Responder responder,
+            EntryServices services,
+            Executor worker,
+            Consumer<ActiveRequest> onEnd) {
+        this.request = request;
         this.responder = responder;
+        this.services = services;
+        this.worker = worker;
+        this.onEnd = onEnd;
+        this.tracker = new AttemptTracker(
+                new TrackedRequest(
+                        request.id(),
+                        request.repeatable(),
+                        MAXIMUM_ATTEMPTS,
+                        request.deadlineMillis(),
+                        TRUSTED_ANSWER_MILLIS),
+                services.retries());
+    }
+
+    CallerRequest request() {
+        return request;
+    }
+
+    /** Returns whether the current attempt is at an instance. */
+    boolean isAt(String instance) {
+        PeerConnection current = agent;
+        return current != null && current.remote().instance().equals(instance);
     }
 
-    void chunk(Chunk chunk) {
-        if (ended || chunk.getOffset() != tokens) {
+    Optional<AttemptKey> currentAttempt() {
+        return Optional.ofNullable(key);
+    }
+
+    void start() {
+        String fingerprint =
+                HexFormat.of().formatHex(request.dispatch().getFingerprint().toByteArray());
+        if (services.crashes().isBlocked(fingerprint, System.currentTimeMillis())) {
+            refuse(CallerError.notRun(
+                    422, "content_crashes_upstreams", "requests with this content have crashed upstreams"));
+            return;
+        }
+        deadlineTimer = services.timers()
+                .schedule(
+                        request.deadlineMillis() - services.nowMillis().getAsLong(),
+                        () -> worker.execute(() -> on(new AttemptEvent.DeadlinePassed())));
+        if (request.team().isEmpty() || request.tokens() == 0) {
+            beginOnce();
             return;
         }
-        tokens += chunk.getTokens();
-        responder.text(chunk.getText());
+        services.tokens()
+                .reserve(
+                        request.team().get(),
+                        request.tokens(),
+                        decision -> worker.execute(() -> tokensDecided(decision)));
     }
 
-    void finished(Finished finished) {
+    /** Handles something that happened to the request. */
+    void on(AttemptEvent event) {
         if (ended) {
             return;
         }
-        ended = true;
-        if (finished.getReason() == FinishReason.COMPLETE || finished.getReason() == FinishReason.LENGTH) {
-            responder.finished(finished, finished.getPromptTokens(), tokens);
-        } else if (dispatch.getRepeatable()) {
-            responder.failed(CallerError.unknown(502, "upstream_failed", "the upstream did not complete the answer"));
-        } else {
-            responder.failed(CallerError.unknown(
-                    409, "outcome_unknown", "the upstream did not answer; the call may have taken effect"));
+        lastHeardMillis = services.nowMillis().getAsLong();
+        carryOut(tracker.on(event, lastHeardMillis));
+    }
+
+    /** Notes the number of prompt tokens that an engine counted. */
+    void promptCounted(long tokens) {
+        promptTokens = Math.max(promptTokens, tokens);
+    }
+
+    /** Ends the request because its key was revoked. */
+    void keyRevoked() {
+        if (ended) {
+            return;
         }
+        CallerError error = text.isEmpty() && key == null
+                ? CallerError.notRun(401, "key_revoked", "the key was revoked")
+                : CallerError.unknown(401, "key_revoked", "the key was revoked while the request ran");
+        cancelAttempt();
+        refuse(error);
     }
 
-    void notRun(NotRun notRun) {
+    private void tokensDecided(TokenDecision decision) {
+        if (decision instanceof TokenDecision.Granted granted) {
+            settle = granted.settle();
+            if (ended) {
+                settle.accept(0L);
+                return;
+            }
+            beginOnce();
+        } else if (decision instanceof TokenDecision.OverRate over) {
+            refuse(CallerError.notRun(429, "over_rate", "the team is over its rate")
+                    .retryAfter(over.retryAfterMillis()));
+        } else if (decision instanceof TokenDecision.TooLarge tooLarge) {
+            refuse(CallerError.notRun(
+                    413,
+                    "too_many_tokens",
+                    "prompt and max_tokens need " + request.tokens() + " tokens, more than the team can use at once ("
+                            + tooLarge.largest() + ")"));
+        }
+    }
+
+    private void beginOnce() {
         if (ended) {
             return;
         }
-        ended = true;
-        responder.failed(CallerError.notRun(
-                503,
-                "unavailable",
-                "no upstream ran the request: " + notRun.getReason().name()));
+        if (request.onceKey().isEmpty()) {
+            dispatch(Set.of());
+            return;
+        }
+        Optional<RouteChoice> first = choose(Set.of());
+        if (first.isEmpty()) {
+            on(new AttemptEvent.NoUpstream(0));
+            return;
+        }
+        OnceCall call = new OnceCall(
+                HexFormat.of().formatHex(request.dispatch().getFingerprint().toByteArray()),
+                request.id().toString(),
+                services.instance(),
+                first.get().upstream());
+        services.once()
+                .begin(request.onceKey().get(), call, decision -> worker.execute(() -> onceDecided(call, decision)));
+    }
+
+    private void onceDecided(OnceCall call, OnceDecision decision) {
+        if (decision instanceof OnceDecision.Run) {
+            onceCall = Optional.of(call);
+            if (ended) {
+                return;
+            }
+            dispatch(Set.of());
+        } else if (decision instanceof OnceDecision.Replay replay) {
+            finish("replayed", () -> responder.replay(replay.answer()));
+        } else if (decision instanceof OnceDecision.InProgress) {
+            refuse(new CallerError(
+                            409,
+                            "in_progress",
+                            "a call with this idempotency key is in progress",
+                            "unknown",
+                            java.util.OptionalLong.empty())
+                    .retryAfter(1_000));
+        } else if (decision instanceof OnceDecision.OutcomeUnknown) {
+            refuse(CallerError.unknown(
+                    409, "outcome_unknown", "an earlier call with this idempotency key may have taken effect"));
+        } else if (decision instanceof OnceDecision.RefuseOtherBody) {
+            refuse(CallerError.notRun(
+                    422, "idempotency_key_reused", "the idempotency key was used with another request"));
+        } else {
+            refuse(CallerError.notRun(503, "store_unavailable", "the call cannot be recorded, so it was not started")
+                    .retryAfter(1_000));
+        }
+    }
+
+    /** Sends the next attempt, to an upstream whose agent is connected. */
+    private void dispatch(Set<UpstreamId> excluded) {
+        Set<UpstreamId> unreachable = new HashSet<>(excluded);
+        Optional<RouteChoice> next = choose(unreachable);
+        while (next.isPresent()) {
+            Optional<PeerConnection> connection =
+                    services.agents().connection(next.get().upstream());
+            if (connection.isPresent()) {
+                send(next.get(), connection.get());
+                return;
+            }
+            unreachable.add(next.get().upstream());
+            next = choose(unreachable);
+        }
+        on(new AttemptEvent.NoUpstream(0));
+    }
+
+    private Optional<RouteChoice> choose(Set<UpstreamId> excluded) {
+        return services.router()
+                .choose(
+                        request.query().withExcluded(excluded),
+                        services.nowMillis().getAsLong(),
+                        services.random());
+    }
+
+    private void send(RouteChoice chosen, PeerConnection connection) {
+        long now = services.nowMillis().getAsLong();
+        AttemptKey attempt =
+                tracker.begin(chosen.upstream(), connection.remote().incarnation(), now);
+        key = attempt;
+        agent = connection;
+        choice = Optional.of(chosen);
+        successReported = false;
+        attemptSentMillis = now;
+        lastHeardMillis = now;
+        services.router().sent(chosen, request.query().prefix(), now);
+        Dispatch dispatch = request.dispatch().toBuilder()
+                .setKey(AttemptMessages.toMessage(attempt))
+                .setRemainingMillis((int) Math.max(1, request.deadlineMillis() - now))
+                .setResumeOffset(tracker.nextOffset())
+                .setResumeTextBytes(ByteString.copyFromUtf8(tracker.nextOffset() > 0 ? text.toString() : ""))
+                .build();
+        boolean sent =
+                connection.send(Envelope.newBuilder().setDispatch(dispatch).build());
+        if (sent) {
+            watchSilence();
+        } else {
+            on(new AttemptEvent.NotSent(attempt));
+        }
+    }
+
+    private void carryOut(AttemptDecision decision) {
+        if (decision instanceof AttemptDecision.Forward forward) {
+            forward(forward.chunk());
+        } else if (decision instanceof AttemptDecision.Query query) {
+            sendToAgent(AttemptMessages.query(query.key()));
+        } else if (decision instanceof AttemptDecision.Attach attach) {
+            sendToAgent(AttemptMessages.attach(attach.key(), attach.offset()));
+        } else if (decision instanceof AttemptDecision.Cancel cancel) {
+            sendToAgent(AttemptMessages.cancel(cancel.key()));
+            if (tracker.isEnded()) {
+                finish("caller_gone", () -> {});
+            } else {
+                var unused = services.timers()
+                        .schedule(CANCEL_GRACE_MILLIS, () -> worker.execute(() -> on(new AttemptEvent.GracePassed())));
+            }
+        } else if (decision instanceof AttemptDecision.Retry retry) {
+            retry.cancelled().ifPresent(attempt -> sendToAgent(AttemptMessages.cancel(attempt)));
+            attemptFailed();
+            services.metrics().event("retry");
+            dispatch(retry.excluded());
+        } else if (decision instanceof AttemptDecision.Reply reply) {
+            reply(reply);
+        }
+    }
+
+    private void forward(TextChunk chunk) {
+        long now = System.nanoTime();
+        if (text.isEmpty()) {
+            services.metrics().firstToken(request.teamLabel(), request.classLabel(), now - arrivedNanos);
+        } else {
+            services.metrics().betweenTokens(request.teamLabel(), request.classLabel(), now - lastTextNanos);
+        }
+        succeeded();
+        lastTextNanos = now;
+        text.append(chunk.text());
+        responder.text(chunk.text());
+    }
+
+    private void reply(AttemptDecision.Reply reply) {
+        if (reply.outcome() == Outcome.RAN && reply.reason() == AttemptDecision.ReplyReason.COMPLETE) {
+            succeeded();
+        } else if (reply.outcome() != Outcome.NOT_RUN) {
+            attemptFailed();
+        }
+        Runnable answer = () -> answer(reply);
+        if (onceCall.isPresent()) {
+            OnceCall call = onceCall.get();
+            services.once().end(request.onceKey().orElseThrow(), call, reply, () -> worker.execute(answer));
+        } else {
+            answer.run();
+        }
     }
 
-    void connectionLost() {
+    private void answer(AttemptDecision.Reply reply) {
+        String outcome = reply.outcome().name().toLowerCase(java.util.Locale.ROOT);
+        if (reply.outcome() == Outcome.RAN && reply.reason() == AttemptDecision.ReplyReason.COMPLETE) {
+            long prompt = promptTokens;
+            finish(outcome, () -> responder.finished(reply.result().orElseThrow(), prompt, tracker.nextOffset()));
+            return;
+        }
+        CallerError error = ReplyErrors.of(reply, request.repeatable());
+        finish(outcome, () -> responder.failed(error));
+        if (reply.outcome() == Outcome.NOT_RUN) {
+            services.metrics().refused(request.teamLabel(), error.code());
+        }
+    }
+
+    private void refuse(CallerError error) {
+        services.metrics().refused(request.teamLabel(), error.code());
+        finish(error.outcome(), () -> responder.failed(error));
+    }
+
+    private void finish(String outcome, Runnable answer) {
         if (ended) {
             return;
         }
         ended = true;
-        responder.failed(CallerError.unknown(502, "connection_lost", "the connection to the upstream was lost"));
+        deadlineTimer.run();
+        silenceTimer.run();
+        long generated = tracker.nextOffset();
+        boolean ran = generated > 0 || outcome.equals("ran") || outcome.equals("unknown");
+        // An engine that did not report its count is charged with the bound.
+        long prompt = promptTokens > 0 ? promptTokens : request.dispatch().getPromptTokens();
+        long used = ran ? Math.min(request.tokens(), prompt + generated) : 0;
+        settle.accept(used);
+        answer.run();
+        String team = request.teamLabel();
+        services.metrics().requestEnded(team, request.classLabel(), outcome);
+        services.metrics().duration(team, request.classLabel(), System.nanoTime() - arrivedNanos);
+        if (used > 0) {
+            services.metrics().tokensUsed(team, prompt, generated);
+        }
+        LogEvent.of("request_ended")
+                .with("request", request.id())
+                .with("team", team)
+                .with("class", request.classLabel())
+                .with("outcome", outcome)
+                .with("upstream", choice.map(value -> value.upstream().value()).orElse("none"))
+                .with("tokens", used)
+                .with("millis", (System.nanoTime() - arrivedNanos) / 1_000_000)
+                .debug(LOGGER);
+        onEnd.accept(this);
+    }
+
+    private void succeeded() {
+        if (!successReported && choice.isPresent()) {
+            successReported = true;
+            services.retries().succeeded();
+            long now = services.nowMillis().getAsLong();
+            services.router().succeeded(choice.get(), (double) now - attemptSentMillis, now);
+        }
+    }
+
+    private void attemptFailed() {
+        choice.ifPresent(
+                value -> services.router().failed(value, services.nowMillis().getAsLong()));
+    }
+
+    private void cancelAttempt() {
+        AttemptKey current = key;
+        if (current != null) {
+            sendToAgent(AttemptMessages.cancel(current));
+        }
+    }
+
+    /** Sends on the newest connection to the agent's instance; without one the next reconnection decides. */
+    private void sendToAgent(Envelope message) {
+        PeerConnection current = agent;
+        if (current == null) {
+            return;
+        }
+        if (!current.send(message) && choice.isPresent()) {
+            services.agents().connection(choice.get().upstream()).ifPresent(renewed -> {
+                agent = renewed;
+                renewed.send(message);
+            });
+        }
+    }
+
+    /** Uses a new connection to the agent from now on. */
+    void reconnected(PeerConnection connection) {
+        agent = connection;
+        AttemptKey current = key;
+        if (current != null) {
+            on(new AttemptEvent.Reconnected(current, connection.remote().incarnation()));
+        }
+    }
+
+    private void watchSilence() {
+        silenceTimer.run();
+        silenceTimer = services.timers().schedule(SILENCE_MILLIS, () -> worker.execute(this::checkSilence));
+    }
+
+    private void checkSilence() {
+        AttemptKey current = key;
+        if (ended || current == null) {
+            return;
+        }
+        if (services.nowMillis().getAsLong() - lastHeardMillis >= SILENCE_MILLIS) {
+            on(new AttemptEvent.Silence(current));
+        }
+        watchSilence();
     }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CallerCredentials.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CallerCredentials.java
@@ -2,6 +2,7 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.oleandermoor.transport.http.HttpExchange;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -81,4 +82,14 @@
         });
         return query;
     }
+
+    /** Returns the body without the field that carries the key. A body without that field is passed on byte by byte. */
+    static byte[] forwardedBody(Optional<ObjectNode> object, byte[] bytes) {
+        if (object.isEmpty() || !object.get().has(KEY_FIELD)) {
+            return bytes;
+        }
+        ObjectNode copy = object.get().deepCopy();
+        copy.remove(KEY_FIELD);
+        return copy.toString().getBytes(StandardCharsets.UTF_8);
+    }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CollectResponder.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CollectResponder.java
@@ -3,8 +3,9 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.oleandermoor.protocol.message.FinishReason;
-import io.oleandermoor.protocol.message.Finished;
+import io.oleandermoor.state.ledger.AttemptResult;
+import io.oleandermoor.state.ledger.FinishReason;
+import io.oleandermoor.state.ledger.StoredAnswer;
 import io.oleandermoor.transport.http.HttpExchange;
 import io.oleandermoor.transport.http.HttpResponse;
 
@@ -33,16 +34,16 @@
     }
 
     @Override
-    public void finished(Finished finished, long promptTokens, long generatedTokens) {
-        if (finished.getStatus() != 200) {
-            exchange.respond(ServiceResponder.toResponse(finished));
+    public void finished(AttemptResult result, long promptTokens, long generatedTokens) {
+        if (result.status() != 200) {
+            exchange.respond(ServiceResponder.toResponse(result.status(), result.headers(), result.body()));
             return;
         }
         ObjectNode root = MAPPER.createObjectNode();
         root.put("id", id).put("object", "chat.completion").put("model", model);
         ObjectNode choice = root.putArray("choices").addObject().put("index", 0);
         choice.putObject("message").put("role", "assistant").put("content", text.toString());
-        choice.put("finish_reason", finished.getReason() == FinishReason.LENGTH ? "length" : "stop");
+        choice.put("finish_reason", result.reason() == FinishReason.LENGTH ? "length" : "stop");
         root.putObject("usage")
                 .put("prompt_tokens", promptTokens)
                 .put("completion_tokens", generatedTokens)
@@ -54,6 +55,11 @@
         }
     }
 
+    @Override
+    public void replay(StoredAnswer answer) {
+        throw new IllegalStateException("answers of completions are not stored");
+    }
+
     @Override
     public void failed(CallerError error) {
         exchange.respond(error.toResponse());
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -1,25 +1,66 @@
 package io.oleandermoor.daemon.entry;
 
+import io.oleandermoor.coordination.configuration.ConfigurationFollower;
+import io.oleandermoor.coordination.configuration.ConfigurationHolder;
+import io.oleandermoor.coordination.configuration.ConfigurationLog;
+import io.oleandermoor.coordination.configuration.ServiceReadPolicy;
+import io.oleandermoor.coordination.dissemination.Freshness;
+import io.oleandermoor.coordination.lease.LeaseKeeper;
+import io.oleandermoor.coordination.lease.LeaseSettings;
+import io.oleandermoor.coordination.lease.OwnershipPreference;
+import io.oleandermoor.coordination.store.KeyValueStore;
+import io.oleandermoor.daemon.administration.AdministrationApi;
+import io.oleandermoor.daemon.administration.AdministrationRequest;
+import io.oleandermoor.daemon.administration.AdministrationResponse;
+import io.oleandermoor.daemon.administration.ProcessStatus;
+import io.oleandermoor.daemon.health.AdministrationServer;
+import io.oleandermoor.daemon.health.AdministrationServer.Readiness;
+import io.oleandermoor.daemon.network.FloodingItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
 import io.oleandermoor.daemon.network.UpstreamDescription;
 import io.oleandermoor.protocol.message.Envelope;
-import io.oleandermoor.protocol.message.Item;
 import io.oleandermoor.protocol.message.Load;
 import io.oleandermoor.protocol.message.Role;
-import io.oleandermoor.transport.address.Addresses;
+import io.oleandermoor.state.configuration.Configuration;
+import io.oleandermoor.state.identity.FailureDomain;
+import io.oleandermoor.state.identity.InstanceId;
+import io.oleandermoor.state.identity.RequestId;
+import io.oleandermoor.state.ledger.CrashRegistry;
+import io.oleandermoor.state.ledger.OnceDecider;
+import io.oleandermoor.state.rate.RateClientId;
+import io.oleandermoor.state.rate.RatePolicy;
+import io.oleandermoor.state.rate.RateSettings;
+import io.oleandermoor.state.routing.Router;
+import io.oleandermoor.state.routing.RoutingPolicy;
+import io.oleandermoor.state.routing.RoutingSettings;
+import io.oleandermoor.state.routing.RoutingTable;
 import io.oleandermoor.transport.client.HttpClients;
+import io.oleandermoor.transport.http.HttpExchange;
 import io.oleandermoor.transport.http.HttpResponse;
 import io.oleandermoor.transport.http.HttpServer;
 import io.oleandermoor.transport.http.JoobyHttpServer;
 import io.oleandermoor.transport.log.LogEvent;
+import io.oleandermoor.transport.metrics.ProcessMetrics;
 import io.oleandermoor.transport.peer.PeerConnection;
 import io.oleandermoor.transport.peer.PeerIdentity;
 import io.oleandermoor.transport.peer.PeerListener;
+import io.oleandermoor.transport.platform.EtcdKeyValueStore;
 import io.oleandermoor.transport.platform.InstanceListClient;
+import io.oleandermoor.transport.settings.CommonSettings;
+import io.oleandermoor.transport.settings.EntrySettings;
+import io.oleandermoor.transport.settings.Settings;
+import io.oleandermoor.transport.worker.Timers;
 import io.oleandermoor.transport.worker.WorkerPool;
+import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.io.IOException;
-import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import okhttp3.OkHttpClient;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.ThreadLocalRandomSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -29,49 +70,128 @@
 
     private static final Logger LOGGER = LogManager.getLogger(EntryDaemon.class);
 
-    private static final Duration PLATFORM_TIMEOUT = Duration.ofSeconds(5);
+    private static final LongSupplier NOW_MILLIS = () -> System.nanoTime() / 1_000_000;
 
-    private static final int MAXIMUM_BODY_BYTES = 2 * 1024 * 1024;
+    /** Largest number of entries that share the floors of the teams. */
+    private static final int MAXIMUM_ENTRIES = 8;
 
-    private static final int WORKERS = 4;
+    /**
+     * Floors add up to the whole rate, so that an outage of the key-value service costs teams only what their load is
+     * unevenly spread over the entries.
+     */
+    private static final RateSettings RATE_SETTINGS =
+            new RateSettings(RatePolicy.OWNER_GRANTS, MAXIMUM_ENTRIES, 4_000, 500, 8_000, 100, 20, 50);
+
+    private static final UniformRandomProvider RANDOM = new ThreadLocalUniformRandom();
+
+    private static final int LARGEST_CRASH_REGISTRY = 10_000;
+
+    /** Longest answer of a non-repeatable call that is kept for repeats. */
+    private static final int LARGEST_STORED_BODY_BYTES = 64 * 1024;
+
+    private static final long DRAIN_POLL_MILLIS = 50;
+
+    private final Settings settings;
+
+    private final InstanceId instance;
 
-    private final EntrySettings settings;
+    private final long incarnation = System.currentTimeMillis();
 
-    private final WorkerPool workers = new WorkerPool(WORKERS);
+    private final ProcessMetrics metrics = new ProcessMetrics();
 
-    private final UpstreamTable upstreams = new UpstreamTable();
+    private final Timers timers = new Timers();
 
-    private final RequestTable requests = new RequestTable(workers);
+    private final WorkerPool workers;
 
     private final PeerNetwork network;
 
+    private final FloodingItemExchange items;
+
+    private final ConfigurationHolder configuration = new ConfigurationHolder();
+
+    private final Freshness freshness = new Freshness();
+
+    private final ConfigurationFollower follower;
+
+    private final LeaseKeeper leases;
+
+    private final RateShell rates;
+
+    private final RequestTable requests;
+
+    private final UpstreamDirectory upstreams;
+
+    private final CrashRegistry crashes = new CrashRegistry(LARGEST_CRASH_REGISTRY);
+
     private final CallerApi callerApi;
 
+    private final AdministrationApi administrationApi;
+
+    private volatile boolean draining;
+
+    private volatile boolean stopping;
+
     private @Nullable HttpServer callers;
 
-    private @Nullable HttpServer administration;
+    private @Nullable AdministrationServer administration;
 
     /**
      * Creates the daemon without opening anything.
      *
-     * @param settings the settings
+     * @param settings settings of the entry's schema
      */
-    public EntryDaemon(EntrySettings settings) {
+    public EntryDaemon(Settings settings) {
         this.settings = settings;
-        OkHttpClient client = HttpClients.create(PLATFORM_TIMEOUT);
-        PeerIdentity self = new PeerIdentity(
-                settings.instance(),
-                Role.ENTRY,
-                System.currentTimeMillis(),
-                settings.failureDomain(),
-                settings.peerAddress());
+        this.instance = settings.get(CommonSettings.INSTANCE_ID);
+        int configured = settings.get(CommonSettings.WORKERS);
+        this.workers = new WorkerPool(
+                configured > 0 ? configured : Runtime.getRuntime().availableProcessors());
+        OkHttpClient client = HttpClients.create(settings.get(CommonSettings.PLATFORM_TIMEOUT));
+        FailureDomain home = settings.get(CommonSettings.FAILURE_DOMAIN);
         this.network = new PeerNetwork(
-                self,
-                new InstanceListClient(client, settings.instanceListAddress()),
+                identity(),
+                new InstanceListClient(
+                        client, settings.get(CommonSettings.INSTANCE_LIST).toString()),
                 this::connectsTo,
                 this,
                 Load::getDefaultInstance);
-        this.callerApi = new CallerApi(upstreams, requests, network);
+        this.items = new FloodingItemExchange(network::connections);
+        KeyValueStore store = new EtcdKeyValueStore(
+                client, settings.get(CommonSettings.KEY_VALUE_SERVICE).toString());
+        ConfigurationLog log =
+                new ConfigurationLog(store, Schedulers.computation(), instance.value() + "-" + incarnation);
+        this.follower = new ConfigurationFollower(
+                store,
+                log,
+                configuration,
+                freshness,
+                new ServiceReadPolicy(RANDOM, true),
+                Schedulers.computation(),
+                NOW_MILLIS);
+        this.leases = leaseKeeper(store);
+        this.rates = new RateShell(
+                new RateClientId(instance, incarnation),
+                RATE_SETTINGS,
+                store,
+                items,
+                network,
+                configuration::configuration,
+                NOW_MILLIS);
+        RoutingTable table = new RoutingTable();
+        this.upstreams = new UpstreamDirectory(table, network, NOW_MILLIS);
+        this.requests = new RequestTable(
+                workers, timers, name -> network.connection(name).isPresent());
+        EntryServices services = services(table, store);
+        this.callerApi = new CallerApi(
+                new RequestParser(
+                        configuration::configuration, this::keysUsable, home, NOW_MILLIS, EntryDaemon::newRequestId),
+                requests,
+                services,
+                () -> !stopping);
+        this.administrationApi = new AdministrationApi(
+                new StoreConfigurationService(log, configuration, this::status),
+                settings.get(CommonSettings.ADMINISTRATION_CREDENTIAL_HASH),
+                settings.get(CommonSettings.ADMINISTRATION_BODY_LIMIT).intValue());
     }
 
     /**
@@ -80,32 +200,50 @@
      * @throws IOException if an address cannot be bound
      */
     public void start() throws IOException {
-        administration = JoobyHttpServer.start(
-                Addresses.parse(settings.administrationAddress()),
-                MAXIMUM_BODY_BYTES,
-                exchange -> exchange.respond(HttpResponse.text(200, "ok\n")));
-        network.start(Addresses.parse(settings.peerAddress()));
-        callers = JoobyHttpServer.start(Addresses.parse(settings.callerAddress()), MAXIMUM_BODY_BYTES, callerApi);
+        configuration.addListener(this::configurationChanged);
+        items.listen(UpstreamDescription.ITEM_PREFIX, upstreams::accept);
+        administration = new AdministrationServer(
+                settings.get(CommonSettings.ADMIN_ADDRESS),
+                settings.get(CommonSettings.ADMINISTRATION_BODY_LIMIT).intValue(),
+                metrics,
+                this::readiness,
+                this::administer);
+        network.start(settings.get(CommonSettings.PEER_ADDRESS).toSocketAddress());
+        follower.start(() -> true, change -> {});
+        rates.register(leases);
+        rates.start();
+        leases.start();
+        callers = JoobyHttpServer.start(
+                settings.get(EntrySettings.CALLER_ADDRESS).toSocketAddress(),
+                settings.get(EntrySettings.BODY_LIMIT).intValue(),
+                callerApi);
+        metrics.gauge("oleandermoor_requests_in_flight", "Requests in flight", requests::size);
+        metrics.gauge(
+                "oleandermoor_configuration_version",
+                "Version of the configuration in force",
+                () -> configuration.configuration().version());
         LogEvent.of("entry_started")
-                .with("instance", settings.instance())
-                .with("callers", settings.callerAddress())
+                .with("instance", instance)
+                .with("callers", settings.get(EntrySettings.CALLER_ADDRESS))
                 .info(LOGGER);
     }
 
     @Override
     public void opened(PeerConnection connection) {
-        // The agent announces its upstream.
+        items.opened(connection);
+        requests.connectionOpened(connection);
     }
 
     @Override
     public void received(PeerConnection connection, Envelope envelope) {
-        if (envelope.hasItems()) {
-            for (Item item : envelope.getItems().getItemsList()) {
-                accept(item);
-            }
-            return;
+        switch (envelope.getPayloadCase()) {
+            case ITEMS -> items.received(envelope.getItems());
+            case HEARTBEAT ->
+                upstreams.report(connection, envelope.getHeartbeat().getLoad());
+            case RATE_REQUEST -> rates.received(connection, envelope.getRateRequest());
+            case RATE_GRANT -> rates.received(envelope.getRateGrant());
+            default -> requests.received(connection, envelope);
         }
-        requests.received(connection.remote().instance(), envelope);
     }
 
     @Override
@@ -113,34 +251,169 @@
         requests.connectionLost(connection.remote().instance());
     }
 
+    /**
+     * Stops gracefully: readiness fails first, requests are accepted until the load balancer has had time to notice,
+     * then requests under way end, within the drain limit.
+     */
+    public void stop() {
+        draining = true;
+        LogEvent.of("entry_draining")
+                .with("instance", instance)
+                .with("requests", requests.size())
+                .info(LOGGER);
+        sleep(settings.get(EntrySettings.LOAD_BALANCER_WAIT).toMillis());
+        stopping = true;
+        long until = NOW_MILLIS.getAsLong()
+                + settings.get(CommonSettings.DRAIN_LIMIT).toMillis();
+        while (requests.size() > 0 && NOW_MILLIS.getAsLong() < until) {
+            sleep(DRAIN_POLL_MILLIS);
+        }
+        LogEvent.of("entry_stopped")
+                .with("instance", instance)
+                .with("unfinished", requests.size())
+                .info(LOGGER);
+        close();
+    }
+
     @Override
     public void close() {
+        stopping = true;
         if (callers != null) {
             callers.close();
         }
+        if (!leases.stop().blockingAwait(1, TimeUnit.SECONDS)) {
+            LOGGER.warn("event=leases_not_released");
+        }
+        rates.close();
+        follower.stop();
         network.close();
         if (administration != null) {
             administration.close();
         }
         workers.close();
+        timers.close();
+    }
+
+    private void configurationChanged(Configuration before, Configuration after) {
+        rates.configurationChanged(after);
+        requests.endRequestsWith(request -> request.key().isPresent()
+                && after.key(request.key().get().hash()).isEmpty());
+    }
+
+    private EntryServices services(RoutingTable table, KeyValueStore store) {
+        return new EntryServices(
+                instance,
+                new Router(table, RoutingSettings.defaults(RoutingPolicy.AFFINITY)),
+                upstreams,
+                rates,
+                new StoreOnceService(
+                        store, new OnceDecider(RequestParser.LARGEST_TIMEOUT_MILLIS, LARGEST_STORED_BODY_BYTES)),
+                crashes,
+                new SharedRetryBudget(),
+                metrics,
+                timers,
+                RANDOM,
+                NOW_MILLIS);
+    }
+
+    private PeerIdentity identity() {
+        return new PeerIdentity(
+                instance.value(),
+                Role.ENTRY,
+                incarnation,
+                settings.get(CommonSettings.FAILURE_DOMAIN).value(),
+                settings.get(CommonSettings.PEER_ADDRESS).toString());
+    }
+
+    private LeaseKeeper leaseKeeper(KeyValueStore store) {
+        return new LeaseKeeper(
+                store,
+                Schedulers.computation(),
+                NOW_MILLIS,
+                LeaseSettings.DEFAULT,
+                OwnershipPreference.rendezvous(instance, this::entries),
+                instance,
+                incarnation);
+    }
+
+    private Readiness readiness() {
+        if (draining) {
+            return new Readiness(false, "stopping");
+        }
+        return configuration.configuration().version() == 0
+                ? new Readiness(false, "no configuration")
+                : Readiness.READY;
+    }
+
+    private void administer(HttpExchange exchange) {
+        AdministrationRequest request = new AdministrationRequest(
+                exchange.method(), exchange.path(), exchange.header("Authorization"), exchange.body());
+        // Submitting waits for the key-value service, which must not hold an event loop.
+        Schedulers.io().scheduleDirect(() -> {
+            AdministrationResponse response = administrationApi.handle(request);
+            exchange.respond(HttpResponse.json(response.status(), response.body()));
+        });
+    }
+
+    private List<ProcessStatus> status() {
+        List<ProcessStatus> processes = new ArrayList<>();
+        processes.add(new ProcessStatus(
+                instance.value(),
+                "entry",
+                settings.get(CommonSettings.FAILURE_DOMAIN).value(),
+                readiness().reason(),
+                configuration.configuration().version()));
+        return processes;
     }
 
     /** Entries open connections to all agents; of two entries the one with the smaller name connects to the other. */
     private boolean connectsTo(InstanceListClient.Instance other) {
-        return other.role().equals("agent") || settings.instance().compareTo(other.instance()) < 0;
+        return other.role().equals("agent") || instance.value().compareTo(other.instance()) < 0;
     }
 
-    private void accept(Item item) {
-        if (!item.getName().startsWith(UpstreamDescription.ITEM_PREFIX)) {
-            return;
+    private List<InstanceId> entries() {
+        List<InstanceId> entries = new ArrayList<>();
+        entries.add(instance);
+        for (PeerConnection connection : network.connections()) {
+            if (connection.remote().role() == Role.ENTRY) {
+                entries.add(new InstanceId(connection.remote().instance()));
+            }
         }
+        return entries;
+    }
+
+    private boolean keysUsable() {
+        java.util.OptionalLong age = freshness.ageMillis(NOW_MILLIS.getAsLong());
+        return age.isPresent() && (age.getAsLong() < 10_000 || reachesMostEntries());
+    }
+
+    private boolean reachesMostEntries() {
+        long listed = network.listed().stream()
+                .filter(other -> other.role().equals("entry"))
+                .count();
+        return entries().size() * 2L > listed;
+    }
+
+    private static RequestId newRequestId() {
+        ThreadLocalRandom random = ThreadLocalRandom.current();
+        return new RequestId(random.nextLong(), random.nextLong());
+    }
+
+    private static void sleep(long millis) {
         try {
-            upstreams.accept(item);
-        } catch (IOException exception) {
-            LogEvent.of("item_unreadable")
-                    .with("item", item.getName())
-                    .with("reason", exception.getMessage())
-                    .warn(LOGGER);
+            Thread.sleep(millis);
+        } catch (InterruptedException exception) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** A source of random numbers that each thread has for itself. */
+    private static final class ThreadLocalUniformRandom implements UniformRandomProvider {
+
+        @Override
+        public long nextLong() {
+            return ThreadLocalRandomSource.current(org.apache.commons.rng.simple.RandomSource.XO_RO_SHI_RO_128_PP)
+                    .nextLong();
         }
     }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestTable.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestTable.java
@@ -1,66 +1,155 @@
 package io.oleandermoor.daemon.entry;
 
+import io.oleandermoor.protocol.mapping.AttemptMessages;
 import io.oleandermoor.protocol.message.Envelope;
 import io.oleandermoor.protocol.message.RequestKey;
+import io.oleandermoor.state.identity.RequestId;
+import io.oleandermoor.state.ledger.AttemptEvent;
+import io.oleandermoor.state.ledger.AttemptKey;
+import io.oleandermoor.transport.peer.PeerConnection;
+import io.oleandermoor.transport.worker.Timers;
 import io.oleandermoor.transport.worker.WorkerPool;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
-/** The requests that this entry has under way, by their identity. Safe for use by several threads. */
+/**
+ * The requests that this entry has under way, by their identity. Hands each event to the request that it belongs to, on
+ * the worker of that request. Safe for use by several threads.
+ */
 final class RequestTable {
 
-    private final Map<RequestKey, Placed> requests = new ConcurrentHashMap<>();
+    /** Time after the loss of a connection in which a new one must succeed, or the agent counts as dead. */
+    static final long AGENT_DEAD_MILLIS = 1_000;
+
+    private final Map<RequestId, ActiveRequest> requests = new ConcurrentHashMap<>();
 
     private final WorkerPool workers;
 
-    RequestTable(WorkerPool workers) {
+    private final Timers timers;
+
+    private final Predicate<String> isConnected;
+
+    RequestTable(WorkerPool workers, Timers timers, Predicate<String> isConnected) {
         this.workers = workers;
+        this.timers = timers;
+        this.isConnected = isConnected;
     }
 
-    void add(RequestKey key, String instance, ActiveRequest request) {
-        requests.put(key, new Placed(instance, request));
+    void start(CallerRequest request, Responder responder, EntryServices services) {
+        ActiveRequest active = new ActiveRequest(
+                request,
+                responder,
+                services,
+                workers.executor(request.id().low()),
+                ended -> requests.remove(ended.request().id()));
+        requests.put(request.id(), active);
+        run(active, ActiveRequest::start);
     }
 
     int size() {
         return requests.size();
     }
 
+    /** Tells a request that its caller has closed the connection. */
+    void callerGone(RequestId id) {
+        Optional.ofNullable(requests.get(id))
+                .ifPresent(active -> run(active, request -> request.on(new AttemptEvent.CallerGone())));
+    }
+
+    /** Ends the requests that run for keys that are no longer valid. */
+    void endRequestsWith(Predicate<CallerRequest> revoked) {
+        for (ActiveRequest active : requests.values()) {
+            if (revoked.test(active.request())) {
+                run(active, ActiveRequest::keyRevoked);
+            }
+        }
+    }
+
     /** Hands a message of an agent to the request that it belongs to; a message for no known request is dropped. */
-    void received(String instance, Envelope envelope) {
+    void received(PeerConnection connection, Envelope envelope) {
         switch (envelope.getPayloadCase()) {
-            case CHUNK -> run(instance, envelope.getChunk().getKey(), request -> request.chunk(envelope.getChunk()));
-            case FINISHED -> {
-                RequestKey key = envelope.getFinished().getKey();
-                run(instance, key, request -> request.finished(envelope.getFinished()));
-                requests.remove(key);
-            }
-            case NOT_RUN -> {
-                RequestKey key = envelope.getNotRun().getKey();
-                run(instance, key, request -> request.notRun(envelope.getNotRun()));
-                requests.remove(key);
-            }
+            case ACCEPTED ->
+                find(envelope.getAccepted().getKey(), (active, key) -> active.on(new AttemptEvent.Accepted(key)));
+            case CHUNK ->
+                find(
+                        envelope.getChunk().getKey(),
+                        (active, key) -> active.on(
+                                new AttemptEvent.ChunkArrived(key, AttemptMessages.fromMessage(envelope.getChunk()))));
+            case FINISHED ->
+                find(envelope.getFinished().getKey(), (active, key) -> {
+                    active.promptCounted(envelope.getFinished().getPromptTokens());
+                    active.on(new AttemptEvent.Finished(key, AttemptMessages.fromMessage(envelope.getFinished())));
+                });
+            case NOT_RUN ->
+                find(
+                        envelope.getNotRun().getKey(),
+                        (active, key) -> active.on(new AttemptEvent.NotRun(
+                                key,
+                                connection.remote().incarnation(),
+                                AttemptMessages.fromMessage(envelope.getNotRun().getReason()),
+                                envelope.getNotRun().getRetryAfterMillis())));
+            case QUERY_RESULT ->
+                find(
+                        envelope.getQueryResult().getKey(),
+                        (active, key) -> active.on(new AttemptEvent.QueryAnswered(
+                                key,
+                                connection.remote().incarnation(),
+                                AttemptMessages.fromMessage(
+                                        envelope.getQueryResult().getState()))));
+            case ATTACH_FAILED ->
+                find(
+                        envelope.getAttachFailed().getKey(),
+                        (active, key) -> active.on(new AttemptEvent.AttachFailed(
+                                key,
+                                connection.remote().incarnation(),
+                                AttemptMessages.fromMessage(
+                                        envelope.getAttachFailed().getState()))));
             default -> {
                 // No other message belongs to a request.
             }
         }
     }
 
+    void connectionOpened(PeerConnection connection) {
+        atInstance(connection.remote().instance(), active -> active.reconnected(connection));
+    }
+
     void connectionLost(String instance) {
-        requests.forEach((key, placed) -> {
-            if (placed.instance.equals(instance)) {
-                run(instance, key, ActiveRequest::connectionLost);
-                requests.remove(key);
+        atInstance(
+                instance,
+                active -> active.currentAttempt().ifPresent(key -> active.on(new AttemptEvent.ConnectionLost(key))));
+        var unused = timers.schedule(AGENT_DEAD_MILLIS, () -> {
+            if (!isConnected.test(instance)) {
+                atInstance(
+                        instance,
+                        active -> active.currentAttempt().ifPresent(key -> active.on(new AttemptEvent.AgentDead(key))));
             }
         });
     }
 
-    private void run(String instance, RequestKey key, Consumer<ActiveRequest> event) {
-        Optional.ofNullable(requests.get(key))
-                .filter(placed -> placed.instance.equals(instance))
-                .ifPresent(placed -> workers.executor(key.getLow()).execute(() -> event.accept(placed.request)));
+    private void atInstance(String instance, Consumer<ActiveRequest> event) {
+        for (ActiveRequest active : requests.values()) {
+            run(active, request -> {
+                if (request.isAt(instance)) {
+                    event.accept(request);
+                }
+            });
+        }
     }
 
-    private record Placed(String instance, ActiveRequest request) {}
+    private void find(RequestKey message, BiConsumer<ActiveRequest, AttemptKey> event) {
+        AttemptKey key = AttemptMessages.fromMessage(message);
+        ActiveRequest active = requests.get(key.request());
+        if (active != null) {
+            run(active, request -> event.accept(request, key));
+        }
+    }
+
+    private void run(ActiveRequest active, Consumer<ActiveRequest> event) {
+        workers.executor(active.request().id().low()).execute(() -> event.accept(active));
+    }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/Responder.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/Responder.java
@@ -1,6 +1,7 @@
 package io.oleandermoor.daemon.entry;
 
-import io.oleandermoor.protocol.message.Finished;
+import io.oleandermoor.state.ledger.AttemptResult;
+import io.oleandermoor.state.ledger.StoredAnswer;
 
 /** Writes the answer to one caller. Calls do not overlap. */
 interface Responder {
@@ -9,7 +10,10 @@
     void text(String text);
 
     /** Ends the answer after the upstream has ended it. */
-    void finished(Finished finished, long promptTokens, long generatedTokens);
+    void finished(AttemptResult result, long promptTokens, long generatedTokens);
+
+    /** Answers with the stored answer of an earlier call. */
+    void replay(StoredAnswer answer);
 
     /** Ends the answer with an error. */
     void failed(CallerError error);
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ServiceResponder.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ServiceResponder.java
@@ -1,28 +1,31 @@
 package io.oleandermoor.daemon.entry;
 
-import io.oleandermoor.protocol.message.Finished;
-import io.oleandermoor.protocol.message.Header;
+import io.oleandermoor.state.ledger.AttemptResult;
+import io.oleandermoor.state.ledger.Body;
+import io.oleandermoor.state.ledger.HeaderField;
+import io.oleandermoor.state.ledger.StoredAnswer;
 import io.oleandermoor.transport.http.HttpExchange;
 import io.oleandermoor.transport.http.HttpResponse;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 
 /** Passes the answer of a plain service on. */
 final class ServiceResponder implements Responder {
 
+    /** Header that marks the answer of an earlier call with the same idempotency key. */
+    static final String REPLAYED_HEADER = "Idempotent-Replayed";
+
     private final HttpExchange exchange;
 
     ServiceResponder(HttpExchange exchange) {
         this.exchange = exchange;
     }
 
-    static HttpResponse toResponse(Finished finished) {
+    static HttpResponse toResponse(int status, List<HeaderField> fields, Body body) {
         Map<String, String> headers = new HashMap<>();
-        for (Header header : finished.getHeadersList()) {
-            headers.put(header.getName(), header.getValue());
-        }
-        return new HttpResponse(
-                finished.getStatus(), headers, finished.getBody().toByteArray());
+        fields.forEach(field -> headers.put(field.name(), field.value()));
+        return new HttpResponse(status, headers, body.bytes());
     }
 
     @Override
@@ -31,8 +34,16 @@
     }
 
     @Override
-    public void finished(Finished finished, long promptTokens, long generatedTokens) {
-        exchange.respond(toResponse(finished));
+    public void finished(AttemptResult result, long promptTokens, long generatedTokens) {
+        exchange.respond(toResponse(result.status(), result.headers(), result.body()));
+    }
+
+    @Override
+    public void replay(StoredAnswer answer) {
+        HttpResponse stored = toResponse(answer.status(), answer.headers(), answer.body());
+        Map<String, String> headers = new HashMap<>(stored.headers());
+        headers.put(REPLAYED_HEADER, answer.bodyOmitted() ? "true; body omitted" : "true");
+        exchange.respond(new HttpResponse(stored.status(), headers, stored.body()));
     }
 
     @Override
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/StreamResponder.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/StreamResponder.java
@@ -1,8 +1,9 @@
 package io.oleandermoor.daemon.entry;
 
 import com.fasterxml.jackson.core.io.JsonStringEncoder;
-import io.oleandermoor.protocol.message.FinishReason;
-import io.oleandermoor.protocol.message.Finished;
+import io.oleandermoor.state.ledger.AttemptResult;
+import io.oleandermoor.state.ledger.FinishReason;
+import io.oleandermoor.state.ledger.StoredAnswer;
 import io.oleandermoor.transport.http.EventStream;
 import io.oleandermoor.transport.http.HttpExchange;
 import java.nio.charset.StandardCharsets;
@@ -40,18 +41,23 @@
     }
 
     @Override
-    public void finished(Finished finished, long promptTokens, long generatedTokens) {
-        if (finished.getStatus() != 200 && stream == null) {
-            exchange.respond(ServiceResponder.toResponse(finished));
+    public void finished(AttemptResult result, long promptTokens, long generatedTokens) {
+        if (result.status() != 200 && stream == null) {
+            exchange.respond(ServiceResponder.toResponse(result.status(), result.headers(), result.body()));
             return;
         }
-        String reason = finished.getReason() == FinishReason.LENGTH ? "length" : "stop";
+        String reason = result.reason() == FinishReason.LENGTH ? "length" : "stop";
         send(prefix + "\"delta\":{},\"finish_reason\":\"" + reason + "\"}],\"usage\":{\"prompt_tokens\":" + promptTokens
                 + ",\"completion_tokens\":" + generatedTokens + ",\"total_tokens\":"
                 + (promptTokens + generatedTokens) + "}}\n\ndata: [DONE]\n\n");
         open().end();
     }
 
+    @Override
+    public void replay(StoredAnswer answer) {
+        throw new IllegalStateException("answers of completions are not stored");
+    }
+
     @Override
     public void failed(CallerError error) {
         if (stream == null) {
--- /dev/null
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/UpstreamDirectory.java
@@ -0,0 +1,92 @@
+package io.oleandermoor.daemon.entry;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.oleandermoor.daemon.network.PeerNetwork;
+import io.oleandermoor.daemon.network.UpstreamDescription;
+import io.oleandermoor.protocol.message.Load;
+import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.routing.RoutingTable;
+import io.oleandermoor.state.routing.UpstreamLoad;
+import io.oleandermoor.transport.log.LogEvent;
+import io.oleandermoor.transport.peer.PeerConnection;
+import java.io.IOException;
+import java.util.Collection;
+import java.util.Collections;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** What the agents announce about their upstreams, and the connections to them. Safe for use by several threads. */
+final class UpstreamDirectory implements AgentDirectory {
+
+    private static final Logger LOGGER = LogManager.getLogger(UpstreamDirectory.class);
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final Map<UpstreamId, UpstreamDescription> byUpstream = new ConcurrentHashMap<>();
+
+    private final Map<String, UpstreamDescription> byInstance = new ConcurrentHashMap<>();
+
+    private final RoutingTable table;
+
+    private final PeerNetwork network;
+
+    private final LongSupplier nowMillis;
+
+    UpstreamDirectory(RoutingTable table, PeerNetwork network, LongSupplier nowMillis) {
+        this.table = table;
+        this.network = network;
+        this.nowMillis = nowMillis;
+    }
+
+    /** Takes in an announcement; an older one than the known one is ignored. */
+    void accept(String name, long version, byte[] content) {
+        UpstreamDescription next;
+        try {
+            next = MAPPER.readValue(content, UpstreamDescription.class);
+        } catch (IOException exception) {
+            LogEvent.of("item_unreadable")
+                    .with("item", name)
+                    .with("version", version)
+                    .with("reason", exception.getMessage())
+                    .warn(LOGGER);
+            return;
+        }
+        UpstreamId upstream = new UpstreamId(next.upstream());
+        UpstreamDescription kept = byUpstream.merge(
+                upstream, next, (known, candidate) -> candidate.isNewerThan(known) ? candidate : known);
+        if (kept == next) {
+            byInstance.put(next.instance(), next);
+            table.update(next.toRecord(), nowMillis.getAsLong());
+        }
+    }
+
+    /** Takes in the load that a message of an agent carried. */
+    void report(PeerConnection connection, Load load) {
+        UpstreamDescription description = byInstance.get(connection.remote().instance());
+        if (description != null && load.getSlots() > 0) {
+            table.report(
+                    new UpstreamId(description.upstream()),
+                    description.incarnation(),
+                    new UpstreamLoad(
+                            load.getRunning(),
+                            load.getQueued(),
+                            load.getSlots(),
+                            load.getExpectedWaitMillis(),
+                            nowMillis.getAsLong()));
+        }
+    }
+
+    Collection<UpstreamDescription> descriptions() {
+        return Collections.unmodifiableCollection(byUpstream.values());
+    }
+
+    @Override
+    public Optional<PeerConnection> connection(UpstreamId upstream) {
+        return Optional.ofNullable(byUpstream.get(upstream))
+                .flatMap(description -> network.connection(description.instance()));
+    }
+}
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/PeerNetwork.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/PeerNetwork.java
@@ -2,13 +2,13 @@
 
 import io.oleandermoor.protocol.message.Envelope;
 import io.oleandermoor.protocol.message.Load;
-import io.oleandermoor.transport.address.Addresses;
 import io.oleandermoor.transport.log.LogEvent;
 import io.oleandermoor.transport.peer.PeerConnection;
 import io.oleandermoor.transport.peer.PeerIdentity;
 import io.oleandermoor.transport.peer.PeerListener;
 import io.oleandermoor.transport.peer.PeerNode;
 import io.oleandermoor.transport.platform.InstanceListClient;
+import io.oleandermoor.transport.settings.Address;
 import io.reactivex.rxjava3.core.Observable;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
@@ -109,6 +109,15 @@
         return Collections.unmodifiableCollection(connections.values());
     }
 
+    /**
+     * Returns the instances of the last list that could be read.
+     *
+     * @return the instances, empty before the first read
+     */
+    public Collection<InstanceListClient.Instance> listed() {
+        return listed;
+    }
+
     /**
      * Sends a message on all connections.
      *
@@ -141,7 +150,7 @@
                 continue;
             }
             if (connecting.add(name)) {
-                node.connect(Addresses.parse(instance.peerAddress()), () -> connecting.remove(name));
+                node.connect(Address.parse(instance.peerAddress()).toSocketAddress(), () -> connecting.remove(name));
             }
         }
     }
@@ -178,10 +187,11 @@
         @Override
         public void closed(PeerConnection connection) {
             String instance = connection.remote().instance();
-            connecting.remove(instance);
-            connections.remove(instance, connection);
-            LogEvent.of("peer_lost").with("peer", instance).info(LOGGER);
-            next.closed(connection);
+            if (connections.remove(instance, connection)) {
+                LogEvent.of("peer_lost").with("peer", instance).info(LOGGER);
+                next.closed(connection);
+                connectMissing();
+            }
         }
     }
 }
--- a/oleandermoor-protocol/src/main/java/io/oleandermoor/protocol/package-info.java
+++ b/oleandermoor-protocol/src/main/java/io/oleandermoor/protocol/package-info.java
@@ -1,4 +1,4 @@
-/** Root of the protocol module. */
+/** Messages between the processes of the system. */
 @NullMarked
 package io.oleandermoor.protocol;
 
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/engine/EngineStandIn.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/engine/EngineStandIn.java
@@ -2,13 +2,13 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.oleandermoor.transport.address.Addresses;
 import io.oleandermoor.transport.client.EngineControl;
 import io.oleandermoor.transport.http.EventStream;
 import io.oleandermoor.transport.http.HttpExchange;
 import io.oleandermoor.transport.http.HttpResponse;
 import io.oleandermoor.transport.http.HttpServer;
 import io.oleandermoor.transport.http.JoobyHttpServer;
+import io.oleandermoor.transport.settings.Address;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
@@ -55,7 +55,8 @@
         orders = new EngineOrders(settings, memory, () -> faults);
         cacheEvents = new CacheEvents(() -> faults);
         batch = new Batch(settings.batch(), () -> faults, cacheEvents::stored, onCrash);
-        server = JoobyHttpServer.start(Addresses.parse(settings.address()), MAXIMUM_BODY_BYTES, this::handle);
+        server = JoobyHttpServer.start(
+                Address.parse(settings.address()).toSocketAddress(), MAXIMUM_BODY_BYTES, this::handle);
         batch.start();
     }
 
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/platform/InstanceListStandIn.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/platform/InstanceListStandIn.java
@@ -1,12 +1,12 @@
 package io.oleandermoor.standin.platform;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.oleandermoor.transport.address.Addresses;
 import io.oleandermoor.transport.http.HttpExchange;
 import io.oleandermoor.transport.http.HttpResponse;
 import io.oleandermoor.transport.http.HttpServer;
 import io.oleandermoor.transport.http.JoobyHttpServer;
 import io.oleandermoor.transport.platform.InstanceListClient.Instance;
+import io.oleandermoor.transport.settings.Address;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -44,7 +44,7 @@
     public InstanceListStandIn(String address, String json, int lagMillis) throws IOException {
         this.lagMillis = lagMillis;
         this.visible = parse(json.getBytes(StandardCharsets.UTF_8));
-        server = JoobyHttpServer.start(Addresses.parse(address), MAXIMUM_BODY_BYTES, this::handle);
+        server = JoobyHttpServer.start(Address.parse(address).toSocketAddress(), MAXIMUM_BODY_BYTES, this::handle);
     }
 
     @Override
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/platform/KeyValueServiceStandIn.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/platform/KeyValueServiceStandIn.java
@@ -9,12 +9,12 @@
 import io.oleandermoor.coordination.store.VersionedValue;
 import io.oleandermoor.coordination.store.WatchEvent;
 import io.oleandermoor.coordination.store.WriteResult;
-import io.oleandermoor.transport.address.Addresses;
 import io.oleandermoor.transport.http.EventStream;
 import io.oleandermoor.transport.http.HttpExchange;
 import io.oleandermoor.transport.http.HttpResponse;
 import io.oleandermoor.transport.http.HttpServer;
 import io.oleandermoor.transport.http.JoobyHttpServer;
+import io.oleandermoor.transport.settings.Address;
 import io.reactivex.rxjava3.core.Single;
 import io.reactivex.rxjava3.disposables.SerialDisposable;
 import java.io.IOException;
@@ -53,7 +53,7 @@
      */
     public KeyValueServiceStandIn(String address, KeyValueStore store) throws IOException {
         this.store = store;
-        server = JoobyHttpServer.start(Addresses.parse(address), MAXIMUM_BODY_BYTES, this::handle);
+        server = JoobyHttpServer.start(Address.parse(address).toSocketAddress(), MAXIMUM_BODY_BYTES, this::handle);
     }
 
     @Override
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/platform/WeightStoreStandIn.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/platform/WeightStoreStandIn.java
@@ -1,11 +1,11 @@
 package io.oleandermoor.standin.platform;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.oleandermoor.transport.address.Addresses;
 import io.oleandermoor.transport.http.HttpExchange;
 import io.oleandermoor.transport.http.HttpResponse;
 import io.oleandermoor.transport.http.HttpServer;
 import io.oleandermoor.transport.http.JoobyHttpServer;
+import io.oleandermoor.transport.settings.Address;
 import java.io.IOException;
 import java.util.Map;
 import java.util.concurrent.Executors;
@@ -53,7 +53,7 @@
      */
     public WeightStoreStandIn(String address, Limits limits) throws IOException {
         this.limits = limits;
-        server = JoobyHttpServer.start(Addresses.parse(address), MAXIMUM_BODY_BYTES, this::handle);
+        server = JoobyHttpServer.start(Address.parse(address).toSocketAddress(), MAXIMUM_BODY_BYTES, this::handle);
     }
 
     @Override
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/service/ServiceStandIn.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/service/ServiceStandIn.java
@@ -1,11 +1,11 @@
 package io.oleandermoor.standin.service;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.oleandermoor.transport.address.Addresses;
 import io.oleandermoor.transport.http.HttpExchange;
 import io.oleandermoor.transport.http.HttpResponse;
 import io.oleandermoor.transport.http.HttpServer;
 import io.oleandermoor.transport.http.JoobyHttpServer;
+import io.oleandermoor.transport.settings.Address;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -55,7 +55,7 @@
      */
     public ServiceStandIn(String address, Runnable onCrash) throws IOException {
         this.onCrash = onCrash;
-        server = JoobyHttpServer.start(Addresses.parse(address), MAXIMUM_BODY_BYTES, this::handle);
+        server = JoobyHttpServer.start(Address.parse(address).toSocketAddress(), MAXIMUM_BODY_BYTES, this::handle);
     }
 
     /**
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/log/LogEvent.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/log/LogEvent.java
@@ -46,6 +46,15 @@
         logger.log(level, line);
     }
 
+    /**
+     * Writes the line at level DEBUG.
+     *
+     * @param logger the logger
+     */
+    public void debug(Logger logger) {
+        write(logger, Level.DEBUG);
+    }
+
     /**
      * Writes the line at level INFO.
      *
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/StandinSettings.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/StandinSettings.java
@@ -44,8 +44,29 @@
             .defaultingTo("ENFORCED");
 
     /** Address of the weight store that the stand-in engine loads from. */
-    public static final Setting<Address> ENGINE_WEIGHT_STORE =
-            Setting.address("engine.weight-store", "Address of the weight store from which models are loaded.");
+    public static final Setting<Address> ENGINE_WEIGHT_STORE = Setting.address(
+                    "engine.weight-store", "Address of the weight store; without it weights load at once.")
+            .optional();
+
+    /** Models in memory when the stand-in engine starts. */
+    public static final Setting<String> ENGINE_MODELS = Setting.text(
+                    "engine.models", "Models that are loaded at the start, separated by spaces.")
+            .defaultingTo("");
+
+    /** Sizes of models and adapters. */
+    public static final Setting<String> ENGINE_SIZES = Setting.text(
+                    "engine.sizes",
+                    "Memory of models and adapters as name=megabytes, separated by spaces; others take 100 megabytes.")
+            .defaultingTo("");
+
+    /** Speed of prompt processing. */
+    public static final Setting<Integer> ENGINE_PREFILL = Setting.count(
+                    "engine.prefill-tokens", 1, 1_000_000, "Prompt tokens processed in one token interval.")
+            .defaultingTo("512");
+
+    /** File with the list of instances. */
+    public static final Setting<String> LIST_FILE =
+            Setting.text("instance-list.file", "File with the list at the start, as JSON.");
 
     /** Name of the stand-in service. */
     public static final Setting<ServiceName> SERVICE_NAME =
@@ -88,7 +109,16 @@
 
     /** Settings of the stand-in engine. */
     public static final SettingsSchema ENGINE = standin("standin-engine", "Stand-in for an engine.")
-            .with(ENGINE_ID, ENGINE_MEMORY, ENGINE_SLOTS, ENGINE_TOKEN_INTERVAL, ENGINE_FENCING, ENGINE_WEIGHT_STORE)
+            .with(
+                    ENGINE_ID,
+                    ENGINE_MEMORY,
+                    ENGINE_SLOTS,
+                    ENGINE_TOKEN_INTERVAL,
+                    ENGINE_FENCING,
+                    ENGINE_WEIGHT_STORE,
+                    ENGINE_MODELS,
+                    ENGINE_SIZES,
+                    ENGINE_PREFILL)
             .build();
 
     /** Settings of the stand-in plain service. */
@@ -110,7 +140,7 @@
     /** Settings of the stand-in instance list. */
     public static final SettingsSchema INSTANCE_LIST = standin(
                     "standin-instance-list", "Stand-in for the platform's list of instances.")
-            .with(LIST_LAG)
+            .with(LIST_LAG, LIST_FILE)
             .build();
 
     private StandinSettings() {}
