--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/rate/RateLimitPropertyTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/rate/RateLimitPropertyTest.java
@@ -73,6 +73,29 @@
         assertThat(simulation.granted).as("the run must exercise grants").isGreaterThan(50);
     }
 
+    /** Entries without the owner use large floors again and again while the others use up the grants. */
+    @Property(tries = 60, seed = "20261208", shrinking = ShrinkingMode.OFF)
+    void floorsAndGrantsTogetherKeepTheLimit(
+            @ForAll boolean waves,
+            @ForAll @IntRange(min = 1, max = 3) int cutOff,
+            @ForAll @IntRange(min = 5_500, max = 12_000) int cutMillis,
+            @ForAll @IntRange(max = 1_000_000) int seed) {
+        RateSimulation simulation = new RateSimulation(Floors.LARGE.settings(), LIMIT, Faults.NONE, ENTRIES, seed);
+        while (simulation.millis < RUN_MILLIS) {
+            simulation.unreachable = simulation.millis % (cutMillis + 2_000) < cutMillis ? cutOff : 0;
+            simulation.step();
+            if (!waves || simulation.millis % 10_000 > 7_000) {
+                simulation.entries().stream()
+                        .filter(entry -> simulation.random.nextInt(8) == 0)
+                        .forEach(entry -> {
+                            long tokens = 1 + simulation.random.nextInt(1_500);
+                            entry.offer(tokens, tokens, 100);
+                        });
+            }
+        }
+        assertThat(simulation.excess(LIMIT)).isLessThanOrEqualTo(0);
+    }
+
     @Property(tries = 30, seed = "20261205", shrinking = ShrinkingMode.OFF)
     void keepsTheLargerLimitWhileLimitsChange(@ForAll @IntRange(max = 1_000_000) int seed) {
         Faults faults = new Faults(5, 5, 5, 20_000, 0, 20_000, 0);
