Add the fair queue, its first-come baseline, deadlines and retry budgets

Cause: a team that sends several times its rate must not delay the others, batch work must not starve, and work that cannot start in time is refused at once.

Weighed: a fixed part of the queue for each team costs with the number of configured teams; the limit of a team follows from what is still free. The share of batch work is counted in served tokens, which also works for an upstream with a single slot.

--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/QueueSettings.java
@@ -0,0 +1,35 @@
+package io.oleandermoor.state.admission;
+
+/**
+ * Settings of a queue.
+ *
+ * @param policy order and bounds of waiting requests
+ * @param slots number of requests that the upstream runs at the same time, positive
+ * @param maximumQueued largest number of waiting requests, positive
+ * @param worstServedWeight importance of the service to the worst-served team, not negative
+ * @param refusalWeight importance of few wrongful refusals, not negative
+ * @param batchSharePercent part of the served tokens guaranteed to waiting batch work, in 0..100
+ */
+public record QueueSettings(
+        AdmissionPolicy policy,
+        int slots,
+        int maximumQueued,
+        int worstServedWeight,
+        int refusalWeight,
+        int batchSharePercent) {
+
+    /** Checks the ranges. */
+    public QueueSettings {
+        if (slots <= 0 || maximumQueued <= 0) {
+            throw new IllegalArgumentException(
+                    "slots and maximumQueued must be positive: " + slots + ", " + maximumQueued);
+        }
+        if (worstServedWeight < 0 || refusalWeight < 0 || worstServedWeight + refusalWeight <= 0) {
+            throw new IllegalArgumentException(
+                    "weights must not be negative and not both 0: " + worstServedWeight + ", " + refusalWeight);
+        }
+        if (batchSharePercent < 0 || batchSharePercent > 100) {
+            throw new IllegalArgumentException("batchSharePercent must be in 0..100: " + batchSharePercent);
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/WaitingRequest.java
@@ -0,0 +1,31 @@
+package io.oleandermoor.state.admission;
+
+import io.oleandermoor.state.identity.TeamName;
+
+/**
+ * A request that waits for a slot of an upstream.
+ *
+ * @param key identifies the request and its attempt; unique among waiting and running ones
+ * @param team the team that pays for it
+ * @param weight weight of the team, positive, for example its rate in tokens per second
+ * @param requestClass live or batch
+ * @param tokens upper bound of the tokens of the request, positive
+ * @param deadline time by which it must start
+ * @param <K> type of the key
+ */
+public record WaitingRequest<K>(
+        K key, TeamName team, long weight, RequestClass requestClass, long tokens, Deadline deadline) {
+
+    /** Largest weight and number of tokens; keeps the virtual counters within a long. */
+    public static final long MAXIMUM = 1_000_000_000L;
+
+    /** Checks the ranges. */
+    public WaitingRequest {
+        if (weight <= 0 || weight > MAXIMUM) {
+            throw new IllegalArgumentException("weight must be in 1.." + MAXIMUM + ": " + weight);
+        }
+        if (tokens <= 0 || tokens > MAXIMUM) {
+            throw new IllegalArgumentException("tokens must be in 1.." + MAXIMUM + ": " + tokens);
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/admission/FairQueueTest.java
@@ -0,0 +1,207 @@
+package io.oleandermoor.state.admission;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.oleandermoor.state.admission.QueueSimulation.Demand;
+import io.oleandermoor.state.identity.TeamName;
+import java.util.stream.LongStream;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class FairQueueTest {
+
+    private static final long RUN_MILLIS = 120_000;
+
+    private final FairQueue<Long> queue = new FairQueue<>(QueueSimulation.settings(AdmissionPolicy.FAIR, 10));
+    private long nextKey;
+
+    private AdmissionDecision offer(String team, RequestClass requestClass, long tokens, long remaining, long now) {
+        return queue.offer(
+                new WaitingRequest<>(
+                        nextKey++, new TeamName(team), 1, requestClass, tokens, Deadline.after(now, remaining)),
+                now);
+    }
+
+    private String pollTeam(long now) {
+        WaitingRequest<Long> request = queue.poll(now).orElseThrow();
+        queue.finished(request.key(), request.tokens(), now + request.tokens());
+        return request.team().value();
+    }
+
+    @Nested
+    class Fairness {
+
+        private long[] served(AdmissionPolicy policy, long seed, long greedyDemand) {
+            QueueSimulation simulation = new QueueSimulation(QueueSimulation.settings(policy, 10), seed)
+                    .run(
+                            RUN_MILLIS,
+                            new Demand("greedy", 1, RequestClass.LIVE, greedyDemand),
+                            new Demand("one", 1, RequestClass.LIVE, 700),
+                            new Demand("two", 1, RequestClass.LIVE, 700));
+            return new long[] {
+                simulation.served("one"), simulation.served("two"), simulation.waitAtP95("one"),
+            };
+        }
+
+        /** Guards against a team above its rate taking service from teams within theirs. */
+        @Test
+        void teamSendingEightTimesItsShareCostsOthersNothing() {
+            for (long seed = 1; seed <= 10; seed++) {
+                long[] quiet = served(AdmissionPolicy.FAIR, seed, 0);
+                long[] flooded = served(AdmissionPolicy.FAIR, seed, 16_000);
+                double worst = Math.min((double) flooded[0] / quiet[0], (double) flooded[1] / quiet[1]);
+                long[] baseline = served(AdmissionPolicy.FIRST_COME, seed, 16_000);
+                double worstFirstCome = Math.min((double) baseline[0] / quiet[0], (double) baseline[1] / quiet[1]);
+                System.out.printf(
+                        "worst-served ratio seed=%d fair=%.3f firstCome=%.3f waitP95Millis fair=%d firstCome=%d%n",
+                        seed, worst, worstFirstCome, flooded[2], baseline[2]);
+                assertThat(worst).isGreaterThan(0.97);
+                assertThat(worst).isGreaterThan(2 * worstFirstCome);
+            }
+        }
+
+        /** Guards against credit that a team saves while idle and spends at the cost of others. */
+        @Test
+        void idleTeamGainsNoCredit() {
+            LongStream.range(0, 20).forEach(i -> {
+                offer("busy", RequestClass.LIVE, 10, 10_000, 0);
+                pollTeam(0);
+            });
+            LongStream.range(0, 10).forEach(i -> offer("busy", RequestClass.LIVE, 10, 10_000, 0));
+            LongStream.range(0, 10).forEach(i -> offer("late", RequestClass.LIVE, 10, 10_000, 0));
+            long late = LongStream.range(0, 10)
+                    .filter(i -> pollTeam(0).equals("late"))
+                    .count();
+            assertThat(late).isBetween(4L, 6L);
+        }
+
+        /** Guards against a lasting charge for tokens that a request did not use. */
+        @Test
+        void chargeIsCorrectedWhenTokensAreKnown() {
+            LongStream.range(0, 3).forEach(i -> {
+                offer("reserves-much", RequestClass.LIVE, 1_000, 100_000, 0);
+                offer("exact", RequestClass.LIVE, 100, 100_000, 0);
+            });
+            WaitingRequest<Long> first = queue.poll(0).orElseThrow();
+            WaitingRequest<Long> second = queue.poll(0).orElseThrow();
+            assertThat(first.team()).isNotEqualTo(second.team());
+            queue.finished(first.key(), first.tokens() == 1_000 ? 10 : 100, 10);
+            queue.finished(second.key(), second.tokens() == 1_000 ? 10 : 100, 10);
+            assertThat(pollTeam(20)).isEqualTo("reserves-much");
+        }
+    }
+
+    @Nested
+    class BatchWork {
+
+        /** Guards against batch work that never runs while live work fills the upstream. */
+        @Test
+        void receivesItsShareUnderLiveOverload() {
+            QueueSimulation simulation = new QueueSimulation(QueueSimulation.settings(AdmissionPolicy.FAIR, 10), 7)
+                    .run(
+                            RUN_MILLIS,
+                            new Demand("live", 1, RequestClass.LIVE, 12_000),
+                            new Demand("night", 1, RequestClass.BATCH, 4_000));
+            double share =
+                    (double) simulation.served("night") / (simulation.served("night") + simulation.served("live"));
+            assertThat(share).isBetween(0.08, 0.12);
+        }
+
+        /** Guards against batch work ahead of live work when nothing is owed to it. */
+        @Test
+        void waitsForLiveWork() {
+            offer("night", RequestClass.BATCH, 10, 10_000, 0);
+            offer("day", RequestClass.LIVE, 10, 10_000, 0);
+            assertThat(pollTeam(0)).isEqualTo("day");
+        }
+    }
+
+    @Nested
+    class Bounds {
+
+        private void fillSlots() {
+            LongStream.range(0, 4).forEach(i -> {
+                offer("busy", RequestClass.LIVE, 100, 10_000, 0);
+                assertThat(queue.poll(0)).isPresent();
+            });
+        }
+
+        /** Guards against work that is accepted although it cannot start in time, and against a false Retry-After. */
+        @Test
+        void refusesWhatCannotStartAndAcceptsItAfterTheStatedTime() {
+            offer("busy", RequestClass.LIVE, 100, 10_000, 0);
+            queue.finished(queue.poll(0).orElseThrow().key(), 100, 400);
+            fillSlots();
+            LongStream.range(0, 8).forEach(i -> offer("busy", RequestClass.LIVE, 100, 10_000, 0));
+            AdmissionDecision decision = offer("busy", RequestClass.LIVE, 100, 500, 0);
+            assertThat(decision).isInstanceOf(AdmissionDecision.Refused.class);
+            long retryAfter = ((AdmissionDecision.Refused) decision).retryAfterMillis();
+            for (long now = 0; now <= retryAfter; now += 100) {
+                long time = now;
+                // Each slot serves 100 tokens in 400 ms; one becomes free every 100 ms.
+                if (now > 0) {
+                    queue.finished(now / 100, 100, time);
+                    queue.poll(time);
+                }
+            }
+            assertThat(offer("busy", RequestClass.LIVE, 100, 500, retryAfter))
+                    .isInstanceOf(AdmissionDecision.Queued.class);
+        }
+
+        /** Guards against one team that fills the queue so that others are refused. */
+        @Test
+        void oneTeamCannotFillTheQueue() {
+            fillSlots();
+            long queued = LongStream.range(0, 500)
+                    .filter(i -> offer("busy", RequestClass.LIVE, 1, 10_000, 0) instanceof AdmissionDecision.Queued)
+                    .count();
+            assertThat(queued).isBetween(100L, 140L);
+            assertThat(offer("other", RequestClass.LIVE, 1, 10_000, 0)).isInstanceOf(AdmissionDecision.Queued.class);
+        }
+
+        /** Guards against state that stays behind cancelled and expired requests and idle teams. */
+        @Test
+        void keepsNothingForCancelledExpiredAndIdleWork() {
+            for (int i = 0; i < 100; i++) {
+                offer("team-" + i, RequestClass.LIVE, 10, 50, 0);
+            }
+            assertThat(queue.cancel(3L)).isPresent();
+            assertThat(queue.cancel(3L)).isEmpty();
+            assertThat(queue.expire(49)).isEmpty();
+            assertThat(queue.expire(50)).hasSize(99);
+            assertThat(queue.waitingCount()).isZero();
+            assertThat(queue.teamCount()).isZero();
+        }
+
+        /** Guards against running more requests than the upstream has slots, and against a key in use twice. */
+        @Test
+        void respectsSlotsAndKeys() {
+            fillSlots();
+            offer("busy", RequestClass.LIVE, 1, 10_000, 0);
+            assertThat(queue.poll(0)).isEmpty();
+            nextKey = 0;
+            assertThatThrownBy(() -> offer("busy", RequestClass.LIVE, 1, 10_000, 0))
+                    .isInstanceOf(IllegalArgumentException.class)
+                    .hasMessageContaining("key");
+        }
+    }
+
+    @Nested
+    class Retries {
+
+        /** Guards against retries that multiply the load of a failing upstream. */
+        @Test
+        void areAFractionOfSuccesses() {
+            RetryBudget budget = new RetryBudget(20, 1, 3);
+            assertThat(budget.tryRetry()).isTrue();
+            assertThat(budget.tryRetry()).isFalse();
+            LongStream.range(0, 5).forEach(i -> budget.succeeded());
+            assertThat(budget.tryRetry()).isTrue();
+            assertThat(budget.tryRetry()).isFalse();
+            LongStream.range(0, 1_000).forEach(i -> budget.succeeded());
+            assertThat(LongStream.range(0, 10).filter(i -> budget.tryRetry()).count())
+                    .isEqualTo(3);
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/admission/QueueSimulation.java
@@ -0,0 +1,95 @@
+package io.oleandermoor.state.admission;
+
+import io.oleandermoor.state.identity.TeamName;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import org.apache.commons.rng.UniformRandomProvider;
+import org.apache.commons.rng.simple.RandomSource;
+
+/** Deterministic driver of a queue in front of an upstream with four slots that serve one token per millisecond. */
+final class QueueSimulation {
+
+    /** Demand of one team in tokens per second; the upstream serves 4,000. */
+    record Demand(String team, long weight, RequestClass requestClass, long tokensPerSecond) {}
+
+    private record Job(long endMillis, long id, long actualTokens) {}
+
+    private static final int REQUEST_TOKENS = 400;
+    private static final long PATIENCE_MILLIS = 3_000;
+
+    final FairQueue<Long> queue;
+    private final Map<String, Long> served = new HashMap<>();
+    private final Map<String, List<Long>> waits = new HashMap<>();
+    private final Map<Long, Long> offered = new HashMap<>();
+    private final PriorityQueue<Job> running =
+            new PriorityQueue<>((a, b) -> Long.compare(a.endMillis(), b.endMillis()));
+    private final Map<String, UniformRandomProvider> randoms = new HashMap<>();
+    private final long seed;
+    private long nextId;
+
+    QueueSimulation(QueueSettings settings, long seed) {
+        this.queue = new FairQueue<>(settings);
+        this.seed = seed;
+    }
+
+    static QueueSettings settings(AdmissionPolicy policy, int batchSharePercent) {
+        return new QueueSettings(policy, 4, 200, 1, 1, batchSharePercent);
+    }
+
+    /** Runs the demands for the time given. */
+    QueueSimulation run(long millis, Demand... demands) {
+        for (long now = 0; now < millis; now++) {
+            while (!running.isEmpty() && running.peek().endMillis() <= now) {
+                Job job = running.remove();
+                queue.finished(job.id(), job.actualTokens(), now);
+            }
+            for (Demand demand : demands) {
+                if (random(demand).nextInt(REQUEST_TOKENS * 1_000) < demand.tokensPerSecond()) {
+                    offer(demand, now);
+                }
+            }
+            queue.expire(now);
+            start(now);
+        }
+        return this;
+    }
+
+    /** Each team has a random source of its own, so that the demand of one does not change that of another. */
+    private UniformRandomProvider random(Demand demand) {
+        return randoms.computeIfAbsent(
+                demand.team(), team -> RandomSource.XO_SHI_RO_256_PP.create(seed * 31 + team.hashCode()));
+    }
+
+    private void offer(Demand demand, long now) {
+        long id = nextId++;
+        long tokens = 1 + random(demand).nextInt(2 * REQUEST_TOKENS);
+        offered.put(id, now);
+        TeamName team = new TeamName(demand.team());
+        Deadline deadline = Deadline.after(now, PATIENCE_MILLIS);
+        queue.offer(new WaitingRequest<>(id, team, demand.weight(), demand.requestClass(), tokens, deadline), now);
+    }
+
+    private void start(long now) {
+        queue.poll(now).ifPresent(request -> {
+            long actual = request.tokens() / 2 + 1;
+            running.add(new Job(now + actual, request.key(), actual));
+            String name = request.team().value();
+            served.merge(name, actual, Long::sum);
+            waits.computeIfAbsent(name, key -> new ArrayList<>()).add(now - offered.get(request.key()));
+        });
+    }
+
+    long served(String team) {
+        return served.getOrDefault(team, 0L);
+    }
+
+    /** Returns the wait that 95% of the served requests of the team do not exceed. */
+    long waitAtP95(String team) {
+        List<Long> sorted = new ArrayList<>(waits.getOrDefault(team, List.of(Long.MAX_VALUE)));
+        sorted.sort(null);
+        return sorted.get(sorted.size() * 95 / 100);
+    }
+}
