--- a/oleandermoor-coordination/src/test/java/io/oleandermoor/coordination/lease/LeaseKeeperTest.java
+++ b/oleandermoor-coordination/src/test/java/io/oleandermoor/coordination/lease/LeaseKeeperTest.java
@@ -165,6 +165,28 @@
             assertThat(counts).hasSizeGreaterThanOrEqualTo(4);
         }
 
+        /** Guards against an owner that takes its own old write for a new term just before its deletion arrives. */
+        @Test
+        void delayedHandOverLeavesOneOwner() {
+            Process first = fleet.add(1, names);
+            fleet.advance(5_000);
+            fleet.add(1, names);
+            fleet.add(1, names);
+            boolean slowed = false;
+            for (int step = 0; step < 1500; step++) {
+                fleet.advance(50);
+                first.store.setDelay(Duration.ZERO, Duration.ZERO);
+                for (String name : names) {
+                    assertThat(fleet.owners(name)).as("owners of %s", name).hasSizeLessThanOrEqualTo(1);
+                }
+                if (!slowed && step > 1080) {
+                    first.store.setDelay(Duration.ofSeconds(5), Duration.ZERO);
+                    slowed = !first.ended.isEmpty();
+                }
+            }
+            assertThat(first.ended).isNotEmpty();
+        }
+
         /** Guards against calls to the service that grow with the fleet. */
         @Test
         void callsDependOnTheNamesAndNotOnTheFleet() {
