--- a/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/configuration/ConfigurationFollower.java
+++ b/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/configuration/ConfigurationFollower.java
@@ -149,7 +149,7 @@
                 })
                 .ignoreElements()
                 .subscribe(() -> watching = false, failure -> {
-                    // The next tick starts the watch again; the reads of each second go on meanwhile.
+                    watchNotBeforeMillis = clock.getAsLong() + WATCH_PAUSE_MILLIS;
                     watching = false;
                     LOG.warn("event=configuration-watch-ended error=\"{}\"", failure.getMessage());
                 });
