--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/PrefixAffinity.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/PrefixAffinity.java
@@ -47,9 +47,10 @@
     }
 
     /**
-     * Writes the upstreams that hold the longest known part of a prefix into an array, most recently used first.
+     * Finds the longest known part of a prefix and writes the upstreams that hold it into an array, most recently used
+     * first. The rest of the array becomes null.
      *
-     * @return the number of upstreams written
+     * @return the number of leading blocks that some upstream holds
      */
     int longestHolders(PromptPrefix prefix, @Nullable UpstreamState[] result) {
         synchronized (lock) {
@@ -63,15 +64,30 @@
                     high = middle - 1;
                 }
             }
-            return low == 0 ? 0 : collect(prefix.hash(low - 1), result);
+            if (low > 0) {
+                collect(prefix.hash(low - 1), result);
+            }
+            return low;
         }
     }
 
-    /** Returns the number of leading blocks that an upstream holds as far as is known. */
-    int heldBlocks(UpstreamState upstream, PromptPrefix prefix) {
+    /**
+     * Returns the number of leading blocks, up to a limit, that an upstream holds as far as is known. All or nothing is
+     * the usual case and is looked at first.
+     */
+    int heldBlocks(UpstreamState upstream, PromptPrefix prefix, int limit) {
+        if (limit == 0) {
+            return 0;
+        }
         synchronized (lock) {
-            int low = 0;
-            int high = prefix.blocks();
+            if (find(prefix.hash(limit - 1), upstream) >= 0) {
+                return limit;
+            }
+            if (find(prefix.hash(0), upstream) < 0) {
+                return 0;
+            }
+            int low = 1;
+            int high = limit - 1;
             while (low < high) {
                 int middle = (low + high + 1) >>> 1;
                 if (find(prefix.hash(middle - 1), upstream) >= 0) {
@@ -149,7 +165,7 @@
         return false;
     }
 
-    private int collect(long hash, @Nullable UpstreamState[] result) {
+    private void collect(long hash, @Nullable UpstreamState[] result) {
         Arrays.fill(result, null);
         int first = firstIndex(hash);
         int found = 0;
@@ -169,17 +185,17 @@
                 }
             }
             if (best < 0) {
-                break;
+                return;
             }
             result[found++] = holders[best];
             bound = usedAtMillis[best];
             boundIndex = best;
         }
-        return found;
     }
 
     private boolean isTrusted(int index, UpstreamState holder) {
-        return usedAtMillis[index] >= holder.cacheTrustedSinceMillis;
+        long trustedSinceMillis = holder.cacheTrustedSinceMillis;
+        return trustedSinceMillis == Long.MIN_VALUE || usedAtMillis[index] >= trustedSinceMillis;
     }
 
     private int firstIndex(long hash) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/Selection.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/Selection.java
@@ -33,6 +33,7 @@
     private final UniformRandomProvider random;
     private final Copy[] examined = new Copy[MAXIMUM_EXAMINED];
     private int examinedCount;
+    private int knownBlocks;
     private RouteTarget ready;
     private @Nullable Candidate best;
     private @Nullable Candidate lastResort;
@@ -127,9 +128,8 @@
             return;
         }
         @Nullable UpstreamState[] holders = new UpstreamState[AFFINITY_CANDIDATES];
-        int found = router.affinity().longestHolders(query.prefix(), holders);
-        for (int index = 0; index < found; index++) {
-            UpstreamState holder = holders[index];
+        knownBlocks = router.affinity().longestHolders(query.prefix(), holders);
+        for (UpstreamState holder : holders) {
             Copy copy = holder == null ? null : holder.copies().get(ready);
             if (copy != null) {
                 examine(copy);
@@ -189,7 +189,7 @@
         if (query.excluded().contains(copy.upstream.id)) {
             return false;
         }
-        int heldBlocks = query.prefix().blocks() == 0 ? 0 : router.affinity().heldBlocks(copy.upstream, query.prefix());
+        int heldBlocks = router.affinity().heldBlocks(copy.upstream, query.prefix(), knownBlocks);
         Candidate candidate = new Candidate(copy, ready, cost(copy, heldBlocks), heldBlocks);
         if (router.detector().availability(copy.upstream.health, nowMillis) == OutlierDetector.Availability.EJECTED) {
             lastResort = cheaper(candidate, lastResort);
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/routing/RouterTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/routing/RouterTest.java
@@ -156,15 +156,17 @@
             long[] last = {prefix.hash(3)};
             affinity.sent(state, prefix, 100);
             affinity.cacheEvent(state, new CacheEvent(1, 50, none, last));
-            assertThat(affinity.heldBlocks(state, prefix))
+            assertThat(affinity.heldBlocks(state, prefix, prefix.blocks()))
                     .as("evicted before it was sent")
                     .isEqualTo(4);
             affinity.cacheEvent(state, new CacheEvent(2, 150, none, last));
-            assertThat(affinity.heldBlocks(state, prefix)).isEqualTo(3);
+            assertThat(affinity.heldBlocks(state, prefix, prefix.blocks())).isEqualTo(3);
             affinity.cacheEvent(state, new CacheEvent(1, 150, last, none));
-            assertThat(affinity.heldBlocks(state, prefix)).as("repeated event").isEqualTo(3);
+            assertThat(affinity.heldBlocks(state, prefix, prefix.blocks()))
+                    .as("repeated event")
+                    .isEqualTo(3);
             affinity.cacheEvent(state, new CacheEvent(9, 20_000, none, none));
-            assertThat(affinity.heldBlocks(state, prefix))
+            assertThat(affinity.heldBlocks(state, prefix, prefix.blocks()))
                     .as("events were lost")
                     .isZero();
         }
