--- a/oleandermoor-operator/src/test/java/io/oleandermoor/operator/DocumentReaderTest.java
+++ b/oleandermoor-operator/src/test/java/io/oleandermoor/operator/DocumentReaderTest.java
@@ -20,7 +20,15 @@
 import java.nio.file.Path;
 import java.util.Arrays;
 import java.util.List;
+import java.util.regex.Matcher;
 import java.util.stream.StreamSupport;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -33,6 +41,61 @@
         return exception.findings().stream().map(Finding::toString).toList();
     }
 
+    /** Guards against damaged documents that end the reader with an exception instead of findings. */
+    @Property(seed = "20261204", tries = 3000)
+    void damagedDocumentsHaveFindings(@ForAll @IntRange(max = 9999) int position, @ForAll @Size(max = 12) byte[] damage)
+            throws Exception {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        ExampleDeployment.printFull(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+        byte[] document = bytes.toByteArray();
+        int start = position % (document.length - damage.length);
+        System.arraycopy(damage, 0, document, start, damage.length);
+        Findings findings = new Findings();
+        boolean read = new DocumentReader().read(document, findings).isPresent();
+        assertThat(read).isNotEqualTo(findings.hasErrors());
+    }
+
+    /** Guards against values of a wrong type that end the reader with an exception instead of findings. */
+    @Property(seed = "20261204", tries = 1000)
+    void wrongTypesHaveFindings(
+            @ForAll @IntRange(max = 9999) int position,
+            @ForAll("values") String value,
+            @ForAll("values") String otherValue)
+            throws Exception {
+        ByteArrayOutputStream bytes = new ByteArrayOutputStream();
+        ExampleDeployment.printFull(new PrintStream(bytes, true, StandardCharsets.UTF_8));
+        String[] lines = bytes.toString(StandardCharsets.UTF_8).split("\n");
+        for (int index = position % lines.length, replaced = 0; index < lines.length && replaced < 2; index++) {
+            if (lines[index].matches(" *\"\\w+\" : [^\\[{].*")) {
+                lines[index] = lines[index].replaceFirst(
+                        ": [^,]*", ": " + Matcher.quoteReplacement(replaced == 0 ? value : otherValue));
+                replaced++;
+            }
+        }
+        Findings findings = new Findings();
+        byte[] document = String.join("\n", lines).getBytes(StandardCharsets.UTF_8);
+        boolean read = new DocumentReader().read(document, findings).isPresent();
+        assertThat(read).isNotEqualTo(findings.hasErrors());
+        assertThat(findings.list()).noneMatch(finding -> finding.message().contains("not valid JSON"));
+    }
+
+    @Provide
+    Arbitrary<String> values() {
+        return Arbitraries.of(
+                "null",
+                "true",
+                "-1",
+                "0",
+                "1.5",
+                "1e999",
+                "9223372036854775808",
+                "\"\"",
+                "\"a b\"",
+                "[]",
+                "{}",
+                "[[null]]");
+    }
+
     @Nested
     class Errors {
 
--- a/oleandermoor-transport/src/test/java/io/oleandermoor/transport/settings/SettingsTest.java
+++ b/oleandermoor-transport/src/test/java/io/oleandermoor/transport/settings/SettingsTest.java
@@ -144,6 +144,8 @@
                     .containsExactly("ERROR agent.ini:9 listen.peer: 127.0.0.1:9001 clashes with 127.0.0.1:9001"
                             + " of agent.ini:8 listen.admin");
             assertThat(problems(AGENT, "listen.peer=0.0.0.0:9001")).hasSize(1);
+            assertThat(problems(AGENT, "listen.peer=127.0.0.1:9001", "listen.admin=0.0.0.0:9001"))
+                    .hasSize(1);
         }
 
         /** Guards against an agent that starts without what its kind of upstream needs. */
