--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -8,6 +8,7 @@
 import io.oleandermoor.coordination.lease.LeaseKeeper;
 import io.oleandermoor.coordination.lease.LeaseSettings;
 import io.oleandermoor.coordination.lease.OwnershipPreference;
+import io.oleandermoor.coordination.membership.KeyFreshnessPolicy;
 import io.oleandermoor.coordination.store.KeyValueStore;
 import io.oleandermoor.daemon.administration.AdministrationApi;
 import io.oleandermoor.daemon.administration.AdministrationRequest;
@@ -384,7 +385,7 @@
 
     private boolean keysUsable() {
         java.util.OptionalLong age = freshness.ageMillis(NOW_MILLIS.getAsLong());
-        return age.isPresent() && (age.getAsLong() < 10_000 || reachesMostEntries());
+        return age.isPresent() && (age.getAsLong() < KeyFreshnessPolicy.MAXIMUM_AGE_MILLIS || reachesMostEntries());
     }
 
     private boolean reachesMostEntries() {
