Never show a group without copies to a lookup

When the last copy of a target left, the table published an empty group before it removed it. The baseline LEAST_LOADED then drew a random number below zero and threw. A new test races lookups with a copy that comes and goes; it failed three times out of three with the old code. Another test races starts and a cancellation of one attempt in the ledger.

--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/RoutingTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/RoutingTable.java
@@ -157,10 +157,10 @@
         state.replaceCopies(copies);
         before.forEach((target, copy) -> {
             if (!copies.containsKey(target)) {
-                CopyGroup group = groups.computeIfPresent(target, (key, old) -> old.without(copy));
-                if (group != null && group.all.length == 0) {
-                    groups.remove(target);
-                } else if (group != null) {
+                // An empty group is never visible to a lookup.
+                CopyGroup group =
+                        groups.computeIfPresent(target, (key, old) -> old.all.length == 1 ? null : old.without(copy));
+                if (group != null) {
                     restoreAboveHalf(group, nowMillis);
                 }
             }
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/ledger/RequestLedgerTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/ledger/RequestLedgerTest.java
@@ -6,6 +6,7 @@
 import io.oleandermoor.state.identity.InstanceId;
 import io.oleandermoor.state.identity.RequestId;
 import java.util.List;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.DisplayName;
 import org.junit.jupiter.api.Test;
 
@@ -100,4 +101,19 @@
         assertThat(ledger.attach(key(1), 0, ENTRY, 62)).isInstanceOf(AttachDecision.Replay.class);
         assertThat(append(1, 1, "b")).isTrue();
     }
+
+    @Test
+    @DisplayName("Guards against two workers starting the same attempt, or starting one that is being cancelled")
+    void startsOnceAmongThreads() {
+        for (int round = 1; round <= 500; round++) {
+            RequestLedger raced = new RequestLedger(LedgerSettings.defaults());
+            AttemptKey key = key(round);
+            raced.dispatch(key, false, ENTRY, 0, 0);
+            long started = IntStream.range(0, 4)
+                    .parallel()
+                    .filter(worker -> worker == 0 ? raced.cancel(key, 0) == CancelDecision.NOT_RUN : raced.start(key))
+                    .count();
+            assertThat(started).isEqualTo(1);
+        }
+    }
 }
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/routing/RouterTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/routing/RouterTest.java
@@ -233,6 +233,32 @@
         }
     }
 
+    @Test
+    @DisplayName("Guards against a lookup meeting a group whose last copy is just leaving")
+    void choosesWhileTheOnlyCopyComesAndGoes() throws Exception {
+        RoutingTable table = new RoutingTable();
+        UpstreamId id = new UpstreamId("u");
+        Thread writer = new Thread(() -> {
+            for (int sequence = 1; sequence <= 50_000; sequence++) {
+                boolean ready = sequence % 2 == 0;
+                table.update(record(id, 1, sequence, ready ? UpstreamStatus.READY : UpstreamStatus.LEAVING), 0);
+            }
+        });
+        RouteQuery query = RouteQuery.forModel(MODEL, HOME);
+        writer.start();
+        do {
+            for (RoutingPolicy policy : RoutingPolicy.values()) {
+                Router router = new Router(table, RoutingSettings.defaults(policy));
+                for (int draw = 0; draw < 1000; draw++) {
+                    router.choose(query, 0, random(draw));
+                }
+            }
+        } while (writer.isAlive());
+        writer.join();
+        Router router = new Router(table, RoutingSettings.defaults(RoutingPolicy.AFFINITY));
+        assertThat(router.choose(query, 0, random(1))).isPresent();
+    }
+
     @Property(tries = 300, seed = "42")
     void neverChoosesLeavingOrExcludedUpstreams(
             @ForAll @IntRange(min = 1, max = 30) int size, @ForAll @LongRange(min = 1) long seed) {
