State which time of a load measurement is safe

A measurement time that is too late would miss requests that were under way when the agent measured. An early one counts them twice, which only spreads load.

--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/UpstreamLoad.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/UpstreamLoad.java
@@ -7,7 +7,8 @@
  * @param queued number of requests that wait in the agent
  * @param slots number of requests that can run together, at least 1
  * @param expectedWaitMillis expected wait of a new request, in milliseconds
- * @param measuredAtMillis time of the measurement on the reader's monotonic clock, in milliseconds
+ * @param measuredAtMillis time of the measurement on the reader's monotonic clock, in milliseconds; when it can only be
+ *     estimated, an early time is safe, because requests are then counted twice rather than missed
  */
 public record UpstreamLoad(int running, int queued, int slots, int expectedWaitMillis, long measuredAtMillis) {
 
