--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/RoutingTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/routing/RoutingTable.java
@@ -157,10 +157,10 @@
         state.replaceCopies(copies);
         before.forEach((target, copy) -> {
             if (!copies.containsKey(target)) {
-                CopyGroup group = groups.computeIfPresent(target, (key, old) -> old.without(copy));
-                if (group != null && group.all.length == 0) {
-                    groups.remove(target);
-                } else if (group != null) {
+                // An empty group is never visible to a lookup.
+                CopyGroup group =
+                        groups.computeIfPresent(target, (key, old) -> old.all.length == 1 ? null : old.without(copy));
+                if (group != null) {
                     restoreAboveHalf(group, nowMillis);
                 }
             }
@@ -174,7 +174,7 @@
         });
         for (RouteTarget target : copies.keySet()) {
             CopyGroup group = groups.get(target);
-            if (group != null && nowMillis < state.health.ejectedUntilMillis) {
+            if (group != null && nowMillis < state.ejectedUntilMillis) {
                 restoreAboveHalf(group, nowMillis);
             }
         }
@@ -184,8 +184,8 @@
     private static void restoreAboveHalf(CopyGroup group, long nowMillis) {
         List<UpstreamHealth> ejected = new ArrayList<>();
         for (Copy copy : group.all) {
-            if (nowMillis < copy.upstream.health.ejectedUntilMillis) {
-                ejected.add(copy.upstream.health);
+            if (nowMillis < copy.upstream.ejectedUntilMillis) {
+                ejected.add(copy.upstream);
             }
         }
         ejected.sort((left, right) -> Long.compare(left.ejectedUntilMillis, right.ejectedUntilMillis));
