Credit unused tokens exactly and let large requests through

Requests close to the burst were never granted: the entry received part of the tokens, asked for the rest only, and no longer counted as large enough for the tokens set aside; entries also kept tokens too few for their waiting requests.

Tokens set aside now go by the size of the whole request, and tokens return when nothing was spent for 1 s.

--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/LocalTeam.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/LocalTeam.java
@@ -19,9 +19,9 @@
 
     long localStartMillis;
     boolean queued;
-    long refusedUntilMillis;
-    long refusedTokens;
-    long askedLargest;
+    private long refusedUntilMillis;
+    private long refusedTokens;
+    private long askedLargest;
     private long needed;
     private long largest;
     private long credit;
@@ -29,7 +29,7 @@
     private long recent;
     private long recentMillis;
     private long lastTokens;
-    private long lastDemandMillis;
+    private long lastSpentMillis;
 
     LocalTeam(TeamName name, RateLimit limit, long epoch, long localStartMillis, long nowMillis) {
         this.name = name;
@@ -38,16 +38,29 @@
         this.localStartMillis = localStartMillis;
         this.local = new TokenBucket(0, 0, Math.min(localStartMillis, nowMillis));
         this.recentMillis = nowMillis;
-        this.lastDemandMillis = nowMillis;
+        this.lastSpentMillis = nowMillis;
         this.refusedUntilMillis = nowMillis;
     }
 
-    /** Records a demand, from which the size of grants in advance follows. */
-    void noteDemand(long tokens, long nowMillis) {
+    /** Records tokens taken from a grant, from which the size of grants in advance follows. */
+    void noteSpent(long tokens, long nowMillis) {
         decay(nowMillis);
         recent += tokens;
         lastTokens = tokens;
-        lastDemandMillis = nowMillis;
+        lastSpentMillis = nowMillis;
+    }
+
+    /** Records the answer to the largest request asked for. */
+    void answered(long retryAfterMillis, long nowMillis) {
+        if (askedLargest > 0) {
+            refusedTokens = askedLargest;
+            refusedUntilMillis = nowMillis + retryAfterMillis;
+        }
+    }
+
+    /** Returns the time for which the owner has refused a request of this size; 0 if it has not. */
+    long retryAfterMillis(long tokens, long nowMillis) {
+        return tokens >= refusedTokens ? Math.max(0, refusedUntilMillis - nowMillis) : 0;
     }
 
     /** Records that a request of this size waits. */
@@ -70,8 +83,12 @@
         credit += tokens;
     }
 
+    /**
+     * Returns whether nothing has been spent for a while. Requests that wait do not count, so that tokens too few for
+     * them return to the owner, which may need them for a larger request elsewhere.
+     */
     boolean isIdle(long nowMillis) {
-        return nowMillis - lastDemandMillis >= RateSettings.IDLE_MILLIS;
+        return nowMillis - lastSpentMillis >= RateSettings.IDLE_MILLIS;
     }
 
     /** Returns whether the tokens held are well below or above what the recent demand suggests. */
@@ -83,13 +100,13 @@
     /** Builds the demand and clears what it reports. */
     TeamDemand takeDemand(boolean ownerKnowsHeld, long nowMillis) {
         long target = target(nowMillis);
-        long missing = Math.max(0, needed - held);
-        long largestMissing = Math.max(0, largest - held);
         long returned = 0;
-        if (needed == 0 && held > 2 * target) {
+        if (held > 2 * target && (needed == 0 || isIdle(nowMillis))) {
             returned = held - target;
             held = target;
         }
+        long missing = Math.max(0, needed - held);
+        long largestMissing = Math.max(0, largest - held);
         long wanted = Math.max(missing, needed + target - held);
         long credited = ownerKnowsHeld ? credit : 0;
         long age = credited == 0 ? 0 : nowMillis - creditSinceMillis;
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/OwnerBucket.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/OwnerBucket.java
@@ -1,7 +1,5 @@
 package io.oleandermoor.state.rate;
 
-import java.util.Arrays;
-
 /**
  * Bucket of one team at the rate owner. The level, the tokens granted and not yet known to be spent (outstanding), and
  * the largest content of all floors together never exceed the burst. Because every spent token leaves this sum and the
@@ -10,23 +8,16 @@
  * outstanding.
  *
  * <p>Tokens that a settled request did not use are credited only as far as they would still be in the bucket had the
- * request never reserved them. The smallest gap between the sum and the burst since the reservation bounds this; the
- * gaps are kept in a ring of time slots.
+ * request never reserved them: up to the smallest gap between the sum and the burst since the reservation.
  */
 final class OwnerBucket {
 
-    /** Length of a gap slot; the ring covers 128 s, after which an unused reservation is not credited. */
-    private static final long SLOT_MILLIS = 4_000;
-
-    private static final int SLOTS = 32;
-
     private RateLimit limit;
     private long floorRate;
     private long floorReserve;
     private final TokenBucket bucket;
     private final long createdMillis;
-    private final long[] gaps = new long[SLOTS];
-    private long slot;
+    private final GapHistory gaps = new GapHistory();
     private long outstandingMicro;
     private long claimMicro;
     private long claimSetAsideMicro;
@@ -37,9 +28,7 @@
         this.limit = limit;
         this.bucket = new TokenBucket(0, 0, nowMillis);
         this.createdMillis = nowMillis;
-        this.slot = Math.floorDiv(nowMillis, SLOT_MILLIS);
         this.claimUpdatedMillis = nowMillis;
-        Arrays.fill(gaps, Long.MAX_VALUE);
     }
 
     /** Sets the limit, the rate of one floor, the burst of all floors, and the number of floors in use. */
@@ -54,16 +43,8 @@
     /** Accrues up to the time given. */
     void advance(long nowMillis) {
         bucket.advance(nowMillis);
-        long current = Math.floorDiv(nowMillis, SLOT_MILLIS);
-        if (current > slot) {
-            for (long next = Math.max(slot + 1, current - SLOTS + 1); next <= current; next++) {
-                gaps[index(next)] = Long.MAX_VALUE;
-            }
-            slot = current;
-        }
         // The sum only grows between two calls, so its gap is smallest here, before anything is taken.
-        int index = index(slot);
-        gaps[index] = Math.min(gaps[index], bucket.capacityMicro() - bucket.levelMicro());
+        gaps.add(nowMillis, bucket.capacityMicro() - bucket.levelMicro());
         if (claimMicro > 0 && nowMillis >= claimUntilMillis) {
             claimMicro = 0;
             claimSetAsideMicro = 0;
@@ -104,29 +85,14 @@
 
     /** Credits tokens reserved at or after the time given and not used. */
     void credit(long micro, long sinceMillis) {
-        long first = Math.floorDiv(sinceMillis, SLOT_MILLIS);
-        if (sinceMillis < createdMillis || first <= slot - SLOTS) {
-            return;
-        }
-        long credited = micro;
-        for (long next = first; next <= slot; next++) {
-            credited = Math.min(credited, gaps[index(next)]);
+        if (sinceMillis >= createdMillis) {
+            bucket.put(gaps.take(micro, sinceMillis));
         }
-        if (credited <= 0) {
-            return;
-        }
-        // The sum would have been larger by the credit since the reservation.
-        for (long next = first; next <= slot; next++) {
-            if (gaps[index(next)] != Long.MAX_VALUE) {
-                gaps[index(next)] -= credited;
-            }
-        }
-        bucket.put(credited);
     }
 
     /** Returns the part of the level that a request of this size may use. */
-    long available(long largestMicro) {
-        return largestMicro >= claimMicro ? bucket.levelMicro() : Math.max(0, bucket.levelMicro() - claimSetAsideMicro);
+    long available(long sizeMicro) {
+        return sizeMicro >= claimMicro ? bucket.levelMicro() : Math.max(0, bucket.levelMicro() - claimSetAsideMicro);
     }
 
     /** Returns how much may still be granted in advance of demand. */
@@ -138,18 +104,19 @@
     }
 
     /** Sets tokens aside for a request of this size until the time given. */
-    void claim(long micro, long untilMillis) {
-        if (micro > claimMicro) {
-            // The first claim starts from the whole level, which was not enough for it.
-            claimSetAsideMicro = Math.max(claimSetAsideMicro, bucket.levelMicro());
-            claimMicro = micro;
+    void claim(long sizeMicro, long untilMillis) {
+        if (sizeMicro < claimMicro) {
+            return;
         }
+        // A claim starts from the whole level, which was not enough for it.
+        claimSetAsideMicro = Math.max(claimSetAsideMicro, bucket.levelMicro());
+        claimMicro = sizeMicro;
         claimUntilMillis = Math.max(claimUntilMillis, untilMillis);
     }
 
     /** Ends the claim if a request of this size has been granted. */
-    void endClaim(long micro) {
-        if (micro >= claimMicro) {
+    void endClaim(long sizeMicro) {
+        if (sizeMicro >= claimMicro) {
             claimMicro = 0;
             claimSetAsideMicro = 0;
         }
@@ -172,8 +139,4 @@
     RateLimit limit() {
         return limit;
     }
-
-    private static int index(long slot) {
-        return (int) Math.floorMod(slot, SLOTS);
-    }
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/RateClient.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/RateClient.java
@@ -124,9 +124,9 @@
             teams.put(teamName, team);
         }
         expireSession(nowMillis);
-        team.noteDemand(tokens, nowMillis);
         if (sessionValid && team.held >= tokens) {
             team.held -= tokens;
+            team.noteSpent(tokens, nowMillis);
             queue(team);
             return granted(team, tokens, sessionTerm, nowMillis);
         }
@@ -140,8 +140,9 @@
     }
 
     private RateDecision ask(LocalTeam team, long tokens, long nowMillis) {
-        if (nowMillis < team.refusedUntilMillis && tokens >= team.refusedTokens) {
-            return new RateDecision.Refused(team.refusedUntilMillis - nowMillis);
+        long retryAfterMillis = team.retryAfterMillis(tokens, nowMillis);
+        if (retryAfterMillis > 0) {
+            return new RateDecision.Refused(retryAfterMillis);
         }
         if (failures >= FAILURES_UNTIL_REFUSAL) {
             return new RateDecision.Refused(retryWithoutOwner(team, tokens));
@@ -273,8 +274,7 @@
             LocalTeam team = teams.get(grant.team());
             if (team != null) {
                 team.held += grant.tokens();
-                team.refusedTokens = team.askedLargest;
-                team.refusedUntilMillis = nowMillis + grant.retryAfterMillis();
+                team.answered(grant.retryAfterMillis(), nowMillis);
             }
         }
         return true;
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/RateOwner.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/RateOwner.java
@@ -241,22 +241,25 @@
     }
 
     private TeamGrant grant(OwnerSession session, OwnerBucket bucket, TeamDemand demand, long nowMillis) {
-        long largest = Units.micro(demand.largest());
-        boolean served = bucket.available(largest) >= largest;
-        long retryAfterMillis = 0;
+        long missing = Units.micro(demand.largest());
+        // The size of the request, of which the entry may hold a part.
+        long size = missing == 0 ? 0 : missing + Units.micro(session.held(demand.team()));
+        long available = bucket.available(size);
         long needed = Units.micro(demand.needed());
         long wanted = needed;
-        if (served) {
-            bucket.endClaim(largest);
+        long retryAfterMillis = 0;
+        if (available >= missing) {
+            bucket.endClaim(size);
             long room = bucket.advanceRoom(settings.outstandingPercent()) - needed;
-            long spare = (bucket.available(largest) - needed) / 2;
+            long spare = (available - needed) / 2;
             wanted += Math.max(0, Math.min(Units.micro(demand.wanted()) - needed, Math.min(room, spare)));
         } else {
-            retryAfterMillis = retryAfterMillis(bucket, largest);
-            bucket.claim(largest, nowMillis + retryAfterMillis + CLAIM_GRACE_MILLIS);
-            wanted -= largest;
+            retryAfterMillis = retryAfterMillis(bucket, missing);
+            bucket.claim(size, nowMillis + retryAfterMillis + CLAIM_GRACE_MILLIS);
+            wanted -= missing;
+            available = bucket.available(0);
         }
-        long tokens = Units.tokens(Math.min(wanted, bucket.available(served ? largest : 0)));
+        long tokens = Units.tokens(Math.min(wanted, available));
         if (tokens > 0) {
             bucket.grant(Units.micro(tokens), floors, nowMillis);
             session.addPending(demand.team(), tokens);
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/RateSettings.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/RateSettings.java
@@ -33,7 +33,7 @@
     /** Shortest time between two requests that no waiting caller needs. */
     static final long REPORT_MILLIS = 200;
 
-    /** Time without demand after which an entry returns the tokens of a team. */
+    /** Time without spending after which an entry returns the tokens of a team. */
     static final long IDLE_MILLIS = 1_000;
 
     /** Checks the ranges. */
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/rate/RateSimulation.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/rate/RateSimulation.java
@@ -175,9 +175,13 @@
                 }));
                 return true;
             }
-            boolean given = !(decision instanceof RateDecision.AskOwner) || millis > request[3];
-            refused += given ? 1 : 0;
-            return given;
+            // A caller waits while the stated time ends before its patience.
+            boolean waits = decision instanceof RateDecision.AskOwner
+                    || (decision instanceof RateDecision.Refused refusal
+                            && millis + refusal.retryAfterMillis() <= request[3]);
+            boolean ends = !waits || millis > request[3];
+            refused += ends ? 1 : 0;
+            return ends;
         }
 
         void receive(RateResponse response) {
@@ -226,6 +230,12 @@
         }
     }
 
+    /** Returns the number of sessions at the owner after its events up to now. */
+    int sessionCount() {
+        owner.core.registrations(registrations.keySet(), owner.now(), owner.now());
+        return owner.core.sessionCount();
+    }
+
     List<Entry> entries() {
         return entries;
     }
