Make the test of a delayed hand-over reach the hand-over

The earlier form slowed the calls so early that the lease lapsed before the hand-over, so it also passed with the check against resumed terms removed (trial on a scratch copy). The calls are now slowed only from 0.5 s before the hand-over, and the test fails without the check.

--- a/oleandermoor-coordination/src/test/java/io/oleandermoor/coordination/lease/LeaseKeeperTest.java
+++ b/oleandermoor-coordination/src/test/java/io/oleandermoor/coordination/lease/LeaseKeeperTest.java
@@ -168,23 +168,34 @@
         /** Guards against an owner that takes its own old write for a new term just before its deletion arrives. */
         @Test
         void delayedHandOverLeavesOneOwner() {
-            Process first = fleet.add(1, names);
-            fleet.advance(5_000);
-            fleet.add(1, names);
-            fleet.add(1, names);
-            boolean slowed = false;
-            for (int step = 0; step < 1500; step++) {
+            long handOverMillis = runUntilHandOver(new LeaseFleet(), Long.MAX_VALUE);
+            runUntilHandOver(fleet, handOverMillis - 500);
+            Process first = fleet.processes.get(0);
+            first.store.setDelay(Duration.ZERO, Duration.ZERO);
+            int owned = first.terms.size();
+            for (int step = 0; step < 400; step++) {
                 fleet.advance(50);
-                first.store.setDelay(Duration.ZERO, Duration.ZERO);
                 for (String name : names) {
                     assertThat(fleet.owners(name)).as("owners of %s", name).hasSizeLessThanOrEqualTo(1);
                 }
-                if (!slowed && step > 1080) {
+            }
+            assertThat(first.terms).hasSize(owned);
+            assertThat(names).anyMatch(first::owns).anyMatch(fleet.processes.get(1)::owns);
+        }
+
+        /** Returns when the first process hands names over; calls of that process are slow from a time on. */
+        private long runUntilHandOver(LeaseFleet run, long slowFromMillis) {
+            Process first = run.add(1, names);
+            run.advance(5_000);
+            run.add(1, names);
+            run.add(1, names);
+            while (first.ended.isEmpty()) {
+                if (first.clockMillis() >= slowFromMillis) {
                     first.store.setDelay(Duration.ofSeconds(5), Duration.ZERO);
-                    slowed = !first.ended.isEmpty();
                 }
+                run.advance(50);
             }
-            assertThat(first.ended).isNotEmpty();
+            return first.clockMillis();
         }
 
         /** Guards against calls to the service that grow with the fleet. */
