Place models by an elected owner and record orders before they are sent

Agents ask the placement owner for steps and carry them out through the memory account; the record of orders at the key-value service is the fencing, so an agent needs no lease. Crash reports spread as items.

--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
@@ -2,11 +2,15 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.oleandermoor.coordination.store.ConditionalWriter;
+import io.oleandermoor.coordination.store.KeyValueStore;
 import io.oleandermoor.daemon.health.AdministrationServer;
 import io.oleandermoor.daemon.health.AdministrationServer.Readiness;
 import io.oleandermoor.daemon.network.FloodingItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
 import io.oleandermoor.daemon.network.UpstreamDescription;
+import io.oleandermoor.daemon.placement.OrderExecutor;
+import io.oleandermoor.daemon.placement.PlacementOwnerRole;
 import io.oleandermoor.protocol.message.Envelope;
 import io.oleandermoor.protocol.message.Load;
 import io.oleandermoor.protocol.message.Role;
@@ -16,6 +20,8 @@
 import io.oleandermoor.state.identity.ServiceName;
 import io.oleandermoor.state.ledger.LedgerSettings;
 import io.oleandermoor.state.ledger.RequestLedger;
+import io.oleandermoor.state.memory.Fencing;
+import io.oleandermoor.state.memory.MemorySettings;
 import io.oleandermoor.transport.client.EngineControl;
 import io.oleandermoor.transport.client.EngineControl.Resident;
 import io.oleandermoor.transport.client.HttpClients;
@@ -26,15 +32,18 @@
 import io.oleandermoor.transport.peer.PeerConnection;
 import io.oleandermoor.transport.peer.PeerIdentity;
 import io.oleandermoor.transport.peer.PeerListener;
+import io.oleandermoor.transport.platform.EtcdKeyValueStore;
 import io.oleandermoor.transport.platform.InstanceListClient;
 import io.oleandermoor.transport.settings.AgentSettings;
 import io.oleandermoor.transport.settings.CommonSettings;
+import io.oleandermoor.transport.settings.FencingSupport;
 import io.oleandermoor.transport.settings.Settings;
 import io.oleandermoor.transport.worker.WorkerPool;
 import io.reactivex.rxjava3.core.Observable;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
@@ -62,6 +71,8 @@
 
     private static final int EXPIRE_MILLIS = 1_000;
 
+    private static final int STEP_REQUEST_MILLIS = 500;
+
     /** Time after the announcement that it is leaving in which an agent still takes new work. */
     private static final long LEAVING_GRACE_MILLIS = 3_000;
 
@@ -85,6 +96,8 @@
 
     private final RequestExecutor executor;
 
+    private final Optional<OrderExecutor> orders;
+
     private final UpstreamMonitor monitor;
 
     private final CompositeDisposable timers = new CompositeDisposable();
@@ -97,6 +110,8 @@
 
     private volatile boolean accepting = true;
 
+    private volatile @Nullable String placementOwner;
+
     private @Nullable AdministrationServer administration;
 
     /**
@@ -147,9 +162,11 @@
                 workers,
                 metrics,
                 NOW_MILLIS);
+        EngineControl control =
+                new EngineControl(upstreamClient, upstreamAddress, settings.get(AgentSettings.ORDER_DELAY_LIMIT));
+        this.orders = settings.find(AgentSettings.MEMORY).map(memory -> orderExecutor(memory, platform, control));
         this.monitor = new UpstreamMonitor(
-                new EngineControl(upstreamClient, upstreamAddress, settings.get(AgentSettings.ORDER_DELAY_LIMIT)),
-                this::observed);
+                control, () -> orders.map(OrderExecutor::term).orElse(0L), NOW_MILLIS, this::observed);
     }
 
     /**
@@ -170,6 +187,11 @@
             timers.add(Observable.interval(0, POLL_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                     .subscribe(tick -> monitor.poll()));
         }
+        items.listen(
+                PlacementOwnerRole.NAME,
+                (name, version, content) -> placementOwner = new String(content, StandardCharsets.UTF_8));
+        timers.add(Observable.interval(STEP_REQUEST_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
+                .subscribe(tick -> askForSteps()));
         timers.add(Observable.interval(EXPIRE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                 .subscribe(tick -> executor.expire()));
         metrics.gauge("oleandermoor_attempts", "Attempts that wait or run", executor::size);
@@ -188,6 +210,8 @@
     public void received(PeerConnection connection, Envelope envelope) {
         if (envelope.hasItems()) {
             items.received(envelope.getItems());
+        } else if (envelope.hasStepGrant()) {
+            orders.ifPresent(executorOfOrders -> executorOfOrders.accept(envelope.getStepGrant()));
         } else {
             executor.received(connection, envelope);
         }
@@ -247,8 +271,42 @@
         announce();
     }
 
-    private synchronized void observed(Optional<List<Resident>> listing) {
-        List<Resident> next = listing.orElse(List.of());
+    private OrderExecutor orderExecutor(long memoryBytes, OkHttpClient platform, EngineControl control) {
+        KeyValueStore store = new EtcdKeyValueStore(
+                platform, settings.get(CommonSettings.KEY_VALUE_SERVICE).toString());
+        return new OrderExecutor(
+                new MemorySettings(
+                        settings.get(AgentSettings.UPSTREAM_ID),
+                        memoryBytes >> 20,
+                        settings.get(AgentSettings.FENCING) == FencingSupport.ENFORCED
+                                ? Fencing.HONOURED
+                                : Fencing.IGNORED,
+                        settings.get(AgentSettings.ORDER_DELAY_LIMIT).toMillis(),
+                        PlacementOwnerRole.GRANT_VALID_MILLIS),
+                store,
+                new ConditionalWriter(
+                        store, Schedulers.computation(), instance.value() + "/" + incarnation + "/orders"),
+                control,
+                NOW_MILLIS);
+    }
+
+    /** Asks the placement owner what to load and unload. */
+    private void askForSteps() {
+        PeerConnection owner =
+                Optional.ofNullable(placementOwner).flatMap(network::connection).orElse(null);
+        if (owner != null && accepting) {
+            orders.flatMap(OrderExecutor::nextRequest)
+                    .ifPresent(request -> owner.send(
+                            Envelope.newBuilder().setStepRequest(request).build()));
+        }
+    }
+
+    private void observed(Optional<List<Resident>> listing, long requestedMillis) {
+        listing.ifPresent(residents -> orders.ifPresent(executor -> executor.listed(residents, requestedMillis)));
+        observed(listing.orElse(List.of()));
+    }
+
+    private synchronized void observed(List<Resident> next) {
         if (!next.equals(residents)) {
             residents = next;
             announce();
@@ -267,6 +325,7 @@
                 leaving,
                 incarnation,
                 sequence,
+                settings.find(AgentSettings.MEMORY).orElse(0L) >> 20,
                 ready(false),
                 ready(true));
         try {
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/UpstreamMonitor.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/UpstreamMonitor.java
@@ -6,7 +6,7 @@
 import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
-import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -17,24 +17,31 @@
 
     private final EngineControl control;
 
-    private final Consumer<Optional<List<Resident>>> listener;
+    private final LongSupplier fencingNumber;
+
+    private final LongSupplier nowMillis;
+
+    private final Listener listener;
 
     private boolean reachable = true;
 
-    UpstreamMonitor(EngineControl control, Consumer<Optional<List<Resident>>> listener) {
+    UpstreamMonitor(EngineControl control, LongSupplier fencingNumber, LongSupplier nowMillis, Listener listener) {
         this.control = control;
+        this.fencingNumber = fencingNumber;
+        this.nowMillis = nowMillis;
         this.listener = listener;
     }
 
     /** Reads the engine's listing; an engine that does not answer has nothing ready. */
     void poll() {
         try {
-            List<Resident> residents = control.list();
+            long requestedMillis = nowMillis.getAsLong();
+            List<Resident> residents = control.list(fencingNumber.getAsLong());
             note(true, "");
-            listener.accept(Optional.of(residents));
+            listener.listed(Optional.of(residents), requestedMillis);
         } catch (IOException exception) {
             note(false, String.valueOf(exception.getMessage()));
-            listener.accept(Optional.empty());
+            listener.listed(Optional.empty(), nowMillis.getAsLong());
         }
     }
 
@@ -46,4 +53,12 @@
                     .info(LOGGER);
         }
     }
+
+    /** Receives listings. */
+    @FunctionalInterface
+    interface Listener {
+
+        /** Called with what the engine lists, or nothing if it did not answer, and when the listing was requested. */
+        void listed(Optional<List<Resident>> residents, long requestedMillis);
+    }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
@@ -38,7 +38,7 @@
     static final int MAXIMUM_ATTEMPTS = 4;
 
     /** Age of an attempt up to which "never seen" is trusted; half of the retention of the agents' ledgers. */
-    static final long TRUSTED_ANSWER_MILLIS = 300_000;
+    static final long TRUSTED_ANSWER_MILLIS = 15_000;
 
     /** Time without a message after which the agent is asked about an attempt. */
     static final long SILENCE_MILLIS = 5_000;
@@ -137,6 +137,9 @@
                 .schedule(
                         request.deadlineMillis() - services.nowMillis().getAsLong(),
                         () -> worker.execute(() -> on(new AttemptEvent.DeadlinePassed())));
+        if (request.tokens() > 0) {
+            services.demand().add(request.dispatch().getModel(), request.tokens());
+        }
         if (request.team().isEmpty() || request.tokens() == 0) {
             beginOnce();
             return;
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -1,5 +1,6 @@
 package io.oleandermoor.daemon.entry;
 
+import com.fasterxml.jackson.databind.ObjectMapper;
 import io.oleandermoor.coordination.configuration.ConfigurationFollower;
 import io.oleandermoor.coordination.configuration.ConfigurationHolder;
 import io.oleandermoor.coordination.configuration.ConfigurationLog;
@@ -16,6 +17,7 @@
 import io.oleandermoor.daemon.administration.ProcessStatus;
 import io.oleandermoor.daemon.health.AdministrationServer;
 import io.oleandermoor.daemon.health.AdministrationServer.Readiness;
+import io.oleandermoor.daemon.network.CrashReport;
 import io.oleandermoor.daemon.network.FloodingItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
 import io.oleandermoor.daemon.network.UpstreamDescription;
@@ -26,6 +28,8 @@
 import io.oleandermoor.state.identity.FailureDomain;
 import io.oleandermoor.state.identity.InstanceId;
 import io.oleandermoor.state.identity.RequestId;
+import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.ledger.Crash;
 import io.oleandermoor.state.ledger.CrashRegistry;
 import io.oleandermoor.state.ledger.OnceDecider;
 import io.oleandermoor.state.rate.RateClientId;
@@ -118,6 +122,8 @@
 
     private final RateShell rates;
 
+    private final PlacementShell placement;
+
     private final RequestTable requests;
 
     private final UpstreamDirectory upstreams;
@@ -180,6 +186,7 @@
                 NOW_MILLIS);
         RoutingTable table = new RoutingTable();
         this.upstreams = new UpstreamDirectory(table, network, NOW_MILLIS);
+        this.placement = placementShell(store);
         this.requests = new RequestTable(
                 workers, timers, name -> network.connection(name).isPresent());
         EntryServices services = services(table, store);
@@ -203,6 +210,7 @@
     public void start() throws IOException {
         configuration.addListener(this::configurationChanged);
         items.listen(UpstreamDescription.ITEM_PREFIX, upstreams::accept);
+        items.listen(CrashReport.ITEM_PREFIX, this::crashReported);
         administration = new AdministrationServer(
                 settings.get(CommonSettings.ADMIN_ADDRESS),
                 settings.get(CommonSettings.ADMINISTRATION_BODY_LIMIT).intValue(),
@@ -212,7 +220,9 @@
         network.start(settings.get(CommonSettings.PEER_ADDRESS).toSocketAddress());
         follower.start(() -> true, change -> {});
         rates.register(leases);
+        placement.register(leases);
         rates.start();
+        placement.start();
         leases.start();
         callers = JoobyHttpServer.start(
                 settings.get(EntrySettings.CALLER_ADDRESS).toSocketAddress(),
@@ -242,6 +252,8 @@
             case HEARTBEAT ->
                 upstreams.report(connection, envelope.getHeartbeat().getLoad());
             case RATE_REQUEST -> rates.received(connection, envelope.getRateRequest());
+            case STEP_REQUEST -> placement.stepsRequested(connection, envelope);
+            case DEMAND_REPORT -> placement.demandReported(connection, envelope.getDemandReport());
             case RATE_GRANT -> rates.received(envelope.getRateGrant());
             default -> requests.received(connection, envelope);
         }
@@ -285,6 +297,7 @@
         if (!leases.stop().blockingAwait(1, TimeUnit.SECONDS)) {
             LOGGER.warn("event=leases_not_released");
         }
+        placement.close();
         rates.close();
         follower.stop();
         network.close();
@@ -311,12 +324,39 @@
                         store, new OnceDecider(RequestParser.LARGEST_TIMEOUT_MILLIS, LARGEST_STORED_BODY_BYTES)),
                 crashes,
                 new SharedRetryBudget(),
+                placement.demand(),
                 metrics,
                 timers,
                 RANDOM,
                 NOW_MILLIS);
     }
 
+    private PlacementShell placementShell(KeyValueStore store) {
+        return new PlacementShell(
+                new RateClientId(instance, incarnation),
+                store,
+                items,
+                network,
+                upstreams,
+                configuration::configuration,
+                NOW_MILLIS);
+    }
+
+    private void crashReported(String name, long version, byte[] content) {
+        try {
+            CrashReport report = new ObjectMapper().readValue(content, CrashReport.class);
+            Crash crash = new Crash(new UpstreamId(report.upstream()), report.atEpochMillis(), report.atEpochMillis());
+            report.fingerprints().forEach(fingerprint -> crashes.add(fingerprint, crash));
+            metrics.event("upstream_crash");
+        } catch (IOException exception) {
+            LogEvent.of("item_unreadable")
+                    .with("item", name)
+                    .with("version", version)
+                    .with("reason", exception.getMessage())
+                    .warn(LOGGER);
+        }
+    }
+
     private PeerIdentity identity() {
         return new PeerIdentity(
                 instance.value(),
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryServices.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryServices.java
@@ -18,6 +18,7 @@
  * @param once records of non-repeatable calls
  * @param crashes fingerprints that crash upstreams
  * @param retries the retry budget
+ * @param demand counts the demand for models
  * @param metrics the metrics of the process
  * @param timers timers
  * @param random the source of random choices; safe for use by several threads
@@ -31,6 +32,7 @@
         OnceService once,
         CrashRegistry crashes,
         SharedRetryBudget retries,
+        DemandMeter demand,
         ProcessMetrics metrics,
         Timers timers,
         UniformRandomProvider random,
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/UpstreamDirectory.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/UpstreamDirectory.java
@@ -5,6 +5,7 @@
 import io.oleandermoor.daemon.network.UpstreamDescription;
 import io.oleandermoor.protocol.message.Load;
 import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.placement.EngineStatus;
 import io.oleandermoor.state.routing.RoutingTable;
 import io.oleandermoor.state.routing.UpstreamLoad;
 import io.oleandermoor.transport.log.LogEvent;
@@ -12,9 +13,12 @@
 import java.io.IOException;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -30,6 +34,10 @@
 
     private final Map<String, UpstreamDescription> byInstance = new ConcurrentHashMap<>();
 
+    private final Map<UpstreamId, Long> lastConnectedMillis = new ConcurrentHashMap<>();
+
+    private final List<Consumer<UpstreamDescription>> listeners = new CopyOnWriteArrayList<>();
+
     private final RoutingTable table;
 
     private final PeerNetwork network;
@@ -61,6 +69,7 @@
         if (kept == next) {
             byInstance.put(next.instance(), next);
             table.update(next.toRecord(), nowMillis.getAsLong());
+            listeners.forEach(listener -> listener.accept(next));
         }
     }
 
@@ -80,6 +89,25 @@
         }
     }
 
+    void addListener(Consumer<UpstreamDescription> listener) {
+        listeners.add(listener);
+    }
+
+    /** Returns whether an upstream can be used; it is down when its agent has not been connected for a while. */
+    EngineStatus status(UpstreamId upstream, long downMillis) {
+        long now = nowMillis.getAsLong();
+        UpstreamDescription description = byUpstream.get(upstream);
+        if (description == null) {
+            return EngineStatus.DOWN;
+        }
+        if (connection(upstream).isPresent()) {
+            lastConnectedMillis.put(upstream, now);
+        } else if (now - lastConnectedMillis.computeIfAbsent(upstream, key -> now) > downMillis) {
+            return EngineStatus.DOWN;
+        }
+        return description.leaving() ? EngineStatus.LEAVING : EngineStatus.LIVE;
+    }
+
     Collection<UpstreamDescription> descriptions() {
         return Collections.unmodifiableCollection(byUpstream.values());
     }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/UpstreamDescription.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/UpstreamDescription.java
@@ -22,6 +22,7 @@
  * @param leaving whether new work is refused
  * @param incarnation start time of the agent in milliseconds since the epoch
  * @param sequence number of the announcement within the incarnation
+ * @param memoryMegabytes accelerator memory of an engine, 0 for a plain service
  * @param models models that are ready, empty for a plain service
  * @param adapters adapters that are ready together with their base model
  */
@@ -33,6 +34,7 @@
         boolean leaving,
         long incarnation,
         long sequence,
+        long memoryMegabytes,
         List<String> models,
         List<String> adapters) {
 
--- /dev/null
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/FleetView.java
@@ -0,0 +1,113 @@
+package io.oleandermoor.daemon.placement;
+
+import io.oleandermoor.state.identity.FailureDomain;
+import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.memory.EngineListing;
+import io.oleandermoor.state.memory.Order;
+import io.oleandermoor.state.memory.Residency;
+import io.oleandermoor.state.memory.Weights;
+import io.oleandermoor.state.placement.EngineState;
+import io.oleandermoor.state.placement.EngineStatus;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * The engines as their agents report them, together with the steps that were granted and are not yet reported. Used
+ * under the lock of the placement owner.
+ */
+final class FleetView {
+
+    /**
+     * Time for which a granted step is assumed to be under way without a report of it: the validity of a grant, the
+     * time to record the order, and some reports.
+     */
+    static final long PENDING_MILLIS = 6_000;
+
+    private final Map<UpstreamId, Engine> engines = new HashMap<>();
+
+    private final Map<UpstreamId, Map<Weights, Pending>> pending = new HashMap<>();
+
+    void announced(Engine engine) {
+        Engine known = engines.get(engine.id);
+        // The residents of a report are more exact than those of an announcement.
+        engines.put(engine.id, known == null || engine.residents.isEmpty() ? merge(engine, known) : engine);
+    }
+
+    void reported(UpstreamId upstream, List<EngineListing.Entry> residents, long nowMillis) {
+        Engine known = engines.get(upstream);
+        if (known == null) {
+            return;
+        }
+        engines.put(upstream, known.with(residents));
+        Map<Weights, Pending> steps = pending.getOrDefault(upstream, Map.of());
+        steps.entrySet().removeIf(entry -> isOver(entry.getKey(), entry.getValue(), residents, nowMillis));
+    }
+
+    void granted(UpstreamId upstream, Weights weights, long megabytes, Order.Kind kind, long nowMillis) {
+        pending.computeIfAbsent(upstream, key -> new LinkedHashMap<>())
+                .put(weights, new Pending(kind, megabytes, nowMillis + PENDING_MILLIS));
+    }
+
+    boolean isPending(UpstreamId upstream, Weights weights) {
+        return pending.getOrDefault(upstream, Map.of()).containsKey(weights);
+    }
+
+    /** Returns the state of all engines, with granted steps counted as under way. */
+    List<EngineState> states(java.util.function.Function<UpstreamId, EngineStatus> status) {
+        List<EngineState> states = new ArrayList<>();
+        for (Engine engine : engines.values()) {
+            Map<Weights, EngineListing.Entry> residents = new LinkedHashMap<>();
+            engine.residents.forEach(entry -> residents.put(entry.weights(), entry));
+            pending.getOrDefault(engine.id, Map.of())
+                    .forEach((weights, step) ->
+                            residents.merge(weights, step.toEntry(weights), (reported, granted) -> granted));
+            states.add(new EngineState(
+                    engine.id,
+                    engine.domain,
+                    engine.memoryMegabytes,
+                    status.apply(engine.id),
+                    List.copyOf(residents.values())));
+        }
+        return states;
+    }
+
+    private static Engine merge(Engine engine, @org.jspecify.annotations.Nullable Engine known) {
+        return known == null ? engine : engine.with(known.residents);
+    }
+
+    private static boolean isOver(Weights weights, Pending step, List<EngineListing.Entry> residents, long nowMillis) {
+        if (nowMillis >= step.untilMillis) {
+            return true;
+        }
+        boolean present = residents.stream().anyMatch(entry -> entry.weights().equals(weights));
+        boolean unloading = residents.stream()
+                .anyMatch(entry -> entry.weights().equals(weights) && entry.residency() == Residency.UNLOADING);
+        return step.kind == Order.Kind.LOAD ? present : !present || unloading;
+    }
+
+    /**
+     * One engine.
+     *
+     * @param id the upstream
+     * @param domain its failure domain
+     * @param memoryMegabytes accelerator memory in megabytes
+     * @param residents what takes or may take memory
+     */
+    record Engine(UpstreamId id, FailureDomain domain, long memoryMegabytes, List<EngineListing.Entry> residents) {
+
+        Engine with(List<EngineListing.Entry> others) {
+            return new Engine(id, domain, memoryMegabytes, List.copyOf(others));
+        }
+    }
+
+    private record Pending(Order.Kind kind, long megabytes, long untilMillis) {
+
+        EngineListing.Entry toEntry(Weights weights) {
+            return new EngineListing.Entry(
+                    weights, megabytes, kind == Order.Kind.LOAD ? Residency.LOADING : Residency.UNLOADING);
+        }
+    }
+}
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/engine/EngineMemory.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/engine/EngineMemory.java
@@ -85,6 +85,7 @@
             entry.put("version", resident.version);
             entry.put("state", resident.state);
             entry.put("adapter", resident.baseModel.isPresent());
+            entry.put("megabytes", settings.size(resident.name));
             list.add(entry);
         }
         return list;
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/EngineControl.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/EngineControl.java
@@ -50,18 +50,20 @@
     /**
      * Lists what the engine has in memory.
      *
+     * @param fencingNumber the fencing number of the agent
      * @return models and adapters with their state
      * @throws IOException if the engine does not answer
      */
-    public List<Resident> list() throws IOException {
-        JsonNode response = post("/v2/repository/index", MAPPER.createObjectNode(), 0);
+    public List<Resident> list(long fencingNumber) throws IOException {
+        JsonNode response = post("/v2/repository/index", MAPPER.createObjectNode(), fencingNumber);
         List<Resident> residents = new ArrayList<>();
         for (JsonNode node : response) {
             residents.add(new Resident(
                     node.path("name").asText(),
                     node.path("version").asText(),
                     node.path("state").asText(),
-                    node.path("adapter").asBoolean(false)));
+                    node.path("adapter").asBoolean(false),
+                    node.path("megabytes").asLong(0)));
         }
         return residents;
     }
@@ -138,8 +140,9 @@
      * @param version the version of the weights
      * @param state {@code READY}, {@code LOADING} or {@code UNLOADING}
      * @param adapter true for an adapter
+     * @param megabytes memory that it takes, 0 if the engine does not say
      */
-    public record Resident(String name, String version, String state, boolean adapter) {
+    public record Resident(String name, String version, String state, boolean adapter, long megabytes) {
 
         /**
          * Returns whether requests can use it.
