Spread configuration and announcements by exchanges between peers

At most three entries read the key-value service; others receive changes as items and the whole configuration on request. Heartbeats carry the version in force, so that any entry reports it for all entries.

--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
@@ -2,16 +2,18 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.oleandermoor.coordination.dissemination.Freshness;
 import io.oleandermoor.coordination.store.ConditionalWriter;
 import io.oleandermoor.coordination.store.KeyValueStore;
 import io.oleandermoor.daemon.health.AdministrationServer;
 import io.oleandermoor.daemon.health.AdministrationServer.Readiness;
-import io.oleandermoor.daemon.network.FloodingItemExchange;
+import io.oleandermoor.daemon.network.DisseminatingItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
 import io.oleandermoor.daemon.network.UpstreamDescription;
 import io.oleandermoor.daemon.placement.OrderExecutor;
 import io.oleandermoor.daemon.placement.PlacementOwnerRole;
 import io.oleandermoor.protocol.message.Envelope;
+import io.oleandermoor.protocol.message.Heartbeat;
 import io.oleandermoor.protocol.message.Load;
 import io.oleandermoor.protocol.message.Role;
 import io.oleandermoor.state.admission.AdmissionPolicy;
@@ -50,6 +52,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import okhttp3.OkHttpClient;
+import org.apache.commons.rng.simple.RandomSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -90,7 +93,7 @@
 
     private final PeerNetwork network;
 
-    private final FloodingItemExchange items;
+    private final DisseminatingItemExchange items;
 
     private final FairWaitingQueue queue;
 
@@ -140,8 +143,9 @@
                         platform, settings.get(CommonSettings.INSTANCE_LIST).toString()),
                 other -> false,
                 this,
-                this::load);
-        this.items = new FloodingItemExchange(network::connections);
+                () -> Heartbeat.newBuilder().setLoad(load()).build());
+        this.items = new DisseminatingItemExchange(
+                RandomSource.XO_RO_SHI_RO_128_PP.create(), new Freshness(), network::connections, List::of, NOW_MILLIS);
         this.queue = new FairWaitingQueue(
                 new QueueSettings(AdmissionPolicy.FAIR, settings.get(AgentSettings.SLOTS), LARGEST_QUEUE, 1, 1, 10),
                 NOW_MILLIS);
@@ -190,6 +194,9 @@
         items.listen(
                 PlacementOwnerRole.NAME,
                 (name, version, content) -> placementOwner = new String(content, StandardCharsets.UTF_8));
+        timers.add(
+                Observable.interval(DisseminatingItemExchange.EXCHANGE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
+                        .subscribe(tick -> items.exchange()));
         timers.add(Observable.interval(STEP_REQUEST_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                 .subscribe(tick -> askForSteps()));
         timers.add(Observable.interval(EXPIRE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
@@ -209,7 +216,7 @@
     @Override
     public void received(PeerConnection connection, Envelope envelope) {
         if (envelope.hasItems()) {
-            items.received(envelope.getItems());
+            items.received(connection, envelope.getItems());
         } else if (envelope.hasStepGrant()) {
             orders.ifPresent(executorOfOrders -> executorOfOrders.accept(envelope.getStepGrant()));
         } else {
--- /dev/null
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CrashReportListener.java
@@ -0,0 +1,46 @@
+package io.oleandermoor.daemon.entry;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import io.oleandermoor.daemon.network.CrashReport;
+import io.oleandermoor.daemon.network.ItemExchange.ItemListener;
+import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.ledger.Crash;
+import io.oleandermoor.state.ledger.CrashRegistry;
+import io.oleandermoor.transport.log.LogEvent;
+import io.oleandermoor.transport.metrics.ProcessMetrics;
+import java.io.IOException;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Enters the crashes that agents report into the registry. */
+final class CrashReportListener implements ItemListener {
+
+    private static final Logger LOGGER = LogManager.getLogger(CrashReportListener.class);
+
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    private final CrashRegistry crashes;
+
+    private final ProcessMetrics metrics;
+
+    CrashReportListener(CrashRegistry crashes, ProcessMetrics metrics) {
+        this.crashes = crashes;
+        this.metrics = metrics;
+    }
+
+    @Override
+    public void received(String name, long version, byte[] content) {
+        try {
+            CrashReport report = MAPPER.readValue(content, CrashReport.class);
+            Crash crash = new Crash(new UpstreamId(report.upstream()), report.atEpochMillis(), report.atEpochMillis());
+            report.fingerprints().forEach(fingerprint -> crashes.add(fingerprint, crash));
+            metrics.event("upstream_crash");
+        } catch (IOException exception) {
+            LogEvent.of("item_unreadable")
+                    .with("item", name)
+                    .with("version", version)
+                    .with("reason", exception.getMessage())
+                    .warn(LOGGER);
+        }
+    }
+}
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -1,6 +1,5 @@
 package io.oleandermoor.daemon.entry;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import io.oleandermoor.coordination.configuration.ConfigurationFollower;
 import io.oleandermoor.coordination.configuration.ConfigurationHolder;
 import io.oleandermoor.coordination.configuration.ConfigurationLog;
@@ -10,6 +9,8 @@
 import io.oleandermoor.coordination.lease.LeaseSettings;
 import io.oleandermoor.coordination.lease.OwnershipPreference;
 import io.oleandermoor.coordination.membership.KeyFreshnessPolicy;
+import io.oleandermoor.coordination.membership.ServiceReaders;
+import io.oleandermoor.coordination.selection.RendezvousHash;
 import io.oleandermoor.coordination.store.KeyValueStore;
 import io.oleandermoor.daemon.administration.AdministrationApi;
 import io.oleandermoor.daemon.administration.AdministrationRequest;
@@ -17,19 +18,18 @@
 import io.oleandermoor.daemon.administration.ProcessStatus;
 import io.oleandermoor.daemon.health.AdministrationServer;
 import io.oleandermoor.daemon.health.AdministrationServer.Readiness;
+import io.oleandermoor.daemon.network.ConfigurationItems;
 import io.oleandermoor.daemon.network.CrashReport;
-import io.oleandermoor.daemon.network.FloodingItemExchange;
+import io.oleandermoor.daemon.network.DisseminatingItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
 import io.oleandermoor.daemon.network.UpstreamDescription;
 import io.oleandermoor.protocol.message.Envelope;
-import io.oleandermoor.protocol.message.Load;
+import io.oleandermoor.protocol.message.Heartbeat;
 import io.oleandermoor.protocol.message.Role;
 import io.oleandermoor.state.configuration.Configuration;
 import io.oleandermoor.state.identity.FailureDomain;
 import io.oleandermoor.state.identity.InstanceId;
 import io.oleandermoor.state.identity.RequestId;
-import io.oleandermoor.state.identity.UpstreamId;
-import io.oleandermoor.state.ledger.Crash;
 import io.oleandermoor.state.ledger.CrashRegistry;
 import io.oleandermoor.state.ledger.OnceDecider;
 import io.oleandermoor.state.rate.RateClientId;
@@ -56,16 +56,19 @@
 import io.oleandermoor.transport.settings.Settings;
 import io.oleandermoor.transport.worker.Timers;
 import io.oleandermoor.transport.worker.WorkerPool;
+import io.reactivex.rxjava3.core.Observable;
+import io.reactivex.rxjava3.disposables.Disposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import okhttp3.OkHttpClient;
 import org.apache.commons.rng.UniformRandomProvider;
-import org.apache.commons.rng.simple.ThreadLocalRandomSource;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -87,7 +90,7 @@
     private static final RateSettings RATE_SETTINGS =
             new RateSettings(RatePolicy.OWNER_GRANTS, MAXIMUM_ENTRIES, 4_000, 500, 8_000, 100, 20, 50);
 
-    private static final UniformRandomProvider RANDOM = new ThreadLocalUniformRandom();
+    private static final UniformRandomProvider RANDOM = new ThreadLocalRandomProvider();
 
     private static final int LARGEST_CRASH_REGISTRY = 10_000;
 
@@ -110,7 +113,7 @@
 
     private final PeerNetwork network;
 
-    private final FloodingItemExchange items;
+    private final DisseminatingItemExchange items;
 
     private final ConfigurationHolder configuration = new ConfigurationHolder();
 
@@ -138,6 +141,11 @@
 
     private volatile boolean stopping;
 
+    /** Version of the configuration in force at each connected process, as its last heartbeat said. */
+    private final Map<PeerIdentity, Long> versions = new ConcurrentHashMap<>();
+
+    private Disposable exchanges = Disposable.disposed();
+
     private @Nullable HttpServer callers;
 
     private @Nullable AdministrationServer administration;
@@ -161,8 +169,8 @@
                         client, settings.get(CommonSettings.INSTANCE_LIST).toString()),
                 this::connectsTo,
                 this,
-                Load::getDefaultInstance);
-        this.items = new FloodingItemExchange(network::connections);
+                this::heartbeat);
+        this.items = new DisseminatingItemExchange(RANDOM, freshness, network::connections, this::readers, NOW_MILLIS);
         KeyValueStore store = new EtcdKeyValueStore(
                 client, settings.get(CommonSettings.KEY_VALUE_SERVICE).toString());
         ConfigurationLog log =
@@ -210,7 +218,7 @@
     public void start() throws IOException {
         configuration.addListener(this::configurationChanged);
         items.listen(UpstreamDescription.ITEM_PREFIX, upstreams::accept);
-        items.listen(CrashReport.ITEM_PREFIX, this::crashReported);
+        items.listen(CrashReport.ITEM_PREFIX, new CrashReportListener(crashes, metrics));
         administration = new AdministrationServer(
                 settings.get(CommonSettings.ADMIN_ADDRESS),
                 settings.get(CommonSettings.ADMINISTRATION_BODY_LIMIT).intValue(),
@@ -218,7 +226,14 @@
                 this::readiness,
                 this::administer);
         network.start(settings.get(CommonSettings.PEER_ADDRESS).toSocketAddress());
-        follower.start(() -> true, change -> {});
+        ConfigurationItems configurationItems = new ConfigurationItems(items, configuration);
+        follower.start(() -> readers().contains(instance), configurationItems::publish);
+        exchanges = Observable.interval(
+                        DisseminatingItemExchange.EXCHANGE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
+                .subscribe(tick -> {
+                    items.exchange();
+                    configurationItems.repair();
+                });
         rates.register(leases);
         placement.register(leases);
         rates.start();
@@ -248,9 +263,14 @@
     @Override
     public void received(PeerConnection connection, Envelope envelope) {
         switch (envelope.getPayloadCase()) {
-            case ITEMS -> items.received(envelope.getItems());
-            case HEARTBEAT ->
+            case ITEMS -> {
+                follower.heard();
+                items.received(connection, envelope.getItems());
+            }
+            case HEARTBEAT -> {
                 upstreams.report(connection, envelope.getHeartbeat().getLoad());
+                versions.put(connection.remote(), envelope.getHeartbeat().getConfigurationVersion());
+            }
             case RATE_REQUEST -> rates.received(connection, envelope.getRateRequest());
             case STEP_REQUEST -> placement.stepsRequested(connection, envelope);
             case DEMAND_REPORT -> placement.demandReported(connection, envelope.getDemandReport());
@@ -261,6 +281,7 @@
 
     @Override
     public void closed(PeerConnection connection) {
+        versions.remove(connection.remote());
         requests.connectionLost(connection.remote().instance());
     }
 
@@ -297,6 +318,7 @@
         if (!leases.stop().blockingAwait(1, TimeUnit.SECONDS)) {
             LOGGER.warn("event=leases_not_released");
         }
+        exchanges.dispose();
         placement.close();
         rates.close();
         follower.stop();
@@ -331,6 +353,12 @@
                 NOW_MILLIS);
     }
 
+    private Heartbeat heartbeat() {
+        return Heartbeat.newBuilder()
+                .setConfigurationVersion(configuration.configuration().version())
+                .build();
+    }
+
     private PlacementShell placementShell(KeyValueStore store) {
         return new PlacementShell(
                 new RateClientId(instance, incarnation),
@@ -342,21 +370,6 @@
                 NOW_MILLIS);
     }
 
-    private void crashReported(String name, long version, byte[] content) {
-        try {
-            CrashReport report = new ObjectMapper().readValue(content, CrashReport.class);
-            Crash crash = new Crash(new UpstreamId(report.upstream()), report.atEpochMillis(), report.atEpochMillis());
-            report.fingerprints().forEach(fingerprint -> crashes.add(fingerprint, crash));
-            metrics.event("upstream_crash");
-        } catch (IOException exception) {
-            LogEvent.of("item_unreadable")
-                    .with("item", name)
-                    .with("version", version)
-                    .with("reason", exception.getMessage())
-                    .warn(LOGGER);
-        }
-    }
-
     private PeerIdentity identity() {
         return new PeerIdentity(
                 instance.value(),
@@ -404,6 +417,16 @@
                 settings.get(CommonSettings.FAILURE_DOMAIN).value(),
                 readiness().reason(),
                 configuration.configuration().version()));
+        versions.forEach((peer, version) -> {
+            if (peer.role() == Role.ENTRY) {
+                processes.add(new ProcessStatus(
+                        peer.instance(),
+                        "entry",
+                        peer.failureDomain(),
+                        version == 0 ? "no configuration" : "ready",
+                        version));
+            }
+        });
         return processes;
     }
 
@@ -428,6 +451,11 @@
         return age.isPresent() && (age.getAsLong() < KeyFreshnessPolicy.MAXIMUM_AGE_MILLIS || reachesMostEntries());
     }
 
+    /** Returns the entries that read the configuration at the key-value service for all others. */
+    private List<InstanceId> readers() {
+        return RendezvousHash.choose("configuration-readers", entries(), ServiceReaders.READERS_PER_REGION);
+    }
+
     private boolean reachesMostEntries() {
         long listed = network.listed().stream()
                 .filter(other -> other.role().equals("entry"))
@@ -447,14 +475,4 @@
             Thread.currentThread().interrupt();
         }
     }
-
-    /** A source of random numbers that each thread has for itself. */
-    private static final class ThreadLocalUniformRandom implements UniformRandomProvider {
-
-        @Override
-        public long nextLong() {
-            return ThreadLocalRandomSource.current(org.apache.commons.rng.simple.RandomSource.XO_RO_SHI_RO_128_PP)
-                    .nextLong();
-        }
-    }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/PeerNetwork.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/PeerNetwork.java
@@ -1,7 +1,7 @@
 package io.oleandermoor.daemon.network;
 
 import io.oleandermoor.protocol.message.Envelope;
-import io.oleandermoor.protocol.message.Load;
+import io.oleandermoor.protocol.message.Heartbeat;
 import io.oleandermoor.transport.log.LogEvent;
 import io.oleandermoor.transport.peer.PeerConnection;
 import io.oleandermoor.transport.peer.PeerIdentity;
@@ -62,18 +62,18 @@
      * @param instanceList the platform's list
      * @param connectTo selects the instances to which this process opens connections
      * @param listener receives the events of connections
-     * @param load supplies the load for heartbeats
+     * @param heartbeat supplies what heartbeats carry
      */
     public PeerNetwork(
             PeerIdentity self,
             InstanceListClient instanceList,
             Predicate<InstanceListClient.Instance> connectTo,
             PeerListener listener,
-            Supplier<Load> load) {
+            Supplier<Heartbeat> heartbeat) {
         this.self = self;
         this.instanceList = instanceList;
         this.connectTo = connectTo;
-        this.node = new PeerNode(self, new Registrar(listener), load, 2);
+        this.node = new PeerNode(self, new Registrar(listener), heartbeat, 2);
     }
 
     /**
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/peer/PeerChannelHandler.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/peer/PeerChannelHandler.java
@@ -7,7 +7,6 @@
 import io.netty.handler.timeout.IdleStateEvent;
 import io.oleandermoor.protocol.message.Envelope;
 import io.oleandermoor.protocol.message.Heartbeat;
-import io.oleandermoor.protocol.message.Load;
 import io.oleandermoor.transport.log.LogEvent;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
@@ -24,7 +23,7 @@
 
     private final PeerListener listener;
 
-    private final Supplier<Load> load;
+    private final Supplier<Heartbeat> content;
 
     private final Channel channel;
 
@@ -32,10 +31,10 @@
 
     private long heartbeats;
 
-    PeerChannelHandler(PeerIdentity self, PeerListener listener, Supplier<Load> load, Channel channel) {
+    PeerChannelHandler(PeerIdentity self, PeerListener listener, Supplier<Heartbeat> content, Channel channel) {
         this.self = self;
         this.listener = listener;
-        this.load = load;
+        this.content = content;
         this.channel = channel;
     }
 
@@ -102,10 +101,8 @@
                 close("nothing received for " + PeerNode.SILENCE_TIMEOUT_MILLIS + " ms");
             } else if (idle.state() == IdleState.WRITER_IDLE) {
                 heartbeats++;
-                Heartbeat heartbeat = Heartbeat.newBuilder()
-                        .setSequence(heartbeats)
-                        .setLoad(load.get())
-                        .build();
+                Heartbeat heartbeat =
+                        content.get().toBuilder().setSequence(heartbeats).build();
                 channel.writeAndFlush(
                         Envelope.newBuilder().setHeartbeat(heartbeat).build());
             }
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/peer/PeerNode.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/peer/PeerNode.java
@@ -19,7 +19,7 @@
 import io.netty.handler.timeout.IdleStateHandler;
 import io.netty.util.concurrent.DefaultThreadFactory;
 import io.oleandermoor.protocol.message.Envelope;
-import io.oleandermoor.protocol.message.Load;
+import io.oleandermoor.protocol.message.Heartbeat;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.concurrent.TimeUnit;
@@ -51,7 +51,7 @@
 
     private final PeerListener listener;
 
-    private final Supplier<Load> load;
+    private final Supplier<Heartbeat> heartbeat;
 
     private final EventLoopGroup acceptor = new NioEventLoopGroup(1, new DefaultThreadFactory("peer-accept", true));
 
@@ -62,13 +62,13 @@
      *
      * @param self what this process says about itself
      * @param listener receives the events of all connections
-     * @param load supplies the load that heartbeats carry
+     * @param heartbeat supplies what heartbeats carry; the sequence is added
      * @param threads the number of event loops
      */
-    public PeerNode(PeerIdentity self, PeerListener listener, Supplier<Load> load, int threads) {
+    public PeerNode(PeerIdentity self, PeerListener listener, Supplier<Heartbeat> heartbeat, int threads) {
         this.self = self;
         this.listener = listener;
-        this.load = load;
+        this.heartbeat = heartbeat;
         this.eventLoops = new NioEventLoopGroup(threads, new DefaultThreadFactory("peer", true));
     }
 
@@ -137,7 +137,7 @@
                     .addLast(new ProtobufDecoder(Envelope.getDefaultInstance()))
                     .addLast(new ProtobufVarint32LengthFieldPrepender())
                     .addLast(new ProtobufEncoder())
-                    .addLast(new PeerChannelHandler(self, listener, load, (Channel) channel));
+                    .addLast(new PeerChannelHandler(self, listener, heartbeat, (Channel) channel));
         }
     }
 }
