--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/LocalTeam.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/LocalTeam.java
@@ -69,10 +69,6 @@
         largest = Math.max(largest, tokens);
     }
 
-    boolean hasNeed() {
-        return needed > 0;
-    }
-
     void clearNeed() {
         needed = 0;
         largest = 0;
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/RateClient.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/rate/RateClient.java
@@ -14,9 +14,12 @@
  * the small floor of the entry.
  *
  * <p>The caller reserves tokens for each request. On {@link RateDecision.AskOwner} it sends {@link #nextRequest} to the
- * owner, passes the response to {@link #accept}, and reserves again for every waiting request. Between requests it
- * calls {@link #nextRequest} about every 50 ms and sends what it returns. When a request has ended it calls
- * {@link #settle}.
+ * owner, passes the response to {@link #accept}, and reserves again for every waiting request; without a response it
+ * reserves again after {@value RateSettings#REQUEST_TIMEOUT_MILLIS} ms. Between requests it calls {@link #nextRequest}
+ * about every 50 ms and sends what it returns. When a request has ended it calls {@link #settle}.
+ *
+ * <p>A caller with patience beyond the time of a refusal better waits and reserves again, because tokens often return
+ * earlier than promised.
  *
  * <p>Tokens count as spent at the time passed to {@link #reserve}; the caller reads its clock immediately before.
  *
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/rate/RateLimitPropertyTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/rate/RateLimitPropertyTest.java
@@ -69,6 +69,9 @@
                 simulation.unreachable =
                         simulation.millis % 17_000 > 6_000 ? (int) (simulation.millis / 17_000) % 5 : 0;
             }
+            if (kind == Kind.ENTRIES_RESTARTED && simulation.millis % 20_000 == 0) {
+                simulation.entries().forEach(RateSimulation.Entry::restart);
+            }
             simulation.step();
             offerLoad(simulation, waves);
         }
