Put waiting changes in force in one step

A thread could read a version between two changes that were applied together, which offersAreLinearizable found in one of its runs. Versions never fell, but the offers were not atomic. The result is now published once.

--- a/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/configuration/ConfigurationHolder.java
+++ b/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/configuration/ConfigurationHolder.java
@@ -65,8 +65,8 @@
             if (configuration.version() <= inForce.version()) {
                 return false;
             }
-            put(configuration);
-            applyWaiting();
+            toReport.add(configuration);
+            applyWaiting(configuration);
         }
         report();
         return true;
@@ -88,7 +88,7 @@
                 if (waiting.size() > MAXIMUM_WAITING) {
                     waiting.pollLastEntry();
                 }
-                failure = applyWaiting().orElse(null);
+                failure = applyWaiting(inForce).orElse(null);
             }
             changed = inForce.version() > before;
         }
@@ -112,26 +112,29 @@
         }
     }
 
-    private void put(Configuration configuration) {
-        inForce = configuration;
-        toReport.add(configuration);
-    }
-
-    /** Returns why a change cannot be applied; it is dropped, so that its version is missing and is read as a whole. */
-    private Optional<InvalidInputException> applyWaiting() {
-        waiting.headMap(inForce.version(), true).clear();
+    /**
+     * Puts a configuration in force after applying the changes that wait for it. Other threads see only the result.
+     *
+     * @return why a change cannot be applied; it is dropped, so that its version is missing and is read as a whole
+     */
+    private Optional<InvalidInputException> applyWaiting(Configuration start) {
+        Configuration current = start;
+        Optional<InvalidInputException> failure = Optional.empty();
+        waiting.headMap(current.version(), true).clear();
         for (Map.Entry<Long, ChangeSet> next = waiting.firstEntry();
-                next != null && next.getKey() == inForce.version() + 1;
+                failure.isEmpty() && next != null && next.getKey() == current.version() + 1;
                 next = waiting.firstEntry()) {
             waiting.pollFirstEntry();
             lastTried = next.getKey();
             try {
-                put(inForce.apply(next.getValue()));
+                current = current.apply(next.getValue());
+                toReport.add(current);
             } catch (InvalidInputException exception) {
-                return Optional.of(exception);
+                failure = Optional.of(exception);
             }
         }
-        return Optional.empty();
+        inForce = current;
+        return failure;
     }
 
     /** Reports in order: one thread reports at a time, and takes what others add meanwhile. */
