Drop finished calls, keep timers alive and test late answers

Finished renewals and reads stayed in a list for the life of the process; they now leave it. A failure in a tick no longer ends the timer. A reader that cannot apply a change takes the whole configuration.

--- a/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/configuration/ConfigurationFollower.java
+++ b/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/configuration/ConfigurationFollower.java
@@ -83,9 +83,14 @@
     public void start(BooleanSupplier reader, Consumer<VersionedChange> found) {
         lastHeardMillis = clock.getAsLong();
         running.add(Observable.interval(0, TICK_MILLIS, TimeUnit.MILLISECONDS, scheduler)
-                .subscribe(
-                        tick -> tick(reader.getAsBoolean(), found),
-                        failure -> LOG.error("event=configuration-follower-failed error=\"{}\"", failure, failure)));
+                .subscribe(number -> {
+                    try {
+                        tick(reader.getAsBoolean(), found);
+                    } catch (RuntimeException failure) {
+                        // The timer goes on, because the configuration would otherwise stay as it is for good.
+                        LOG.error("event=configuration-follower-failed error=\"{}\"", failure.toString(), failure);
+                    }
+                }));
     }
 
     /** Stops following; the configuration in force stays. */
@@ -115,7 +120,7 @@
         }
         if (read) {
             long version = holder.configuration().version();
-            running.add(log.readAfter(version)
+            var unused = log.readAfter(version)
                     .timeout(READ_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS, scheduler)
                     .subscribe(
                             update -> {
@@ -126,7 +131,8 @@
                             failure -> {
                                 finished(false, reader);
                                 LOG.warn("event=configuration-read-failed error=\"{}\"", failure.getMessage());
-                            }));
+                            },
+                            running);
         }
     }
 
@@ -156,14 +162,12 @@
     }
 
     private void apply(ConfigurationUpdate update, long versionBefore, Consumer<VersionedChange> found) {
-        if (update.changes().isEmpty()) {
-            holder.offer(update.configuration());
-            return;
-        }
         boolean changed = false;
         for (VersionedChange change : update.changes()) {
             changed |= holder.offer(change);
         }
+        // Also when the changes are not at hand, or cannot be applied here.
+        changed |= holder.offer(update.configuration());
         if (changed) {
             LOG.info(
                     "event=configuration-read version={} before={}",
--- a/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/lease/LeaseKeeper.java
+++ b/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/lease/LeaseKeeper.java
@@ -89,9 +89,14 @@
     /** Starts the timer. */
     public void start() {
         running.add(Observable.interval(0, settings.tickMillis(), TimeUnit.MILLISECONDS, scheduler)
-                .subscribe(
-                        tick -> tick(),
-                        failure -> LOG.error("event=lease-keeper-failed error=\"{}\"", failure, failure)));
+                .subscribe(number -> {
+                    try {
+                        tick();
+                    } catch (RuntimeException failure) {
+                        // The timer goes on; terms that cannot be renewed end by the clock.
+                        LOG.error("event=lease-keeper-failed error=\"{}\"", failure.toString(), failure);
+                    }
+                }));
     }
 
     /**
@@ -194,7 +199,7 @@
             }
             renewalSentMillis = nowMillis;
         }
-        running.add(store.renewLease(current.id())
+        var unused = store.renewLease(current.id())
                 .timeout(settings.validMillis(), TimeUnit.MILLISECONDS, scheduler)
                 .subscribe(
                         alive -> {
@@ -210,11 +215,12 @@
                             }
                             endInvalidTerms();
                         },
-                        failure -> LOG.warn("event=lease-renewal-failed error=\"{}\"", failure.getMessage())));
+                        failure -> LOG.warn("event=lease-renewal-failed error=\"{}\"", failure.getMessage()),
+                        running);
     }
 
     private void attempt(Candidacy candidacy) {
-        running.add(store.get(candidacy.name)
+        var unused = store.get(candidacy.name)
                 .flatMapMaybe(found -> found.isPresent() ? adopt(candidacy, found.get()) : take(candidacy.name))
                 .timeout(settings.validMillis(), TimeUnit.MILLISECONDS, scheduler)
                 .doFinally(() -> {
@@ -227,7 +233,9 @@
                         failure -> LOG.warn(
                                 "event=ownership-attempt-failed name={} error=\"{}\"",
                                 candidacy.name,
-                                failure.getMessage())));
+                                failure.getMessage()),
+                        () -> {},
+                        running);
     }
 
     /**
@@ -311,13 +319,14 @@
                 "event=ownership-handed-over name={} fencing={}",
                 candidacy.name,
                 term.fencing().value());
-        running.add(store.compareAndDelete(candidacy.name, term.fencing().value())
+        var unused = store.compareAndDelete(candidacy.name, term.fencing().value())
                 .subscribe(
                         result -> LOG.debug("event=ownership-released name={}", candidacy.name),
                         failure -> LOG.warn(
                                 "event=ownership-not-released name={} error=\"{}\"",
                                 candidacy.name,
-                                failure.getMessage())));
+                                failure.getMessage()),
+                        running);
     }
 
     private record Taken(LeaseValidity lease, long revision) {}
--- a/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/lease/LeaseValidity.java
+++ b/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/lease/LeaseValidity.java
@@ -44,6 +44,7 @@
     }
 
     synchronized void end() {
-        validUntilMillis = Long.MIN_VALUE;
+        // Far enough in the past for every clock, and without overflow in sentMillis.
+        validUntilMillis = Long.MIN_VALUE / 2;
     }
 }
--- a/oleandermoor-coordination/src/test/java/io/oleandermoor/coordination/dissemination/FreshnessTest.java
+++ b/oleandermoor-coordination/src/test/java/io/oleandermoor/coordination/dissemination/FreshnessTest.java
@@ -26,6 +26,27 @@
         assertThat(freshness.ageMillis(70_000)).hasValue(61_020);
     }
 
+    /** Guards against the same fault in the exchange itself. */
+    @Test
+    void lateAnswerToAnExchangeIsOld() {
+        DisseminationFleet fleet = new DisseminationFleet(2, 3);
+        Process asking = fleet.processes.get(0);
+        Process answering = fleet.processes.get(1);
+        asking.disseminator.setPeers(List.of(answering.id), List.of());
+        answering.freshness.confirm(0, 0);
+        OutgoingMessage question =
+                asking.disseminator.exchange(1_000).messages().get(0);
+        OutgoingMessage answer = answering
+                .disseminator
+                .receive(asking.id, question.message(), 1_000)
+                .messages()
+                .get(0);
+        asking.disseminator.receive(answering.id, answer.message(), 61_000);
+        assertThat(asking.freshness.ageMillis(61_000)).hasValue(61_020);
+        asking.disseminator.receive(answering.id, answer.message(), 62_000);
+        assertThat(asking.freshness.ageMillis(62_000)).hasValue(62_020);
+    }
+
     /** Guards against entries that refuse keys although the service and the network work. */
     @Test
     void entriesStayFreshThroughPeers() {
