Unload the adapters of an old model version together

Two engines that change the version of the same model could each unload a different adapter and then keep the last copy of what the other had given up; neither could change the version. The adapters of a model copy are now unloaded together or not at all. An adapter is loaded beside an old version only while that version cannot go because it carries the last copy of another adapter.

--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/StepPlanner.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/StepPlanner.java
@@ -118,7 +118,7 @@
         for (Weights adapter : wanted.adapters()) {
             boolean baseReady = residents
                     .base(adapter)
-                    .filter(base -> isWantedVersionReady(engine, base))
+                    .filter(base -> canCarryAdapter(engine, base))
                     .isPresent();
             if (baseReady && residency(engine, adapter).isEmpty()) {
                 candidates.add(candidate(engine, adapter));
@@ -201,9 +201,9 @@
             return false;
         }
         if (weights instanceof ModelVersion version && !isOtherVersionReady(engine, version)) {
-            List<EngineListing.Entry> dependent = dependentAdapters(engine, version);
+            List<EngineListing.Entry> dependent = dependentAdapters(engine, version.name());
             if (!dependent.isEmpty()) {
-                dependent.forEach(adapter -> unloadForModel(engine, adapter));
+                unloadForModel(engine, dependent);
                 return false;
             }
         }
@@ -217,12 +217,22 @@
         return true;
     }
 
-    /** Unloads an adapter whose base model has to go, even if the adapter is wanted again beside the next version. */
-    private void unloadForModel(EngineState engine, EngineListing.Entry adapter) {
-        boolean isReady = residents.ready(adapter.weights()).stream()
-                .anyMatch(copy -> copy.engine().id().equals(engine.id()));
-        if (isReady) {
-            unload(engine, adapter);
+    /**
+     * Unloads the adapters of a base model that has to go, even if they are wanted again beside the next version. All
+     * of them are unloaded or none: otherwise two engines could each keep the last copy of an adapter that the other
+     * has given up, and neither could change the version.
+     */
+    private void unloadForModel(EngineState engine, List<EngineListing.Entry> adapters) {
+        List<EngineListing.Entry> ready = adapters.stream()
+                .filter(adapter -> residents.ready(adapter.weights()).stream()
+                        .anyMatch(copy -> copy.engine().id().equals(engine.id())))
+                .toList();
+        boolean loading = adapters.stream().anyMatch(adapter -> adapter.residency() == Residency.LOADING);
+        boolean retained = ready.stream()
+                .allMatch(
+                        adapter -> residents.retained(engine, adapter.weights()).isPresent());
+        if (!loading && retained) {
+            ready.forEach(adapter -> unload(engine, adapter));
         }
     }
 
@@ -232,10 +242,10 @@
                         && !copy.weights().equals(version));
     }
 
-    private List<EngineListing.Entry> dependentAdapters(EngineState engine, ModelVersion version) {
+    private List<EngineListing.Entry> dependentAdapters(EngineState engine, ModelName model) {
         return engine.residents().stream()
                 .filter(resident -> resident.weights().isAdapter())
-                .filter(resident -> residents.base(resident.weights()).equals(Optional.of(version.name())))
+                .filter(resident -> residents.base(resident.weights()).equals(Optional.of(model)))
                 .toList();
     }
 
@@ -246,12 +256,24 @@
                 .findFirst();
     }
 
-    /** Returns whether an adapter can be loaded. A base model of an old version is about to be unloaded. */
-    private boolean isWantedVersionReady(EngineState engine, ModelName model) {
-        return engine.residents().stream()
-                .anyMatch(resident -> resident.residency() == Residency.READY
-                        && resident.weights() instanceof ModelVersion version
-                        && version.name().equals(model)
-                        && Residents.isWanted(plan, engine, version));
+    /**
+     * Returns whether an adapter of the model can be loaded. A base model of an old version is about to be unloaded;
+     * beside it, adapters are loaded only while it cannot go because it carries the last copy of one of them.
+     */
+    private boolean canCarryAdapter(EngineState engine, ModelName model) {
+        List<Weights> versions = engine.residents().stream()
+                .filter(resident -> resident.residency() == Residency.READY)
+                .map(EngineListing.Entry::weights)
+                .filter(weights -> weights instanceof ModelVersion version
+                        && version.name().equals(model))
+                .toList();
+        return versions.stream().anyMatch(version -> Residents.isWanted(plan, engine, version))
+                || (!versions.isEmpty() && carriesLastAdapter(engine, model));
+    }
+
+    private boolean carriesLastAdapter(EngineState engine, ModelName model) {
+        return dependentAdapters(engine, model).stream()
+                .anyMatch(adapter -> adapter.residency() == Residency.READY
+                        && residents.retained(engine, adapter.weights()).isEmpty());
     }
 }
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/placement/PlacementPropertyTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/placement/PlacementPropertyTest.java
@@ -7,6 +7,7 @@
 import io.oleandermoor.state.placement.PlacementSimulation.Engine;
 import java.util.List;
 import java.util.SplittableRandom;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.ShrinkingMode;
@@ -34,6 +35,19 @@
     /** Guards against a plan that is never reached because its steps wait for each other. */
     @Property(seed = "5102", tries = 100, shrinking = ShrinkingMode.OFF)
     void demandPlanIsReachedInQuietTimes(@ForAll long seed) {
+        PlacementSimulation simulation = disturbAndSettle(seed);
+        Statistics.label("plans with errors").collect(simulation.findings.hasErrors());
+    }
+
+    /** Guards against the faults of random fleets in which adapters kept a new version of their model from loading. */
+    @Example
+    void adaptersDoNotHoldBackNewVersions() {
+        for (long seed : new long[] {4125174528762773866L, 5129677216937640394L, 1853314894576693344L}) {
+            assertThat(disturbAndSettle(seed).findings.hasErrors()).isFalse();
+        }
+    }
+
+    private static PlacementSimulation disturbAndSettle(long seed) {
         SplittableRandom random = new SplittableRandom(seed);
         PlacementSimulation simulation = randomFleet(random, PlacementPolicy.DEMAND);
         for (int step = 0; step < 100; step++) {
@@ -50,10 +64,10 @@
             simulation.tick(1_000, true);
             assertThat(simulation.unreached()).isEmpty();
         }
-        Statistics.label("plans with errors").collect(simulation.findings.hasErrors());
         int before = simulation.steps;
         simulation.tick(1_000, true);
         assertThat(simulation.steps).isEqualTo(before);
+        return simulation;
     }
 
     private static PlacementSimulation randomFleet(SplittableRandom random, PlacementPolicy policy) {
