Add the commands replay, replay generate and replay compare

A trace can be written, replayed and compared with the baseline policies without a test. The group's default command is the replay of a trace, so that 'replay TRACE' needs no further word.

--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/CommandLine.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/CommandLine.java
@@ -62,6 +62,13 @@
                 "route",
                 "Changes the routes of a running deployment",
                 List.of(RouteCommands.Put.class, RouteCommands.Remove.class, RouteCommands.Show.class));
+        addGroup(
+                builder,
+                "replay",
+                "Replays traces through the decisions of the system under virtual time",
+                List.of(ReplayCommands.Run.class, ReplayCommands.Generate.class, ReplayCommands.Compare.class));
+        // Without another word, the argument is a trace: replay TRACE.
+        builder.getGroup("replay").withDefaultCommand(ReplayCommands.Run.class);
         this.cli = builder.build();
     }
 
