--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -88,7 +88,7 @@
      * unevenly spread over the entries.
      */
     private static final RateSettings RATE_SETTINGS =
-            new RateSettings(RatePolicy.OWNER_GRANTS, MAXIMUM_ENTRIES, 4_000, 500, 8_000, 100, 20, 50);
+            new RateSettings(RatePolicy.OWNER_GRANTS, MAXIMUM_ENTRIES, 4_000, 500, 8_000, 100, 5, 50);
 
     private static final UniformRandomProvider RANDOM = new ThreadLocalRandomProvider();
 
