--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/engine/EngineStandIn.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/engine/EngineStandIn.java
@@ -10,8 +10,11 @@
 import io.oleandermoor.transport.http.JoobyHttpServer;
 import io.oleandermoor.transport.settings.Address;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -25,6 +28,9 @@
 
     private static final int MAXIMUM_BODY_BYTES = 8 * 1024 * 1024;
 
+    /** Bounds the memory of a stand-in under load. */
+    private static final int MAXIMUM_SEEN_BODIES = 1_000;
+
     private static final int DEFAULT_MAXIMUM_TOKENS = 16;
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
@@ -41,6 +47,10 @@
 
     private final HttpServer server;
 
+    private final AtomicLong completions = new AtomicLong();
+
+    private final CopyOnWriteArrayList<String> seenBodies = new CopyOnWriteArrayList<>();
+
     private final CopyOnWriteArrayList<String> seenHeaders = new CopyOnWriteArrayList<>();
 
     /**
@@ -68,6 +78,42 @@
         server.close();
     }
 
+    /**
+     * Returns the number of completions that were started, resumed ones included.
+     *
+     * @return the number
+     */
+    public long completions() {
+        return completions.get();
+    }
+
+    /**
+     * Returns the different headers that completions came with.
+     *
+     * @return a copy, each header as {@code name: value}
+     */
+    public List<String> seenHeaders() {
+        return List.copyOf(seenHeaders);
+    }
+
+    /**
+     * Returns the bodies of the first completions.
+     *
+     * @return a copy of at most 1,000 bodies
+     */
+    public List<String> seenBodies() {
+        return List.copyOf(seenBodies);
+    }
+
+    /**
+     * Sets the failures from now on.
+     *
+     * @param next the failures
+     */
+    public void setFaults(EngineFaults next) {
+        faults = next;
+    }
+
     private void handle(HttpExchange exchange) {
         try {
             route(exchange);
@@ -100,12 +146,16 @@
 
     private void complete(HttpExchange exchange) throws IOException {
         JsonNode body = MAPPER.readTree(exchange.body());
+        if (seenBodies.size() < MAXIMUM_SEEN_BODIES) {
+            seenBodies.add(new String(exchange.body(), StandardCharsets.UTF_8));
+        }
         exchange.headers().forEach((name, value) -> remember(name + ": " + value));
         Prompt prompt = Prompt.of(body);
         if (!memory.isReady(prompt.model())) {
             exchange.respond(HttpResponse.json(404, "{\"error\":{\"message\":\"model is not loaded\"}}"));
             return;
         }
+        completions.incrementAndGet();
         CancelOnce cancel = new CancelOnce();
         EventStream stream = exchange.startEventStream(Map.of(), cancel::run);
         Sequence sequence = new Sequence(
@@ -134,6 +184,7 @@
                 "overcommits", memory.overcommits(),
                 "residents", memory.list(),
                 "seenHeaders", seenHeaders,
+                "completions", completions.get(),
                 "fencingHeader", EngineControl.FENCING_HEADER);
     }
 
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/engine/Sequence.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/engine/Sequence.java
@@ -9,8 +9,6 @@
  */
 final class Sequence {
 
-    private static final int VOCABULARY = 10_000;
-
     private final EventStream stream;
 
     private final Prompt prompt;
@@ -32,11 +30,6 @@
         this.maximumTokens = maximumTokens;
     }
 
-    static String token(int seed, int position) {
-        int mixed = (seed ^ (position * 0x9E3779B9)) * 0x85EBCA6B;
-        return "t" + Math.floorMod(mixed ^ (mixed >>> 15), VOCABULARY) + " ";
-    }
-
     int priority() {
         return priority;
     }
@@ -77,7 +70,7 @@
     }
 
     private void generate(StringBuilder events) {
-        String text = token(prompt.seed(), prompt.resumedTokens() + generated);
+        String text = EngineTokens.token(prompt.seed(), prompt.resumedTokens() + generated);
         generated++;
         events.append("data: {\"choices\":[{\"index\":0,\"delta\":{\"content\":\"")
                 .append(text)
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/platform/KeyValueServiceStandIn.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/platform/KeyValueServiceStandIn.java
@@ -4,8 +4,9 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
-import io.oleandermoor.coordination.store.KeyValueStore;
+import io.oleandermoor.coordination.store.FaultyKeyValueStore;
 import io.oleandermoor.coordination.store.LeaseId;
+import io.oleandermoor.coordination.store.StoreException;
 import io.oleandermoor.coordination.store.VersionedValue;
 import io.oleandermoor.coordination.store.WatchEvent;
 import io.oleandermoor.coordination.store.WriteResult;
@@ -24,11 +25,12 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
  * The key-value service: the part of the etcd version 3 JSON API that oleandermoor uses, in front of a store in memory.
- * {@code GET /stand-in/status} reports the number of calls.
+ * {@code GET /stand-in/status} reports the number of calls, {@code POST /stand-in/faults} sets a {@link StoreFaults}.
  */
 public final class KeyValueServiceStandIn implements AutoCloseable {
 
@@ -36,7 +38,7 @@
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private final KeyValueStore store;
+    private final FaultyKeyValueStore store;
 
     private final HttpServer server;
 
@@ -44,6 +46,10 @@
 
     private final AtomicLong writes = new AtomicLong();
 
+    private final AtomicInteger answersToLose = new AtomicInteger();
+
+    private volatile String loseUnder = "";
+
     /**
      * Starts the stand-in.
      *
@@ -51,7 +57,7 @@
      * @param store holds the values; its failures are answered with status 503
      * @throws IOException if the address cannot be bound
      */
-    public KeyValueServiceStandIn(String address, KeyValueStore store) throws IOException {
+    public KeyValueServiceStandIn(String address, FaultyKeyValueStore store) throws IOException {
         this.store = store;
         server = JoobyHttpServer.start(Address.parse(address).toSocketAddress(), MAXIMUM_BODY_BYTES, this::handle);
     }
@@ -61,6 +67,21 @@
         server.close();
     }
 
+    /**
+     * Sets the failures from now on. A lapse of leases happens once, at this call.
+     *
+     * @param faults the failures
+     */
+    public void setFaults(StoreFaults faults) {
+        store.setDelay(Duration.ofMillis(faults.requestDelayMillis()), Duration.ofMillis(faults.answerDelayMillis()));
+        loseUnder = faults.loseUnder();
+        answersToLose.set(faults.loseAnswers());
+        store.setDown(faults.down());
+        if (faults.lapseLeases()) {
+            store.lapseLeases().blockingAwait();
+        }
+    }
+
     private void handle(HttpExchange exchange) {
         try {
             if (exchange.path().equals("/stand-in/status")) {
@@ -68,6 +89,11 @@
                         HttpResponse.json(200, "{\"calls\":" + calls.get() + ",\"writes\":" + writes.get() + "}"));
                 return;
             }
+            if (exchange.path().equals("/stand-in/faults")) {
+                setFaults(MAPPER.readValue(exchange.body(), StoreFaults.class));
+                exchange.respond(HttpResponse.text(200, "ok\n"));
+                return;
+            }
             calls.incrementAndGet();
             JsonNode body = MAPPER.readTree(exchange.body());
             switch (exchange.path()) {
@@ -123,6 +149,9 @@
             throw new IOException("unsupported operation");
         }
         return result.map(write -> {
+            if (key.startsWith(loseUnder) && answersToLose.getAndUpdate(count -> Math.max(0, count - 1)) > 0) {
+                throw new StoreException("answer to the write of " + key + " is lost");
+            }
             ObjectNode response = MAPPER.createObjectNode();
             response.putObject("header").put("revision", Long.toString(write.revision()));
             return response.put("succeeded", write.applied());
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/service/ServiceStandIn.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/service/ServiceStandIn.java
@@ -67,6 +67,15 @@
         return List.copyOf(calls);
     }
 
+    /**
+     * Sets the failures from now on.
+     *
+     * @param next the failures
+     */
+    public void setFaults(ServiceFaults next) {
+        faults = next;
+    }
+
     @Override
     public void close() {
         executor.shutdownNow();
