Enter crash reports of agents into the entry's registry and remove keys from forms

FleetFailureTest (27 tests on running daemons) showed that a crashing prompt was never refused with 422: no entry listened for crash reports. It also showed that a key in a form field was not accepted; the form field reached the service unchanged in the code.

--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CallerCredentials.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CallerCredentials.java
@@ -2,7 +2,9 @@
 
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.oleandermoor.transport.http.HttpExchange;
+import java.net.URLDecoder;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -10,6 +12,8 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.Stream;
 import org.jspecify.annotations.Nullable;
 
 /** Finds the key in a request and removes it, wherever it may be, before the request is passed on. */
@@ -56,9 +60,15 @@
         if (parameter != null) {
             return Optional.of(parameter);
         }
-        return body == null
-                ? Optional.empty()
-                : Optional.ofNullable(body.path(KEY_FIELD).textValue());
+        if (body != null) {
+            return Optional.ofNullable(body.path(KEY_FIELD).textValue());
+        }
+        return isForm(exchange)
+                ? formFields(exchange.body())
+                        .filter(CallerCredentials::isKeyField)
+                        .map(field -> decode(field.substring(field.indexOf('=') + 1)))
+                        .findFirst()
+                : Optional.empty();
     }
 
     static Map<String, String> forwardedHeaders(HttpExchange exchange, Optional<String> key) {
@@ -83,13 +93,47 @@
         return query;
     }
 
-    /** Returns the body without the field that carries the key. A body without that field is passed on byte by byte. */
-    static byte[] forwardedBody(Optional<ObjectNode> object, byte[] bytes) {
-        if (object.isEmpty() || !object.get().has(KEY_FIELD)) {
-            return bytes;
+    /**
+     * Returns the body without the JSON field or form field that carries the key. A body without that field is passed
+     * on byte by byte.
+     */
+    static byte[] forwardedBody(HttpExchange exchange, Optional<ObjectNode> object, byte[] bytes) {
+        if (object.isPresent() && object.get().has(KEY_FIELD)) {
+            ObjectNode copy = object.get().deepCopy();
+            copy.remove(KEY_FIELD);
+            return copy.toString().getBytes(StandardCharsets.UTF_8);
+        }
+        if (isForm(exchange) && formFields(bytes).anyMatch(CallerCredentials::isKeyField)) {
+            return formFields(bytes)
+                    .filter(field -> !isKeyField(field))
+                    .collect(Collectors.joining("&"))
+                    .getBytes(StandardCharsets.ISO_8859_1);
+        }
+        return bytes;
+    }
+
+    private static boolean isForm(HttpExchange exchange) {
+        return exchange.header("Content-Type")
+                .map(type -> type.toLowerCase(Locale.ROOT).startsWith("application/x-www-form-urlencoded"))
+                .orElse(false);
+    }
+
+    /** Returns the encoded fields. One byte is one character, so that a field that is passed on keeps its bytes. */
+    private static Stream<String> formFields(byte[] bytes) {
+        return Arrays.stream(new String(bytes, StandardCharsets.ISO_8859_1).split("&", -1));
+    }
+
+    private static boolean isKeyField(String field) {
+        int equals = field.indexOf('=');
+        return equals > 0 && decode(field.substring(0, equals)).equals(KEY_FIELD);
+    }
+
+    /** Decodes a name or value. One that is not encoded correctly cannot be a key and is returned as it is. */
+    private static String decode(String encoded) {
+        try {
+            return URLDecoder.decode(encoded, StandardCharsets.UTF_8);
+        } catch (IllegalArgumentException exception) {
+            return encoded;
         }
-        ObjectNode copy = object.get().deepCopy();
-        copy.remove(KEY_FIELD);
-        return copy.toString().getBytes(StandardCharsets.UTF_8);
     }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -16,6 +16,7 @@
 import io.oleandermoor.daemon.administration.ProcessStatus;
 import io.oleandermoor.daemon.health.AdministrationServer;
 import io.oleandermoor.daemon.health.AdministrationServer.Readiness;
+import io.oleandermoor.daemon.network.CrashReport;
 import io.oleandermoor.daemon.network.FloodingItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
 import io.oleandermoor.daemon.network.UpstreamDescription;
@@ -203,6 +204,7 @@
     public void start() throws IOException {
         configuration.addListener(this::configurationChanged);
         items.listen(UpstreamDescription.ITEM_PREFIX, upstreams::accept);
+        items.listen(CrashReport.ITEM_PREFIX, new CrashReports(crashes)::accept);
         administration = new AdministrationServer(
                 settings.get(CommonSettings.ADMIN_ADDRESS),
                 settings.get(CommonSettings.ADMINISTRATION_BODY_LIMIT).intValue(),
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
@@ -128,7 +128,7 @@
                 route.access().isKeyNeeded() ? Optional.of(authenticate(current, credential)) : Optional.empty();
         String team = key.map(value -> value.team().value()).orElse(CallerRequest.OPEN);
         Optional<String> idempotencyKey = idempotencyKey(exchange, route);
-        byte[] forwarded = CallerCredentials.forwardedBody(body, bytes);
+        byte[] forwarded = CallerCredentials.forwardedBody(exchange, body, bytes);
         HttpCall call = call(exchange, credential, forwarded);
         Dispatch dispatch = Dispatch.newBuilder()
                 .setTeam(team)
