--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/CommandLine.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/CommandLine.java
@@ -35,6 +35,7 @@
                 DocumentCommands.Diff.class,
                 DocumentCommands.Apply.class,
                 StatusCommand.class,
+                LoadCommand.class,
                 ProcessCommands.CheckSettings.class,
                 ProcessCommands.Run.class));
         addGroup(
--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/RoleLaunchers.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/RoleLaunchers.java
@@ -25,6 +25,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CountDownLatch;
 
 /** The launchers of the daemons and of the stand-ins. */
@@ -103,8 +104,9 @@
     }
 
     private static Runnable instanceList(Settings settings) throws IOException {
+        Optional<String> file = settings.find(StandinSettings.LIST_FILE);
         InstanceListStandIn list = new InstanceListStandIn(
-                listenAddress(settings), Files.readString(Path.of(settings.get(StandinSettings.LIST_FILE))), (int)
+                listenAddress(settings), file.isPresent() ? Files.readString(Path.of(file.get())) : "[]", (int)
                         settings.get(StandinSettings.LIST_LAG).toMillis());
         return list::close;
     }
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/StandinSettings.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/StandinSettings.java
@@ -65,8 +65,9 @@
             .defaultingTo("512");
 
     /** File with the list of instances. */
-    public static final Setting<String> LIST_FILE =
-            Setting.text("instance-list.file", "File with the list at the start, as JSON.");
+    public static final Setting<String> LIST_FILE = Setting.text(
+                    "instance-list.file", "File with the list at the start, as JSON; without it the list is empty.")
+            .optional();
 
     /** Name of the stand-in service. */
     public static final Setting<ServiceName> SERVICE_NAME =
