--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
@@ -26,7 +26,6 @@
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
-import java.util.HexFormat;
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
@@ -276,10 +275,6 @@
         }
     }
 
-    static String hex(ByteString bytes) {
-        return HexFormat.of().formatHex(bytes.toByteArray());
-    }
-
     /**
      * A checked request.
      *
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/PeerNetwork.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/PeerNetwork.java
@@ -118,15 +118,6 @@
         return listed;
     }
 
-    /**
-     * Sends a message on all connections.
-     *
-     * @param envelope the message
-     */
-    public void broadcast(Envelope envelope) {
-        connections.values().forEach(connection -> connection.send(envelope));
-    }
-
     @Override
     public void close() {
         timers.dispose();
