Plan only after a change and record demand for the forecast

Cause: the placement owner read the plan from the key-value service and planned once a second even if nothing had changed, computed the steps of the whole fleet for each request of an agent, took changed weight-store limits only with the next owner, and knew no demand but that of the last 30 s. Ruled out: a watch on the plan (a waiting watch counts as a call; the revision of the last write is enough) and opening hours by team in the demand reports (planning takes the larger of present and forecast demand, so a forecast fall changes nothing). Conclusion: the owner's cost no longer grows with requests of agents; dividing it by failure domain remains.

--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/PlacementShell.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/PlacementShell.java
@@ -6,7 +6,9 @@
 import io.oleandermoor.coordination.store.KeyValueStore;
 import io.oleandermoor.daemon.network.ItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
+import io.oleandermoor.daemon.placement.DemandKeeper;
 import io.oleandermoor.daemon.placement.PlacementOwnerRole;
+import io.oleandermoor.daemon.placement.StoredValue;
 import io.oleandermoor.protocol.message.DemandReport;
 import io.oleandermoor.protocol.message.Envelope;
 import io.oleandermoor.state.configuration.Configuration;
@@ -17,6 +19,7 @@
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.nio.charset.StandardCharsets;
+import java.time.Instant;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
@@ -58,10 +61,11 @@
         this.items = items;
         this.network = network;
         this.demand = new DemandMeter(nowMillis);
+        ConditionalWriter writer = new ConditionalWriter(
+                store, Schedulers.computation(), self.instance() + "/" + self.incarnation() + "/plan");
         this.role = new PlacementOwnerRole(
-                store,
-                new ConditionalWriter(
-                        store, Schedulers.computation(), self.instance() + "/" + self.incarnation() + "/plan"),
+                new StoredValue(store, writer, PlacementOwnerRole.PLAN_NAME),
+                new DemandKeeper(new StoredValue(store, writer, DemandKeeper.ARCHIVE_NAME), Instant::now),
                 items,
                 configuration,
                 upstream -> upstreams.status(upstream, ENGINE_DOWN_MILLIS),
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/DemandTable.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/DemandTable.java
@@ -2,7 +2,6 @@
 
 import io.oleandermoor.protocol.message.DemandReport;
 import io.oleandermoor.state.identity.ModelName;
-import io.oleandermoor.state.placement.ModelDemand;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -24,13 +23,12 @@
         reports.put(entry, new Report(rates, nowMillis));
     }
 
-    Map<ModelName, ModelDemand> demand(long nowMillis) {
+    /** Returns the tokens/s asked for now, by model. */
+    Map<ModelName, Double> present(long nowMillis) {
         reports.values().removeIf(report -> nowMillis - report.atMillis > REPORT_LIFETIME_MILLIS);
         Map<ModelName, Double> sums = new HashMap<>();
         reports.values().forEach(report -> report.rates.forEach((model, rate) -> sums.merge(model, rate, Double::sum)));
-        Map<ModelName, ModelDemand> demand = new HashMap<>();
-        sums.forEach((model, rate) -> demand.put(model, new ModelDemand(rate, rate)));
-        return demand;
+        return sums;
     }
 
     private record Report(Map<ModelName, Double> rates, long atMillis) {}
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/FleetView.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/FleetView.java
@@ -30,10 +30,17 @@
 
     private final Map<UpstreamId, Map<Weights, Pending>> pending = new HashMap<>();
 
+    private long revision;
+
+    /** Returns a number that grows with each change of the engines, their residents and the steps under way. */
+    long revision() {
+        return revision;
+    }
+
     void announced(Engine engine) {
         Engine known = engines.get(engine.id);
         // The residents of a report are more exact than those of an announcement.
-        engines.put(engine.id, known == null || engine.residents.isEmpty() ? merge(engine, known) : engine);
+        put(known == null || engine.residents.isEmpty() ? merge(engine, known) : engine);
     }
 
     void reported(UpstreamId upstream, List<EngineListing.Entry> residents, long nowMillis) {
@@ -41,14 +48,17 @@
         if (known == null) {
             return;
         }
-        engines.put(upstream, known.with(residents));
+        put(known.with(residents));
         Map<Weights, Pending> steps = pending.getOrDefault(upstream, Map.of());
-        steps.entrySet().removeIf(entry -> isOver(entry.getKey(), entry.getValue(), residents, nowMillis));
+        if (steps.entrySet().removeIf(entry -> isOver(entry.getKey(), entry.getValue(), residents, nowMillis))) {
+            revision++;
+        }
     }
 
     void granted(UpstreamId upstream, Weights weights, long megabytes, Order.Kind kind, long nowMillis) {
         pending.computeIfAbsent(upstream, key -> new LinkedHashMap<>())
                 .put(weights, new Pending(kind, megabytes, nowMillis + PENDING_MILLIS));
+        revision++;
     }
 
     boolean isPending(UpstreamId upstream, Weights weights) {
@@ -74,6 +84,12 @@
         return states;
     }
 
+    private void put(Engine engine) {
+        if (!engine.equals(engines.put(engine.id, engine))) {
+            revision++;
+        }
+    }
+
     private static Engine merge(Engine engine, @org.jspecify.annotations.Nullable Engine known) {
         return known == null ? engine : engine.with(known.residents);
     }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/PlacementOwnerRole.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/PlacementOwnerRole.java
@@ -4,10 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.oleandermoor.coordination.lease.OwnedRole;
 import io.oleandermoor.coordination.lease.Ownership;
-import io.oleandermoor.coordination.store.ConditionalWriter;
-import io.oleandermoor.coordination.store.KeyValueStore;
 import io.oleandermoor.coordination.store.StoreException;
-import io.oleandermoor.coordination.store.VersionedValue;
 import io.oleandermoor.daemon.network.ItemExchange;
 import io.oleandermoor.daemon.network.UpstreamDescription;
 import io.oleandermoor.protocol.mapping.PlacementMessages;
@@ -29,18 +26,19 @@
 import io.oleandermoor.state.placement.FleetState;
 import io.oleandermoor.state.placement.LoadPermitDecision;
 import io.oleandermoor.state.placement.LoadPermitRequest;
+import io.oleandermoor.state.placement.ModelDemand;
 import io.oleandermoor.state.placement.PlacementPlan;
 import io.oleandermoor.state.placement.PlacementPlanner;
 import io.oleandermoor.state.placement.PlacementPolicy;
 import io.oleandermoor.state.placement.PlacementSettings;
 import io.oleandermoor.state.placement.PlacementStep;
 import io.oleandermoor.state.placement.PlanVersion;
-import io.oleandermoor.state.placement.StepPlanner;
 import io.oleandermoor.state.placement.WeightStoreLimiter;
 import io.oleandermoor.state.placement.WeightStoreLimits;
 import io.oleandermoor.transport.log.LogEvent;
 import java.io.IOException;
 import java.util.List;
+import java.util.Map;
 import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Function;
@@ -87,9 +85,7 @@
 
     private final PlacementPlanner planner;
 
-    private final KeyValueStore store;
-
-    private final ConditionalWriter writer;
+    private final StoredValue planValue;
 
     private final ItemExchange items;
 
@@ -103,7 +99,9 @@
 
     private final FleetView fleet = new FleetView();
 
-    private final DemandTable demand = new DemandTable();
+    private final DemandKeeper demand;
+
+    private final StepTable steps = new StepTable();
 
     private @Nullable Term term;
 
@@ -114,8 +112,8 @@
     /**
      * Creates the role.
      *
-     * @param store the key-value service
-     * @param writer writes the plan
+     * @param planValue the plan at the key-value service, named {@link #PLAN_NAME}
+     * @param demand collects and keeps the demand
      * @param items spreads the plan
      * @param configuration the configuration in force
      * @param status tells whether an engine can be used
@@ -123,16 +121,16 @@
      * @param announce tells other processes about a new ownership
      */
     public PlacementOwnerRole(
-            KeyValueStore store,
-            ConditionalWriter writer,
+            StoredValue planValue,
+            DemandKeeper demand,
             ItemExchange items,
             Supplier<Configuration> configuration,
             Function<UpstreamId, EngineStatus> status,
             LongSupplier nowMillis,
             Consumer<Ownership> announce) {
         this.planner = new PlacementPlanner(PlacementPolicy.DEMAND, PlacementSettings.forEngines(2_000));
-        this.store = store;
-        this.writer = writer;
+        this.planValue = planValue;
+        this.demand = demand;
         this.items = items;
         this.configuration = configuration;
         this.status = status;
@@ -143,8 +141,7 @@
     @Override
     public void started(Ownership ownership) {
         synchronized (lock) {
-            WeightStoreLimiter limiter = new WeightStoreLimiter(limits(), nowMillis.getAsLong() + QUIET_MILLIS);
-            term = new Term(ownership, nowMillis.getAsLong(), limiter);
+            term = new Term(ownership, nowMillis.getAsLong(), limits());
             plan = null;
         }
         announce.accept(ownership);
@@ -181,40 +178,37 @@
      * @param report the report
      */
     public void demand(String entry, DemandReport report) {
-        synchronized (lock) {
-            demand.reported(entry, report, nowMillis.getAsLong());
-        }
+        demand.reported(entry, report, nowMillis.getAsLong());
     }
 
-    /** Plans again if anything has changed. May block on the key-value service; called by one thread. */
+    /**
+     * Plans again if anything has changed. The plan at the key-value service is read once in a term and after a refused
+     * write. May block on the key-value service; called by one thread.
+     */
     public void tick() {
         Term current;
-        PlacementPlan last;
-        PlacementPlan next;
+        long now = nowMillis.getAsLong();
         synchronized (lock) {
             current = term;
-            long now = nowMillis.getAsLong();
             if (current == null
                     || !current.ownership.isOwner(now)
                     || now - current.sinceMillis < QUIET_MILLIS
                     || configuration.get().version() == 0) {
                 return;
             }
-            last = plan;
+            current.follow(limits(), now);
         }
         try {
-            Optional<VersionedValue> stored = store.get(PLAN_NAME).blockingGet();
-            if (last == null && stored.isPresent()) {
-                last = MAPPER.readValue(ConditionalWriter.content(stored.get()), PlacementPlan.class);
+            if (!current.begun) {
+                demand.reset();
+                planValue.forget();
+                current.begun = true;
             }
-            synchronized (lock) {
-                next = compute(current, last);
-            }
-            if (last == null || !next.upstreams().equals(last.upstreams())) {
-                write(current, next, stored.map(VersionedValue::revision).orElse(KeyValueStore.ABSENT));
-            } else {
-                put(current, last);
+            if (!planValue.isKnown()) {
+                read(current);
             }
+            demand.tick(now);
+            planIfChanged(current);
         } catch (IOException | RuntimeException | StoreException exception) {
             LogEvent.of("placement_not_planned")
                     .with("reason", exception.getMessage())
@@ -222,6 +216,33 @@
         }
     }
 
+    private void read(Term current) throws IOException, StoreException {
+        Optional<byte[]> content = planValue.read();
+        current.stored = content.isPresent()
+                ? Optional.of(MAPPER.readValue(content.get(), PlacementPlan.class))
+                : Optional.empty();
+        current.plannedFor = Optional.empty();
+    }
+
+    private void planIfChanged(Term current) throws JsonProcessingException {
+        FleetState state;
+        synchronized (lock) {
+            current.demand = demand.demand(configuration.get().settings().openingHours(), nowMillis.getAsLong());
+            state = state(current.demand);
+        }
+        if (current.plannedFor.filter(state::equals).isPresent()) {
+            return;
+        }
+        PlacementPlan next = compute(current, state);
+        Optional<PlacementPlan> last = current.stored;
+        if (last.filter(plan -> plan.upstreams().equals(next.upstreams())).isPresent()) {
+            put(current, last.get());
+        } else if (!write(current, next)) {
+            return;
+        }
+        current.plannedFor = Optional.of(state);
+    }
+
     /**
      * Answers an agent.
      *
@@ -246,20 +267,23 @@
             releaseFinished(current, upstream, residents, now);
             PlacementPlan wanted = plan;
             if (wanted != null) {
-                FleetState state = state();
-                StepPlanner.steps(wanted, state, current.limiter.startable(now)).stream()
-                        .filter(step -> step.upstream().equals(upstream))
-                        .filter(step -> !fleet.isPending(upstream, step.weights()))
-                        .filter(step -> mayStart(current, step, state, now))
-                        .forEach(step -> {
-                            fleet.granted(upstream, step.weights(), step.memoryMegabytes(), step.kind(), now);
-                            grant.addSteps(toMessage(step));
-                        });
+                StepTable.Input input = new StepTable.Input(wanted, fleet.revision(), current.limiter.startable(now));
+                steps.steps(upstream, input, () -> state(current.demand), now)
+                        .ifPresent(computed -> grantSteps(current, computed, grant, now));
             }
         }
         return grant.build();
     }
 
+    private void grantSteps(Term current, StepTable.Steps computed, StepGrant.Builder grant, long now) {
+        for (PlacementStep step : computed.steps()) {
+            if (!fleet.isPending(step.upstream(), step.weights()) && mayStart(current, step, computed.state(), now)) {
+                fleet.granted(step.upstream(), step.weights(), step.memoryMegabytes(), step.kind(), now);
+                grant.addSteps(toMessage(step));
+            }
+        }
+    }
+
     private boolean mayStart(Term current, PlacementStep step, FleetState state, long now) {
         if (step.kind() == Order.Kind.UNLOAD) {
             return true;
@@ -304,15 +328,15 @@
         return message.build();
     }
 
-    private FleetState state() {
-        return FleetState.of(fleet.states(status), configuration.get(), demand.demand(nowMillis.getAsLong()));
+    private FleetState state(Map<ModelName, ModelDemand> expected) {
+        return FleetState.of(fleet.states(status), configuration.get(), expected);
     }
 
-    private PlacementPlan compute(Term current, @Nullable PlacementPlan last) {
+    private PlacementPlan compute(Term current, FleetState state) {
         Findings findings = new Findings();
         current.sequence++;
         PlanVersion version = new PlanVersion(current.ownership.fencing().value(), current.sequence);
-        PlacementPlan next = planner.plan(state(), Optional.ofNullable(last), version, findings);
+        PlacementPlan next = planner.plan(state, current.stored, version, findings);
         if (!findings.toString().equals(lastFindings)) {
             lastFindings = findings.toString();
             findings.list()
@@ -324,21 +348,23 @@
         return next;
     }
 
-    private void write(Term current, PlacementPlan next, long revision) throws JsonProcessingException {
+    /** Writes a plan, which is in force only then. Returns whether this process is still the owner and wrote it. */
+    private boolean write(Term current, PlacementPlan next) throws JsonProcessingException {
         byte[] content = MAPPER.writeValueAsBytes(next);
-        boolean applied = writer.write(PLAN_NAME, revision, content, Optional.empty())
-                .blockingGet()
-                .applied();
-        if (applied && put(current, next)) {
-            items.publish(
-                    PLAN_NAME,
-                    next.version().term() * SEQUENCES + next.version().sequence(),
-                    content);
-            LogEvent.of("plan_in_force")
-                    .with("term", next.version().term())
-                    .with("sequence", next.version().sequence())
-                    .info(LOGGER);
+        if (!planValue.write(content)) {
+            return false;
         }
+        current.stored = Optional.of(next);
+        if (!put(current, next)) {
+            return false;
+        }
+        items.publish(
+                PLAN_NAME, next.version().term() * SEQUENCES + next.version().sequence(), content);
+        LogEvent.of("plan_in_force")
+                .with("term", next.version().term())
+                .with("sequence", next.version().sequence())
+                .info(LOGGER);
+        return true;
     }
 
     private boolean put(Term current, PlacementPlan next) {
@@ -362,7 +388,7 @@
                 PERMIT_REQUEST_MILLIS);
     }
 
-    /** One term as owner. */
+    /** One term as owner. What the planning thread alone uses is marked. */
     private static final class Term {
 
         private final Ownership ownership;
@@ -371,12 +397,36 @@
 
         private final WeightStoreLimiter limiter;
 
+        private WeightStoreLimits limits;
+
+        /** The demand that the plan in force was computed for, under the role's lock. */
+        private Map<ModelName, ModelDemand> demand = Map.of();
+
+        /** Used by the planning thread: the number of the last plan. */
         private long sequence;
 
-        Term(Ownership ownership, long sinceMillis, WeightStoreLimiter limiter) {
+        /** Used by the planning thread: whether what earlier terms knew was forgotten. */
+        private boolean begun;
+
+        /** Used by the planning thread: the plan at the key-value service. */
+        private Optional<PlacementPlan> stored = Optional.empty();
+
+        /** Used by the planning thread: the state that the plan in force was computed for. */
+        private Optional<FleetState> plannedFor = Optional.empty();
+
+        Term(Ownership ownership, long sinceMillis, WeightStoreLimits limits) {
             this.ownership = ownership;
             this.sinceMillis = sinceMillis;
-            this.limiter = limiter;
+            this.limits = limits;
+            this.limiter = new WeightStoreLimiter(limits, sinceMillis + QUIET_MILLIS);
+        }
+
+        /** Applies changed limits of the weight store. */
+        void follow(WeightStoreLimits configured, long nowMillis) {
+            if (!configured.equals(limits)) {
+                limits = configured;
+                limiter.change(configured, nowMillis);
+            }
         }
     }
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/WeightStoreLimiter.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/placement/WeightStoreLimiter.java
@@ -26,7 +26,7 @@
 
     private record Waiting(LoadPermitRequest request, long endMillis) {}
 
-    private final WeightStoreLimits limits;
+    private WeightStoreLimits limits;
     private final long firstGrantMillis;
     private final Map<Key, Long> permits = new HashMap<>();
     private final Map<Key, Waiting> waiting = new HashMap<>();
@@ -46,6 +46,18 @@
         refilledMillis = firstGrantMillis;
     }
 
+    /**
+     * Changes the limits. Permits that were granted stay valid, so a lower number of loads is reached as they end.
+     *
+     * @param changed the limits from now on
+     * @param nowMillis the time
+     */
+    public void change(WeightStoreLimits changed, long nowMillis) {
+        advance(nowMillis);
+        limits = changed;
+        startable = Math.min(startable, Math.max(1, changed.modelLoadsPerSecond()));
+    }
+
     /**
      * Decides about a load. Asking again while the permit is valid renews it, so a lost answer does no harm.
      *
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/placement/DemandRecorderTest.java
@@ -0,0 +1,87 @@
+package io.oleandermoor.state.placement;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.within;
+
+import io.oleandermoor.state.configuration.OpeningHours;
+import io.oleandermoor.state.identity.ModelName;
+import io.oleandermoor.state.identity.TeamName;
+import java.time.Duration;
+import java.time.Instant;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+
+class DemandRecorderTest {
+
+    private static final ModelName MODEL = new ModelName("drafts");
+    private static final Instant MONDAY = Instant.parse("2026-11-30T00:00:00Z");
+    private static final OpeningHours SHOPS =
+            new OpeningHours("shops", List.of(new TeamName("drafting")), "09:00", "17:00", "UTC", List.of());
+
+    private DemandRecorder recorder = new DemandRecorder();
+
+    /** Samples the demand of a shop that is open from 9 to 17 h, minute by minute. */
+    private void record(Instant from, Duration duration) {
+        for (long minute = 0; minute < duration.toMinutes(); minute++) {
+            Instant now = from.plus(Duration.ofMinutes(minute));
+            recorder.sample(now, SHOPS.isOpenAt(now) ? Map.of(MODEL, 800.0) : Map.of());
+        }
+    }
+
+    private double forecast(Instant now, List<OpeningHours> hours) {
+        return recorder.forecast(now, Map.of(), hours)
+                .getOrDefault(MODEL, ModelDemand.NONE)
+                .forecast();
+    }
+
+    /** Guards against copies that are loaded only after the shops have opened. */
+    @Test
+    void forecastsAnOpeningFromTheDayBefore() {
+        record(MONDAY, Duration.ofMinutes(24 * 60 + 8 * 60 + 55));
+        Instant beforeOpening = MONDAY.plus(Duration.ofMinutes(24 * 60 + 8 * 60 + 55));
+        assertThat(forecast(beforeOpening, List.of(SHOPS))).isCloseTo(400, within(10.0));
+        assertThat(forecast(beforeOpening, List.of())).isLessThan(300);
+        assertThat(forecast(MONDAY.plus(Duration.ofHours(24 + 3)), List.of(SHOPS)))
+                .isZero();
+    }
+
+    /** Guards against an owner that starts without the days its predecessor recorded, or counts an hour twice. */
+    @Test
+    void continuesFromAnArchive() {
+        record(MONDAY, Duration.ofMinutes(24 * 60 + 40));
+        recorder = DemandRecorder.restore(recorder.archive());
+        record(MONDAY.plus(Duration.ofMinutes(24 * 60 + 40)), Duration.ofMinutes(8 * 60 + 15));
+        assertThat(recorder.archive().samples()).hasSize(33).startsWith(60).allMatch(samples -> samples <= 60);
+        assertThat(recorder.archive().samples().get(24)).isEqualTo(60);
+        assertThat(forecast(MONDAY.plus(Duration.ofMinutes(24 * 60 + 8 * 60 + 55)), List.of(SHOPS)))
+                .isCloseTo(400, within(10.0));
+    }
+
+    /** Guards against a day that counts as one without demand because nobody recorded it. */
+    @Test
+    void leavesOutDaysThatWereNotRecorded() {
+        record(MONDAY.plus(Duration.ofHours(10)), Duration.ofHours(1));
+        record(MONDAY.plus(Duration.ofHours(24 + 10)), Duration.ofMinutes(30));
+        assertThat(forecast(MONDAY.plus(Duration.ofMinutes(24 * 60 + 10 * 60 + 30)), List.of(SHOPS)))
+                .isCloseTo(800, within(1.0));
+    }
+
+    /** Guards against an archive written with a clock that was ahead, which would stop the recording. */
+    @Test
+    void dropsHoursOfTheFuture() {
+        record(MONDAY.plus(Duration.ofDays(30)), Duration.ofHours(2));
+        recorder = DemandRecorder.restore(recorder.archive());
+        record(MONDAY, Duration.ofHours(2));
+        assertThat(recorder.archive().samples()).containsExactly(60, 60);
+    }
+
+    /** Guards against an archive that outgrows a value of the key-value service at the target size. */
+    @Test
+    void keepsAWeekOnly() {
+        record(MONDAY, Duration.ofDays(12));
+        DemandArchive archive = recorder.archive();
+        assertThat(archive.samples()).hasSizeLessThanOrEqualTo(24 * (DemandRecorder.DAYS + 1));
+        assertThat(archive.nextHour()).isEqualTo(MONDAY.getEpochSecond() / 3600 + 12 * 24);
+    }
+}
