Ask for placement steps on change and notify agents in place of polling

Cause: each agent asked the placement owner for steps twice a second, 9,200 requests/s at the target size, and each plan was sent to all processes as an item of up to 238 KB that nothing read. Found on the way with a running deployment: an agent that asked again before the answer came ignored that answer, and the granted steps with their weight-store permits were lost for 30 s (loads stopped for 56 s). Ruled out: polling with the plan in each agent (the plan alone is over the budget of bytes), and an expired lease (the owner's log shows none in that time). Before: 2 requests/s for each agent. After: 1 in 30 s while nothing changes, one at once after a change or a notification, none while an answer is outstanding; a permit is free again once the agent reports that it never started the load. Conclusion: requests at the owner fall from 9,200 to 153/s at the target size (computed).

--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
@@ -74,7 +74,7 @@
 
     private static final int EXPIRE_MILLIS = 1_000;
 
-    private static final int STEP_REQUEST_MILLIS = 500;
+    private static final int STEP_REQUEST_MILLIS = 100;
 
     /** Time after the announcement that it is leaving in which an agent still takes new work. */
     private static final long LEAVING_GRACE_MILLIS = 3_000;
@@ -191,9 +191,10 @@
             timers.add(Observable.interval(0, POLL_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                     .subscribe(tick -> monitor.poll()));
         }
-        items.listen(
-                PlacementOwnerRole.NAME,
-                (name, version, content) -> placementOwner = new String(content, StandardCharsets.UTF_8));
+        items.listen(PlacementOwnerRole.NAME, (name, version, content) -> {
+            placementOwner = new String(content, StandardCharsets.UTF_8);
+            orders.ifPresent(OrderExecutor::ownerChanged);
+        });
         timers.add(
                 Observable.interval(DisseminatingItemExchange.EXCHANGE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                         .subscribe(tick -> items.exchange()));
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/PlacementShell.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/PlacementShell.java
@@ -11,6 +11,7 @@
 import io.oleandermoor.daemon.placement.StoredValue;
 import io.oleandermoor.protocol.message.DemandReport;
 import io.oleandermoor.protocol.message.Envelope;
+import io.oleandermoor.protocol.message.StepGrant;
 import io.oleandermoor.state.configuration.Configuration;
 import io.oleandermoor.state.identity.InstanceId;
 import io.oleandermoor.state.rate.RateClientId;
@@ -30,6 +31,9 @@
 
     private static final long TICK_MILLIS = 1_000;
 
+    /** Time between two looks for agents to notify; it delays a load by half of it in the mean. */
+    private static final long NOTIFY_MILLIS = 250;
+
     private static final long DEMAND_REPORT_MILLIS = 5_000;
 
     /** Time without a connection to its agent after which an engine counts as down. */
@@ -41,6 +45,8 @@
 
     private final PeerNetwork network;
 
+    private final UpstreamDirectory upstreams;
+
     private final DemandMeter demand;
 
     private final PlacementOwnerRole role;
@@ -60,13 +66,13 @@
         this.instance = self.instance();
         this.items = items;
         this.network = network;
+        this.upstreams = upstreams;
         this.demand = new DemandMeter(nowMillis);
         ConditionalWriter writer = new ConditionalWriter(
                 store, Schedulers.computation(), self.instance() + "/" + self.incarnation() + "/plan");
         this.role = new PlacementOwnerRole(
                 new StoredValue(store, writer, PlacementOwnerRole.PLAN_NAME),
                 new DemandKeeper(new StoredValue(store, writer, DemandKeeper.ARCHIVE_NAME), Instant::now),
-                items,
                 configuration,
                 upstream -> upstreams.status(upstream, ENGINE_DOWN_MILLIS),
                 nowMillis,
@@ -88,6 +94,8 @@
                 (name, version, content) -> owner = new String(content, StandardCharsets.UTF_8));
         timers.add(Observable.interval(TICK_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                 .subscribe(tick -> role.tick()));
+        timers.add(Observable.interval(NOTIFY_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
+                .subscribe(tick -> notifyAgents()));
         timers.add(Observable.interval(DEMAND_REPORT_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                 .subscribe(tick -> reportDemand()));
     }
@@ -116,6 +124,14 @@
                 instance.value().getBytes(StandardCharsets.UTF_8));
     }
 
+    private void notifyAgents() {
+        Envelope waiting = Envelope.newBuilder()
+                .setStepGrant(StepGrant.newBuilder().setStepsWaiting(true))
+                .build();
+        role.enginesToNotify()
+                .forEach(engine -> upstreams.connection(engine).ifPresent(connection -> connection.send(waiting)));
+    }
+
     private void reportDemand() {
         DemandReport report = demand.report();
         String current = owner;
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/FleetView.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/FleetView.java
@@ -13,6 +13,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * The engines as their agents report them, together with the steps that were granted and are not yet reported. Used
@@ -43,16 +45,36 @@
         put(known == null || engine.residents.isEmpty() ? merge(engine, known) : engine);
     }
 
-    void reported(UpstreamId upstream, List<EngineListing.Entry> residents, long nowMillis) {
+    /**
+     * Takes in what an engine holds.
+     *
+     * @return the loads that were granted too long ago to be started any more, and that the engine does not hold
+     */
+    List<Weights> reported(UpstreamId upstream, List<EngineListing.Entry> residents, long nowMillis) {
         Engine known = engines.get(upstream);
         if (known == null) {
-            return;
+            return List.of();
         }
         put(known.with(residents));
+        List<Weights> abandoned = new ArrayList<>();
         Map<Weights, Pending> steps = pending.getOrDefault(upstream, Map.of());
+        steps.forEach((weights, step) -> {
+            if (step.kind == Order.Kind.LOAD && nowMillis >= step.untilMillis && !holds(residents, weights)) {
+                abandoned.add(weights);
+            }
+        });
         if (steps.entrySet().removeIf(entry -> isOver(entry.getKey(), entry.getValue(), residents, nowMillis))) {
             revision++;
         }
+        return abandoned;
+    }
+
+    /** Returns the engines with granted steps that are not yet reported. */
+    Set<UpstreamId> withPendingSteps() {
+        return pending.entrySet().stream()
+                .filter(entry -> !entry.getValue().isEmpty())
+                .map(Map.Entry::getKey)
+                .collect(Collectors.toSet());
     }
 
     void granted(UpstreamId upstream, Weights weights, long megabytes, Order.Kind kind, long nowMillis) {
@@ -98,12 +120,16 @@
         if (nowMillis >= step.untilMillis) {
             return true;
         }
-        boolean present = residents.stream().anyMatch(entry -> entry.weights().equals(weights));
+        boolean present = holds(residents, weights);
         boolean unloading = residents.stream()
                 .anyMatch(entry -> entry.weights().equals(weights) && entry.residency() == Residency.UNLOADING);
         return step.kind == Order.Kind.LOAD ? present : !present || unloading;
     }
 
+    private static boolean holds(List<EngineListing.Entry> residents, Weights weights) {
+        return residents.stream().anyMatch(entry -> entry.weights().equals(weights));
+    }
+
     /**
      * One engine.
      *
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/OrderExecutor.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/OrderExecutor.java
@@ -20,6 +20,7 @@
 import io.oleandermoor.state.memory.OrderResult;
 import io.oleandermoor.state.memory.Residency;
 import io.oleandermoor.state.memory.Weights;
+import io.oleandermoor.state.placement.StepRequestSchedule;
 import io.oleandermoor.transport.client.EngineControl;
 import io.oleandermoor.transport.client.EngineControl.Resident;
 import io.oleandermoor.transport.client.EngineRefusedException;
@@ -62,6 +63,8 @@
 
     private final String recordName;
 
+    private final StepRequestSchedule schedule = new StepRequestSchedule();
+
     private @Nullable MemoryAccount account;
 
     private long term;
@@ -131,8 +134,15 @@
         takeOver();
     }
 
+    /** Takes in that another process has become the placement owner. */
+    public void ownerChanged() {
+        synchronized (lock) {
+            schedule.ownerChanged();
+        }
+    }
+
     /**
-     * Returns the request for the placement owner, if orders are possible.
+     * Returns the request for the placement owner, if one is due and orders are possible.
      *
      * @return the request with everything that takes or may take memory
      */
@@ -141,27 +151,36 @@
             if (account == null || !account.isReconciled()) {
                 return Optional.empty();
             }
+            List<EngineListing.Entry> residents = account.residents();
+            if (!schedule.isDue(residents, nowMillis.getAsLong())) {
+                return Optional.empty();
+            }
             sequence++;
             requestSentMillis = nowMillis.getAsLong();
             StepRequest.Builder request = StepRequest.newBuilder()
                     .setSequence(sequence)
                     .setUpstream(settings.upstream().value());
-            account.residents().forEach(entry -> request.addResidents(PlacementMessages.toMessage(entry)));
+            residents.forEach(entry -> request.addResidents(PlacementMessages.toMessage(entry)));
             return Optional.of(request.build());
         }
     }
 
     /**
-     * Takes the owner's answer and carries its steps out.
+     * Takes the owner's answer and carries its steps out, or takes its notification that steps wait.
      *
      * @param grant the answer; one that does not belong to the last request is ignored
      */
     public void accept(StepGrant grant) {
         long validUntilMillis;
         synchronized (lock) {
+            if (grant.getStepsWaiting()) {
+                schedule.notified();
+                return;
+            }
             if (!grant.getOwner() || grant.getSequence() != sequence) {
                 return;
             }
+            schedule.answered(grant.getStepsCount() > 0, nowMillis.getAsLong());
             validUntilMillis = requestSentMillis + grant.getValidMillis();
         }
         if (grant.getStepsCount() > 0) {
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/PlacementOwnerRole.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/PlacementOwnerRole.java
@@ -5,7 +5,6 @@
 import io.oleandermoor.coordination.lease.OwnedRole;
 import io.oleandermoor.coordination.lease.Ownership;
 import io.oleandermoor.coordination.store.StoreException;
-import io.oleandermoor.daemon.network.ItemExchange;
 import io.oleandermoor.daemon.network.UpstreamDescription;
 import io.oleandermoor.protocol.mapping.PlacementMessages;
 import io.oleandermoor.protocol.message.DemandReport;
@@ -22,6 +21,7 @@
 import io.oleandermoor.state.memory.EngineListing;
 import io.oleandermoor.state.memory.Order;
 import io.oleandermoor.state.memory.Residency;
+import io.oleandermoor.state.memory.Weights;
 import io.oleandermoor.state.placement.EngineStatus;
 import io.oleandermoor.state.placement.FleetState;
 import io.oleandermoor.state.placement.LoadPermitDecision;
@@ -37,6 +37,7 @@
 import io.oleandermoor.state.placement.WeightStoreLimits;
 import io.oleandermoor.transport.log.LogEvent;
 import java.io.IOException;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -44,6 +45,7 @@
 import java.util.function.Function;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -57,7 +59,7 @@
     /** Name that the placement owner owns. */
     public static final String NAME = "owner/placement";
 
-    /** Name of the plan at the key-value service, and of the item that spreads it. */
+    /** Name of the plan at the key-value service. */
     public static final String PLAN_NAME = "placement/plan";
 
     /** Validity of a grant, counted by the agent from when it sent its request, in milliseconds. */
@@ -69,12 +71,13 @@
      */
     static final long QUIET_MILLIS = 5_000;
 
+    /** Time after the last request or notification of an agent after which it is notified again. */
+    static final long NOTIFICATION_MILLIS = 1_000;
+
     private static final long PERMIT_MILLIS = 30_000;
 
     private static final long PERMIT_REQUEST_MILLIS = 5_000;
 
-    private static final long SEQUENCES = 1L << 20;
-
     private static final double THOUSAND_SECONDS = 1_000;
 
     private static final Logger LOGGER = LogManager.getLogger(PlacementOwnerRole.class);
@@ -87,8 +90,6 @@
 
     private final StoredValue planValue;
 
-    private final ItemExchange items;
-
     private final Supplier<Configuration> configuration;
 
     private final Function<UpstreamId, EngineStatus> status;
@@ -103,6 +104,8 @@
 
     private final StepTable steps = new StepTable();
 
+    private final Map<UpstreamId, Long> lastContactMillis = new HashMap<>();
+
     private @Nullable Term term;
 
     private @Nullable PlacementPlan plan;
@@ -114,7 +117,6 @@
      *
      * @param planValue the plan at the key-value service, named {@link #PLAN_NAME}
      * @param demand collects and keeps the demand
-     * @param items spreads the plan
      * @param configuration the configuration in force
      * @param status tells whether an engine can be used
      * @param nowMillis the monotonic clock in milliseconds
@@ -123,7 +125,6 @@
     public PlacementOwnerRole(
             StoredValue planValue,
             DemandKeeper demand,
-            ItemExchange items,
             Supplier<Configuration> configuration,
             Function<UpstreamId, EngineStatus> status,
             LongSupplier nowMillis,
@@ -131,7 +132,6 @@
         this.planner = new PlacementPlanner(PlacementPolicy.DEMAND, PlacementSettings.forEngines(2_000));
         this.planValue = planValue;
         this.demand = demand;
-        this.items = items;
         this.configuration = configuration;
         this.status = status;
         this.nowMillis = nowMillis;
@@ -143,6 +143,7 @@
         synchronized (lock) {
             term = new Term(ownership, nowMillis.getAsLong(), limits());
             plan = null;
+            lastContactMillis.clear();
         }
         announce.accept(ownership);
     }
@@ -257,7 +258,8 @@
         StepGrant.Builder grant = StepGrant.newBuilder().setSequence(request.getSequence());
         synchronized (lock) {
             long now = nowMillis.getAsLong();
-            fleet.reported(upstream, residents, now);
+            lastContactMillis.put(upstream, now);
+            List<Weights> abandoned = fleet.reported(upstream, residents, now);
             Term current = term;
             // The grant must end before another process can be the owner.
             if (current == null || !current.ownership.isOwner(now + GRANT_VALID_MILLIS)) {
@@ -265,6 +267,8 @@
             }
             grant.setOwner(true).setValidMillis(GRANT_VALID_MILLIS);
             releaseFinished(current, upstream, residents, now);
+            // The grant has ended and the agent does not hold the weights, so it never started the load.
+            abandoned.forEach(weights -> current.limiter.release(upstream, weights, now));
             PlacementPlan wanted = plan;
             if (wanted != null) {
                 StepTable.Input input = new StepTable.Input(wanted, fleet.revision(), current.limiter.startable(now));
@@ -275,6 +279,33 @@
         return grant.build();
     }
 
+    /**
+     * Returns the engines whose agents should ask, because steps wait for them or granted steps were not reported. An
+     * engine is returned again only if its agent has not asked within {@link #NOTIFICATION_MILLIS}.
+     *
+     * @return the engines, empty if this process is not the owner
+     */
+    public List<UpstreamId> enginesToNotify() {
+        synchronized (lock) {
+            long now = nowMillis.getAsLong();
+            Term current = term;
+            PlacementPlan wanted = plan;
+            if (current == null || wanted == null || !current.ownership.isOwner(now + GRANT_VALID_MILLIS)) {
+                return List.of();
+            }
+            StepTable.Input input = new StepTable.Input(wanted, fleet.revision(), current.limiter.startable(now));
+            List<UpstreamId> engines = Stream.concat(
+                            steps.engines(input, () -> state(current.demand), now).stream(),
+                            fleet.withPendingSteps().stream())
+                    .distinct()
+                    .filter(engine ->
+                            now - lastContactMillis.getOrDefault(engine, Long.MIN_VALUE / 2) >= NOTIFICATION_MILLIS)
+                    .toList();
+            engines.forEach(engine -> lastContactMillis.put(engine, now));
+            return engines;
+        }
+    }
+
     private void grantSteps(Term current, StepTable.Steps computed, StepGrant.Builder grant, long now) {
         for (PlacementStep step : computed.steps()) {
             if (!fleet.isPending(step.upstream(), step.weights()) && mayStart(current, step, computed.state(), now)) {
@@ -358,8 +389,6 @@
         if (!put(current, next)) {
             return false;
         }
-        items.publish(
-                PLAN_NAME, next.version().term() * SEQUENCES + next.version().sequence(), content);
         LogEvent.of("plan_in_force")
                 .with("term", next.version().term())
                 .with("sequence", next.version().sequence())
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/StepTable.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/StepTable.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Supplier;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
@@ -35,6 +36,23 @@
      * @return the steps; empty if there is nothing to do
      */
     Optional<Steps> steps(UpstreamId upstream, Input input, Supplier<FleetState> state, long nowMillis) {
+        Content current = content(input, state, nowMillis);
+        return Optional.ofNullable(current.steps.get(upstream)).map(list -> new Steps(list, current.state));
+    }
+
+    /**
+     * Returns the engines for which there are steps.
+     *
+     * @param input what the steps depend on
+     * @param state computes the present state; called only if the input has changed
+     * @param nowMillis the time
+     * @return the engines
+     */
+    Set<UpstreamId> engines(Input input, Supplier<FleetState> state, long nowMillis) {
+        return content(input, state, nowMillis).steps.keySet();
+    }
+
+    private Content content(Input input, Supplier<FleetState> state, long nowMillis) {
         Content current = content;
         if (current == null
                 || !current.input.isSameAs(input)
@@ -46,8 +64,7 @@
             current = new Content(input, computedFrom, steps, nowMillis);
             content = current;
         }
-        FleetState computedFrom = current.state;
-        return Optional.ofNullable(current.steps.get(upstream)).map(list -> new Steps(list, computedFrom));
+        return current;
     }
 
     /**
