Write a report page of a replay with plots

A replay printed figures of the whole trace only, so nobody could see when a team lost service, which engines held a model, or when models moved.

TimelineRecorder samples the replay in at most 240 intervals; it merges neighbours and doubles the interval when all are in use. Only Measurements, FleetModel and ReplayRunner call it; it draws no random numbers.

Ruled out: SVG by VectorGraphics2D, which can't be looked at here, so PNG at twice the size; an XChart plot for residency, because it has no bars from one time to another, so that plot is painted with Java2D; attainment for single intervals, which jumps between 0 and 1 for a small team, so each point covers five; numeric time axes, whose ticks fell at 1.28 h.

Figures: the printed results of a replay with and without the option are equal (ReplayCommandTest); pages of two runs are equal and the plotted moves sum up to the figure in the table (TimelineTest).

--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/ReplayCommands.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/ReplayCommands.java
@@ -14,12 +14,19 @@
 import io.oleandermoor.replay.TraceJson;
 import io.oleandermoor.replay.TraceReader;
 import io.oleandermoor.replay.TraceSource;
+import io.oleandermoor.replay.report.ComparisonReport;
+import io.oleandermoor.replay.report.ReplayReport;
+import io.oleandermoor.replay.report.ReportOrigin;
 import io.oleandermoor.state.finding.InvalidInputException;
 import java.io.IOException;
+import java.io.InputStream;
 import java.io.Writer;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.security.MessageDigest;
+import java.security.NoSuchAlgorithmException;
 import java.util.Arrays;
+import java.util.HexFormat;
 import java.util.Locale;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
@@ -34,6 +41,20 @@
         return new TraceReader(Files.newBufferedReader(Path.of(name)), name);
     }
 
+    /** Returns the name of a trace and a checksum that tells whether another file is the same trace. */
+    private static String describe(String file) throws IOException {
+        try (InputStream stream = Files.newInputStream(Path.of(file))) {
+            MessageDigest digest = MessageDigest.getInstance("SHA-256");
+            byte[] buffer = new byte[1 << 16];
+            for (int count = stream.read(buffer); count >= 0; count = stream.read(buffer)) {
+                digest.update(buffer, 0, count);
+            }
+            return file + ", SHA-256 " + HexFormat.of().formatHex(digest.digest());
+        } catch (NoSuchAlgorithmException exception) {
+            throw new IllegalStateException("every Java platform has SHA-256", exception);
+        }
+    }
+
     private static <E extends Enum<E>> E choose(Class<E> type, String text) throws CommandFailedException {
         for (E value : type.getEnumConstants()) {
             if (text(value).equals(text)) {
@@ -63,11 +84,25 @@
         @Option(name = "--seed", title = "number", description = "Seed of random choices; default is 1")
         private long seed = 1;
 
+        @Option(name = "--report", title = "file", description = "Writes an HTML page with plots to this file")
+        private @Nullable String report;
+
         @Override
         public ExitCode run(CommandContext context) throws IOException, InvalidInputException {
-            try (TraceSource source = open(file)) {
-                ReplayResult result = new ReplayRunner(source, Policies.STANDARD, seed).run();
+            String name = Objects.requireNonNull(file, "file");
+            try (TraceSource source = open(name)) {
+                ReplayRunner runner = new ReplayRunner(source, Policies.STANDARD, seed);
+                ReplayResult result = runner.run();
                 context.output().println(result.toText());
+                if (report != null) {
+                    ReportOrigin origin = new ReportOrigin(
+                            describe(name),
+                            Long.toString(seed),
+                            String.format("oleandermoor replay %s --seed %d --report %s", name, seed, report),
+                            Version.text());
+                    new ReplayReport(origin, Policies.STANDARD, source.deployment(), result, runner.timeline())
+                            .write(Path.of(report));
+                }
                 return result.violations().isEmpty() ? ExitCode.OK : ExitCode.FAILED;
             }
         }
@@ -119,6 +154,9 @@
         @Option(name = "--seeds", title = "number", description = "Number of seeds; default is 1")
         private int seeds = 1;
 
+        @Option(name = "--report", title = "file", description = "Writes an HTML page with plots to this file")
+        private @Nullable String report;
+
         @Override
         public ExitCode run(CommandContext context) throws CommandFailedException, IOException, InvalidInputException {
             if (seeds <= 0) {
@@ -131,7 +169,21 @@
                     seed,
                     seeds);
             context.output().print(comparison.toText());
+            if (report != null) {
+                new ComparisonReport(origin(report), comparison).write(Path.of(report));
+            }
             return ExitCode.OK;
         }
+
+        private ReportOrigin origin(String page) throws IOException {
+            String generated = "--site " + site + " --scenario " + scenario;
+            return new ReportOrigin(
+                    file == null ? "generated for each seed: " + generated : describe(file),
+                    seeds == 1 ? Long.toString(seed) : seed + " to " + (seed + seeds - 1),
+                    String.format(
+                            "oleandermoor replay compare %s --seed %d --seeds %d --report %s",
+                            file == null ? generated : file, seed, seeds, page),
+                    Version.text());
+        }
     }
 }
--- a/oleandermoor-command/src/test/java/io/oleandermoor/command/ReplayCommandTest.java
+++ b/oleandermoor-command/src/test/java/io/oleandermoor/command/ReplayCommandTest.java
@@ -61,6 +61,23 @@
                         "placement LEAST_LOADED");
     }
 
+    /** Guards against a report without the command that made it, and against one that changes the figures. */
+    @Test
+    void writesReports() throws Exception {
+        String file = directory.resolve("trace.jsonl").toString();
+        Path page = directory.resolve("report.html");
+        assertThat(run("replay", "generate", "--scenario", "crashing-request", file))
+                .isEqualTo(ExitCode.OK);
+        assertThat(run("replay", file)).isEqualTo(ExitCode.OK);
+        String figures = output.toString(StandardCharsets.UTF_8);
+        output.reset();
+        assertThat(run("replay", file, "--report", page.toString())).isEqualTo(ExitCode.OK);
+        assertThat(output.toString(StandardCharsets.UTF_8)).isEqualTo(figures);
+        assertThat(page).content().contains("--seed 1 --report", "SHA-256", "Residency by model");
+        assertThat(run("replay", "compare", file, "--report", page.toString())).isEqualTo(ExitCode.OK);
+        assertThat(page).content().contains("replay compare", "rate FIXED_SHARE", "standard deviation");
+    }
+
     /** Guards against a damaged trace that counts as a success, and against findings without a line. */
     @Test
     void failsForADamagedTrace() throws Exception {
--- a/oleandermoor-replay/src/main/java/io/oleandermoor/replay/Comparison.java
+++ b/oleandermoor-replay/src/main/java/io/oleandermoor/replay/Comparison.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.function.ToDoubleFunction;
 
 /** Replays the same traces with the standard policies and with each baseline. */
@@ -91,23 +92,66 @@
     }
 
     /**
-     * Returns mean, standard deviation over seeds, and ratio to the standard policies, for each measure.
+     * One measure of one choice of policies.
      *
-     * @return several lines
+     * @param measure title of the measure
+     * @param policies name of the policies
+     * @param mean mean over seeds
+     * @param deviation standard deviation over seeds
+     * @param ratio ratio of the mean to that of the standard policies, empty if that is zero
      */
-    public String toText() {
-        StringBuilder text = new StringBuilder();
+    public record Row(String measure, String policies, double mean, double deviation, OptionalDouble ratio) {
+
+        /**
+         * Returns the ratio as text.
+         *
+         * @return three decimals, or a dash
+         */
+        public String ratioText() {
+            return ratio.isPresent() ? String.format(Locale.ROOT, "%.3f", ratio.getAsDouble()) : "-";
+        }
+    }
+
+    /**
+     * Returns mean, standard deviation over seeds, and ratio to the standard policies.
+     *
+     * @return the rows of each measure, those of the standard policies first
+     */
+    public List<Row> rows() {
+        List<Row> rows = new ArrayList<>();
         for (Measure measure : Measure.values()) {
-            text.append(measure.title).append('\n');
             double standard = mean(results.getOrDefault("standard", List.of()), measure.value);
             results.forEach((name, list) -> {
                 double mean = mean(list, measure.value);
                 double variance = mean(list, result -> Math.pow(measure.value.applyAsDouble(result) - mean, 2));
-                String ratio = standard == 0 ? "-" : String.format(Locale.ROOT, "%.3f", mean / standard);
-                text.append(String.format(
-                        Locale.ROOT, "  %-24s %12.3f +- %9.3f  ratio %s%n", name, mean, Math.sqrt(variance), ratio));
+                OptionalDouble ratio = standard == 0 ? OptionalDouble.empty() : OptionalDouble.of(mean / standard);
+                rows.add(new Row(measure.title, name, mean, Math.sqrt(variance), ratio));
             });
         }
+        return rows;
+    }
+
+    /**
+     * Returns mean, standard deviation over seeds, and ratio to the standard policies, for each measure.
+     *
+     * @return several lines
+     */
+    public String toText() {
+        StringBuilder text = new StringBuilder();
+        String measure = "";
+        for (Row row : rows()) {
+            if (!row.measure().equals(measure)) {
+                measure = row.measure();
+                text.append(measure).append('\n');
+            }
+            text.append(String.format(
+                    Locale.ROOT,
+                    "  %-24s %12.3f +- %9.3f  ratio %s%n",
+                    row.policies(),
+                    row.mean(),
+                    row.deviation(),
+                    row.ratioText()));
+        }
         return text.toString();
     }
 
--- a/oleandermoor-replay/src/main/java/io/oleandermoor/replay/FleetModel.java
+++ b/oleandermoor-replay/src/main/java/io/oleandermoor/replay/FleetModel.java
@@ -196,6 +196,7 @@
         boolean isAdapter = step.weights().isAdapter();
         if (!isAdapter) {
             world.measurements.modelLoads++;
+            world.measurements.timeline.modelLoaded(now);
         }
         long incarnation = engine.incarnation;
         int factor = world.faults.contains(Fault.TAKES_DOUBLE_MEMORY) ? 2 : 1;
--- a/oleandermoor-replay/src/main/java/io/oleandermoor/replay/Measurements.java
+++ b/oleandermoor-replay/src/main/java/io/oleandermoor/replay/Measurements.java
@@ -46,6 +46,7 @@
     }
 
     final Map<TeamName, OfTeam> teams = new TreeMap<>();
+    final TimelineRecorder timeline = new TimelineRecorder(ReplayRunner.WARM_UP_MILLIS);
     long requests;
     long answered;
     long ran;
@@ -92,6 +93,7 @@
         if (team.entitledLevel >= request.tokens()) {
             team.entitledLevel -= request.tokens();
             team.entitledTokens += request.tokens();
+            timeline.entitled(request, nowMillis);
         }
         boolean within = team.demandLevel >= request.tokens();
         team.demandLevel = Math.max(0, team.demandLevel - request.tokens());
@@ -112,6 +114,7 @@
     void answered(RequestRun run, Outcome outcome, Refusal refusal) {
         answered++;
         ran += outcome == Outcome.RAN ? 1 : 0;
+        timeline.answered(run, refusal);
         OfTeam team = ofTeam(run.request.team());
         RequestClass requestClass = run.request.requestClass();
         if (run.isAttained() && refusal == Refusal.NONE) {
--- a/oleandermoor-replay/src/main/java/io/oleandermoor/replay/Policies.java
+++ b/oleandermoor-replay/src/main/java/io/oleandermoor/replay/Policies.java
@@ -45,4 +45,13 @@
         }
         return baselines;
     }
+
+    /**
+     * Returns the policies as text.
+     *
+     * @return one line
+     */
+    public String toText() {
+        return "routing " + routing + ", rate " + rate + ", admission " + admission + ", placement " + placement;
+    }
 }
--- a/oleandermoor-replay/src/main/java/io/oleandermoor/replay/Refusal.java
+++ b/oleandermoor-replay/src/main/java/io/oleandermoor/replay/Refusal.java
@@ -1,7 +1,7 @@
 package io.oleandermoor.replay;
 
 /** Why a request was not served. */
-enum Refusal {
+public enum Refusal {
     /** It was served. */
     NONE,
     /** The team had no tokens. */
--- a/oleandermoor-replay/src/main/java/io/oleandermoor/replay/ReplayRunner.java
+++ b/oleandermoor-replay/src/main/java/io/oleandermoor/replay/ReplayRunner.java
@@ -70,6 +70,7 @@
     public ReplayResult run() throws IOException, InvalidInputException {
         world.schedule.runUntil(WARM_UP_MILLIS);
         world.measurements.modelLoads = 0;
+        recordResidency();
         world.schedule.every(WATCH_MILLIS, this::watch);
         long lastMillis = WARM_UP_MILLIS;
         Optional<TraceEvent> event = source.next();
@@ -79,12 +80,26 @@
             take(event.get());
             event = source.next();
         }
+        world.measurements.timeline.ended(lastMillis);
         long moves = world.measurements.modelLoads;
         double unreachable = world.measurements.unreachableModelSeconds;
         world.schedule.runUntil(lastMillis + DRAIN_MILLIS);
         return result(moves, unreachable, (lastMillis - WARM_UP_MILLIS) / 1_000.0);
     }
 
+    /**
+     * Returns samples of the replay over time.
+     *
+     * @return the samples; those of a finished replay after {@link #run()}
+     */
+    public Timeline timeline() {
+        return world.measurements.timeline.timeline(world.deployment);
+    }
+
+    private void recordResidency() {
+        world.measurements.timeline.resident(world.schedule.now(), world.fleet.engines);
+    }
+
     private void take(TraceEvent event) {
         long now = world.schedule.now();
         if (event instanceof TraceEvent.Request request) {
@@ -128,6 +143,7 @@
     }
 
     private void watch() {
+        recordResidency();
         for (Model model : world.deployment.models()) {
             if (world.faults.contains(Fault.LOSES_MODEL)
                     && model.equals(world.deployment.models().get(0))) {
