--- a/oleandermoor-benchmark/src/main/java/io/oleandermoor/benchmark/RoutingBenchmark.java
+++ b/oleandermoor-benchmark/src/main/java/io/oleandermoor/benchmark/RoutingBenchmark.java
@@ -51,7 +51,7 @@
 
     /** Number of models and upstreams. */
     @Param({"14/6", "530/4600", "5000/20000"})
-    private String fleet = "14/6";
+    String fleet = "14/6";
 
     private final UniformRandomProvider random = RandomSource.XO_RO_SHI_RO_128_PP.create(1L);
     private final RoutingTable table = new RoutingTable();
