Keep requests that were charged with a crash apart

Cause: a request that ran newly started beside a crashing one was charged, was retried on the same second engine at the same time, and was charged again, so it was blocked for 10 minutes.

SuspectQueue wraps FairQueue and starts requests that were charged before at least 2 s apart from each other (CrashAttribution.waitMillis); held ones take no slot. A crash is therefore charged to at most one request a second time. Once a request is blocked, the other requests of its crashes count as explained and are no longer kept apart (CrashRegistry.isSuspect).

Ruled out: charging only suspects when one is among the newly started. It adds nothing once suspects are apart, and a request that never crashed anything before would need three crashes beside an innocent suspect.

--- a/oleandermoor-replay/src/main/java/io/oleandermoor/replay/EngineModel.java
+++ b/oleandermoor-replay/src/main/java/io/oleandermoor/replay/EngineModel.java
@@ -2,8 +2,8 @@
 
 import io.oleandermoor.state.admission.AdmissionDecision;
 import io.oleandermoor.state.admission.Deadline;
-import io.oleandermoor.state.admission.FairQueue;
 import io.oleandermoor.state.admission.QueueSettings;
+import io.oleandermoor.state.admission.SuspectQueue;
 import io.oleandermoor.state.admission.WaitingRequest;
 import io.oleandermoor.state.identity.ModelName;
 import io.oleandermoor.state.ledger.AttemptEvent;
@@ -11,7 +11,6 @@
 import io.oleandermoor.state.ledger.AttemptResult;
 import io.oleandermoor.state.ledger.Body;
 import io.oleandermoor.state.ledger.Crash;
-import io.oleandermoor.state.ledger.CrashAttribution;
 import io.oleandermoor.state.ledger.DispatchDecision;
 import io.oleandermoor.state.ledger.FinishReason;
 import io.oleandermoor.state.ledger.LedgerSettings;
@@ -27,7 +26,6 @@
 import io.oleandermoor.state.memory.Weights;
 import io.oleandermoor.state.routing.PromptPrefix;
 import io.oleandermoor.state.routing.UpstreamLoad;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -61,7 +59,7 @@
     long incarnation;
     MemoryAccount account;
     private RequestLedger ledger = new RequestLedger(LedgerSettings.defaults());
-    private FairQueue<AttemptKey> queue;
+    private SuspectQueue<AttemptKey> queue;
     private final Map<AttemptKey, Task> tasks = new HashMap<>();
     private final Map<AttemptKey, Long> startedMillis = new LinkedHashMap<>();
     private final LinkedHashMap<Long, Boolean> cache = new LinkedHashMap<>(16, 0.75f, true);
@@ -127,6 +125,8 @@
                         run.request.requestClass(),
                         run.request.tokens(),
                         new Deadline(run.deadlineMillis())),
+                run.fingerprint(),
+                this::isSuspect,
                 now);
         if (admission instanceof AdmissionDecision.Refused refused) {
             notRun(key, NotRunReason.BUSY, refused.retryAfterMillis());
@@ -142,12 +142,16 @@
         }
         long now = world.schedule.now();
         queue.expire(now).forEach(expired -> notRun(expired.key(), NotRunReason.DEADLINE_PASSED, 0));
-        queue.poll(now).ifPresent(next -> {
+        queue.poll(this::isSuspect, now).ifPresent(next -> {
             start(next.key());
             pump();
         });
     }
 
+    private boolean isSuspect(String fingerprint) {
+        return world.crashes.isSuspect(fingerprint, world.schedule.now());
+    }
+
     private void start(AttemptKey key) {
         Task task = tasks.get(key);
         long now = world.schedule.now();
@@ -222,15 +226,8 @@
     /** The engine dies and its agent reports it. */
     private void crash() {
         long now = world.schedule.now();
-        List<CrashAttribution.Running> running = new ArrayList<>();
-        startedMillis.forEach((key, started) -> {
-            Task task = tasks.get(key);
-            if (task != null) {
-                running.add(new CrashAttribution.Running(task.run.fingerprint(), started));
-            }
-        });
         Crash crash = new Crash(spec.id(), incarnation, now);
-        CrashAttribution.charged(running, now).forEach(fingerprint -> world.crashes.add(fingerprint, crash));
+        queue.charged(now).forEach(fingerprint -> world.crashes.add(fingerprint, crash));
         world.measurements.crashes++;
         for (AttemptKey key : List.copyOf(startedMillis.keySet())) {
             Task task = tasks.remove(key);
@@ -297,8 +294,8 @@
         return Math.max(1, run.request.promptTokens() * (prefix.blocks() + 1 - held) / (prefix.blocks() + 1));
     }
 
-    private FairQueue<AttemptKey> newQueue() {
-        return new FairQueue<>(
+    private SuspectQueue<AttemptKey> newQueue() {
+        return new SuspectQueue<>(
                 new QueueSettings(world.policies.admission(), spec.slots(), MAXIMUM_QUEUED, 1, 1, BATCH_SHARE_PERCENT));
     }
 
--- a/oleandermoor-replay/src/test/java/io/oleandermoor/replay/ReplayScenarioTest.java
+++ b/oleandermoor-replay/src/test/java/io/oleandermoor/replay/ReplayScenarioTest.java
@@ -90,7 +90,6 @@
     }
 
     /** Guards against the same where few engines make it likely that an innocent request meets both crashes. */
-    @Tag("known-red")
     @Test
     void blocksNoOtherRequestInCymruWest() throws Exception {
         assertThat(replay(Site.CYMRU_WEST, Scenario.CRASHING_REQUEST, Policies.STANDARD)
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/ledger/CrashAttribution.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/ledger/CrashAttribution.java
@@ -1,10 +1,14 @@
 package io.oleandermoor.state.ledger;
 
-import java.util.List;
+import java.util.Collection;
 import java.util.Set;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 
-/** Finds the requests to which a crash is charged. */
+/**
+ * Finds the requests to which a crash is charged, and keeps requests that were charged before apart, so that the next
+ * crash is charged to only one of them a second time.
+ */
 public final class CrashAttribution {
 
     /** Age up to which a request counts as newly started, in milliseconds. */
@@ -27,11 +31,36 @@
      * @param crashedAtMillis the time of the crash, in milliseconds
      * @return the fingerprints, empty if none is suspect
      */
-    public static Set<String> charged(List<Running> running, long crashedAtMillis) {
+    public static Set<String> charged(Collection<Running> running, long crashedAtMillis) {
         return running.stream()
-                .filter(request ->
-                        running.size() == 1 || crashedAtMillis - request.startedAtMillis() <= NEWLY_STARTED_MILLIS)
+                .filter(request -> running.size() == 1 || isNewlyStarted(request, crashedAtMillis))
                 .map(Running::fingerprint)
                 .collect(Collectors.toUnmodifiableSet());
     }
+
+    /**
+     * Returns how long a suspect waits before it starts, so that no two different suspects are newly started at the
+     * same time. Requests with equal fingerprints need not wait for each other, because a crash is charged to their
+     * fingerprint once.
+     *
+     * @param running the requests that run at the upstream
+     * @param fingerprint the fingerprint of the suspect
+     * @param isSuspect whether a fingerprint was charged with a crash that is not explained yet
+     * @param nowMillis the time in milliseconds, of the clock of the start times
+     * @return the wait in milliseconds, 0 if it may start now
+     */
+    public static long waitMillis(
+            Collection<Running> running, String fingerprint, Predicate<String> isSuspect, long nowMillis) {
+        return running.stream()
+                .filter(request -> isNewlyStarted(request, nowMillis)
+                        && !request.fingerprint().equals(fingerprint)
+                        && isSuspect.test(request.fingerprint()))
+                .mapToLong(request -> request.startedAtMillis() + NEWLY_STARTED_MILLIS + 1 - nowMillis)
+                .max()
+                .orElse(0);
+    }
+
+    private static boolean isNewlyStarted(Running request, long nowMillis) {
+        return nowMillis - request.startedAtMillis() <= NEWLY_STARTED_MILLIS;
+    }
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/ledger/CrashRegistry.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/ledger/CrashRegistry.java
@@ -94,6 +94,29 @@
         }
     }
 
+    /**
+     * Returns whether requests with a fingerprint may have caused a recent crash. A crash that is also charged to
+     * another fingerprint that is blocked counts as explained: the blocked one does not run again.
+     *
+     * @param fingerprint the fingerprint
+     * @param nowEpochMillis the time of the wall clock, in milliseconds
+     * @return true if it was charged with an unexplained crash within the block time
+     */
+    public boolean isSuspect(String fingerprint, long nowEpochMillis) {
+        synchronized (lock) {
+            return crashes.getOrDefault(fingerprint, List.of()).stream()
+                    .anyMatch(crash -> nowEpochMillis < crash.atEpochMillis() + BLOCK_MILLIS
+                            && !isExplained(fingerprint, crash, nowEpochMillis));
+        }
+    }
+
+    private boolean isExplained(String fingerprint, Crash crash, long nowEpochMillis) {
+        return crashes.entrySet().stream()
+                .anyMatch(entry -> !entry.getKey().equals(fingerprint)
+                        && entry.getValue().stream().anyMatch(crash::isSameAs)
+                        && isBlocked(entry.getKey(), nowEpochMillis));
+    }
+
     /**
      * Forgets crashes that can no longer block.
      *
