Close the port and the connections of a closed HTTP server

Cause of both known-red fleet tests: JoobyHttpServer.close() stopped the Jooby application, which only runs its stop callbacks. The Netty server went on: its port stayed open and its connections stayed silent. A stream of a closed engine waited for the silence limit of 60 s, and the agent found the port open, so it saw no crash. close() now stops the server, which cuts the connections, and waits up to 3 s until the port is free.

Ruled out: a race between the restart of the stand-in and CrashWatch; without the fix, a connection to a closed server is still silent after 10 s.

JoobyHttpServerTest fails without the fix (connection silent after 10 s) and passes with it.

--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/JoobyHttpServer.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/JoobyHttpServer.java
@@ -13,6 +13,7 @@
 import java.net.ServerSocket;
 import java.util.List;
 import java.util.concurrent.Executors;
+import java.util.concurrent.locks.LockSupport;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -25,13 +26,17 @@
 
     private static final int EVENT_LOOPS = 2;
 
-    private final Jooby application;
+    private static final long CLOSE_LIMIT_NANOS = 3_000_000_000L;
 
-    private final int port;
+    private static final long CLOSE_POLL_NANOS = 2_000_000;
 
-    private JoobyHttpServer(Jooby application, int port) {
-        this.application = application;
-        this.port = port;
+    private final NettyServer server;
+
+    private final InetSocketAddress address;
+
+    private JoobyHttpServer(NettyServer server, InetSocketAddress address) {
+        this.server = server;
+        this.address = address;
     }
 
     /**
@@ -73,17 +78,32 @@
         }));
         server.setOptions(options);
         server.start(application);
-        return new JoobyHttpServer(application, address.getPort());
+        return new JoobyHttpServer(server, address);
     }
 
     @Override
     public int port() {
-        return port;
+        return address.getPort();
     }
 
     @Override
     public void close() {
-        application.stop();
+        // Stopping only the application would leave the port and all connections open.
+        server.stop();
+        // Netty closes them in the background; a caller may want to listen on the port again.
+        long until = System.nanoTime() + CLOSE_LIMIT_NANOS;
+        while (!isFree() && System.nanoTime() < until) {
+            LockSupport.parkNanos(CLOSE_POLL_NANOS);
+        }
+    }
+
+    private boolean isFree() {
+        try {
+            checkFree(address);
+            return true;
+        } catch (IOException exception) {
+            return false;
+        }
     }
 
     /** Jooby reports a port in use only in its log, so the address is tried before. */
