Keep suspects apart in running agents, and block them before a retry

Agents use SuspectQueue, so a crash is charged to at most one request a second time. They learn crashes from the report items, and an entry sends the recent reports to an agent before it sends a suspect there, because dissemination may be slower than the retry. An agent sends its report to all connected entries before it tells them that calls failed. An entry did not look at the registry before a retry, so one request with four attempts could crash four engines; it now answers 422 with outcome unknown.

Attempts whose deadline passes while they wait are refused then, not when they are polled. The silence limit of a call is a setting of the agent (upstream.silence-limit), by default 10 s for engines and 60 s for services.

Ruled out: a flag in Dispatch that marks suspects.

--- a/oleandermoor-command/src/test/java/io/oleandermoor/command/FleetFailureTest.java
+++ b/oleandermoor-command/src/test/java/io/oleandermoor/command/FleetFailureTest.java
@@ -24,7 +24,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -67,7 +66,6 @@
 
         /** Guards against a stream that ends, or repeats or loses tokens, when its engine dies. */
         @Test
-        @Tag("known-red")
         void goOnAtAnotherUpstreamWhenTheUpstreamDies() {
             fleet.engines.get(agent).close();
             assertComplete();
@@ -311,7 +309,6 @@
 
         /** Guards against a prompt that crashes one engine after the other, and against refusing other requests. */
         @Test
-        @Tag("known-red")
         void thatCrashUpstreamsAreRefusedAfterTwoCrashes() throws Exception {
             fleet.crashOn("poison");
             await("refused with 422")
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
@@ -7,6 +7,8 @@
 import io.oleandermoor.coordination.store.KeyValueStore;
 import io.oleandermoor.daemon.health.AdministrationServer;
 import io.oleandermoor.daemon.health.AdministrationServer.Readiness;
+import io.oleandermoor.daemon.network.CrashReport;
+import io.oleandermoor.daemon.network.CrashReportListener;
 import io.oleandermoor.daemon.network.DisseminatingItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
 import io.oleandermoor.daemon.network.UpstreamDescription;
@@ -20,6 +22,7 @@
 import io.oleandermoor.state.admission.QueueSettings;
 import io.oleandermoor.state.identity.InstanceId;
 import io.oleandermoor.state.identity.ServiceName;
+import io.oleandermoor.state.ledger.CrashRegistry;
 import io.oleandermoor.state.ledger.LedgerSettings;
 import io.oleandermoor.state.ledger.RequestLedger;
 import io.oleandermoor.state.memory.Fencing;
@@ -46,7 +49,6 @@
 import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
-import java.time.Duration;
 import java.util.List;
 import java.util.Optional;
 import java.util.concurrent.TimeUnit;
@@ -66,14 +68,17 @@
 
     private static final LongSupplier NOW_MILLIS = () -> System.nanoTime() / 1_000_000;
 
-    private static final Duration UPSTREAM_SILENCE = Duration.ofSeconds(60);
-
     private static final int LARGEST_QUEUE = 1024;
 
     private static final int POLL_MILLIS = 500;
 
     private static final int EXPIRE_MILLIS = 1_000;
 
+    /** Time between looks at attempts that wait for their turn, in milliseconds. */
+    private static final int START_MILLIS = 100;
+
+    private static final int LARGEST_CRASH_REGISTRY = 10_000;
+
     private static final int STEP_REQUEST_MILLIS = 500;
 
     /** Time after the announcement that it is leaving in which an agent still takes new work. */
@@ -95,6 +100,8 @@
 
     private final DisseminatingItemExchange items;
 
+    private final CrashRegistry crashes = new CrashRegistry(LARGEST_CRASH_REGISTRY);
+
     private final FairWaitingQueue queue;
 
     private final RequestExecutor executor;
@@ -129,7 +136,7 @@
         this.workers = new WorkerPool(
                 configured > 0 ? configured : Runtime.getRuntime().availableProcessors());
         OkHttpClient platform = HttpClients.create(settings.get(CommonSettings.PLATFORM_TIMEOUT));
-        OkHttpClient upstreamClient = HttpClients.create(UPSTREAM_SILENCE);
+        OkHttpClient upstreamClient = HttpClients.create(AgentSettings.silenceLimit(settings));
         String upstreamAddress = settings.get(AgentSettings.UPSTREAM_ADDRESS).toString();
         PeerIdentity self = new PeerIdentity(
                 instance.value(),
@@ -148,18 +155,21 @@
                 RandomSource.XO_RO_SHI_RO_128_PP.create(), new Freshness(), network::connections, List::of, NOW_MILLIS);
         this.queue = new FairWaitingQueue(
                 new QueueSettings(AdmissionPolicy.FAIR, settings.get(AgentSettings.SLOTS), LARGEST_QUEUE, 1, 1, 10),
+                fingerprint -> crashes.isSuspect(fingerprint, System.currentTimeMillis()),
                 NOW_MILLIS);
-        CrashWatch crashes = new CrashWatch(
+        CrashWatch watch = new CrashWatch(
                 settings.get(AgentSettings.UPSTREAM_ID),
                 settings.get(AgentSettings.UPSTREAM_ADDRESS).toSocketAddress(),
                 items,
+                crashes,
+                queue::charged,
                 NOW_MILLIS);
         this.executor = new RequestExecutor(
                 new RequestExecutor.Parts(
                         new RequestLedger(LedgerSettings.defaults()),
                         queue,
                         new UpstreamClient(upstreamClient, upstreamAddress),
-                        crashes,
+                        watch,
                         network::connection,
                         this::load,
                         () -> accepting),
@@ -194,13 +204,19 @@
         items.listen(
                 PlacementOwnerRole.NAME,
                 (name, version, content) -> placementOwner = new String(content, StandardCharsets.UTF_8));
+        items.listen(CrashReport.ITEM_PREFIX, new CrashReportListener(crashes, metrics));
         timers.add(
                 Observable.interval(DisseminatingItemExchange.EXCHANGE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                         .subscribe(tick -> items.exchange()));
         timers.add(Observable.interval(STEP_REQUEST_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                 .subscribe(tick -> askForSteps()));
         timers.add(Observable.interval(EXPIRE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
-                .subscribe(tick -> executor.expire()));
+                .subscribe(tick -> {
+                    executor.expire();
+                    crashes.expire(System.currentTimeMillis());
+                }));
+        timers.add(Observable.interval(START_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
+                .subscribe(tick -> executor.startWaiting()));
         metrics.gauge("oleandermoor_attempts", "Attempts that wait or run", executor::size);
         LogEvent.of("agent_started")
                 .with("instance", instance)
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/CrashWatch.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/CrashWatch.java
@@ -5,25 +5,23 @@
 import io.oleandermoor.daemon.network.CrashReport;
 import io.oleandermoor.daemon.network.ItemExchange;
 import io.oleandermoor.state.identity.UpstreamId;
-import io.oleandermoor.state.ledger.AttemptKey;
-import io.oleandermoor.state.ledger.CrashAttribution;
+import io.oleandermoor.state.ledger.CrashRegistry;
 import io.oleandermoor.transport.client.UpstreamFailure;
 import io.oleandermoor.transport.log.LogEvent;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
-import java.util.HashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.LongSupplier;
+import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
  * Finds out whether the upstream's process has ended when calls break, and charges the crash to the requests that ran.
- * One crash breaks many calls at once, so the requests that ran are kept until the crash is over. Safe for use by
- * several threads.
+ * One crash breaks many calls at once; the first of them reports it. Safe for use by several threads.
  */
 final class CrashWatch {
 
@@ -42,42 +40,70 @@
 
     private final ItemExchange items;
 
+    private final CrashRegistry registry;
+
+    private final Supplier<Set<String>> charged;
+
     private final LongSupplier nowMillis;
 
-    private final Map<AttemptKey, CrashAttribution.Running> running = new HashMap<>();
+    private CompletableFuture<Void> lastReport = CompletableFuture.completedFuture(null);
 
     private long lastCrashMillis = Long.MIN_VALUE / 2;
 
-    CrashWatch(UpstreamId upstream, InetSocketAddress address, ItemExchange items, LongSupplier nowMillis) {
+    /**
+     * Creates a watch.
+     *
+     * @param upstream the upstream
+     * @param address where the upstream listens
+     * @param items spreads the reports
+     * @param registry the crashes that this process knows
+     * @param charged supplies the fingerprints to which a crash is charged
+     * @param nowMillis the monotonic clock in milliseconds
+     */
+    CrashWatch(
+            UpstreamId upstream,
+            InetSocketAddress address,
+            ItemExchange items,
+            CrashRegistry registry,
+            Supplier<Set<String>> charged,
+            LongSupplier nowMillis) {
         this.upstream = upstream;
         this.address = address;
         this.items = items;
+        this.registry = registry;
+        this.charged = charged;
         this.nowMillis = nowMillis;
     }
 
-    synchronized void started(RunningAttempt attempt) {
-        running.put(attempt.key(), new CrashAttribution.Running(attempt.fingerprint(), nowMillis.getAsLong()));
-    }
-
-    synchronized void ended(RunningAttempt attempt) {
-        running.remove(attempt.key());
-    }
-
-    /** Takes a broken call. The first one after a crash reports it. */
-    void failed(RunningAttempt attempt, UpstreamFailure failure) {
+    /**
+     * Takes a broken call while its request still counts as running. Returns after a crash has been reported, so that
+     * entries know of the crash before they know that the call failed.
+     */
+    void failed(UpstreamFailure failure) {
         if (failure != UpstreamFailure.BROKEN || isListening()) {
             return;
         }
-        List<CrashAttribution.Running> suspects;
-        long now = nowMillis.getAsLong();
+        CompletableFuture<Void> report = new CompletableFuture<>();
+        CompletableFuture<Void> earlier;
+        boolean first;
         synchronized (this) {
-            if (now - lastCrashMillis < SAME_CRASH_MILLIS) {
-                return;
+            long now = nowMillis.getAsLong();
+            first = now - lastCrashMillis >= SAME_CRASH_MILLIS;
+            earlier = lastReport;
+            if (first) {
+                lastCrashMillis = now;
+                lastReport = report;
             }
-            lastCrashMillis = now;
-            suspects = List.copyOf(running.values());
         }
-        report(CrashAttribution.charged(suspects, now));
+        if (!first) {
+            earlier.join();
+            return;
+        }
+        try {
+            report(charged.get());
+        } finally {
+            report.complete(null);
+        }
     }
 
     private void report(Set<String> fingerprints) {
@@ -88,7 +114,8 @@
                 .warn(LOGGER);
         try {
             CrashReport report = new CrashReport(upstream.value(), epochMillis, List.copyOf(fingerprints));
-            items.publish(
+            report.enterInto(registry);
+            items.publishToAll(
                     CrashReport.ITEM_PREFIX + upstream + "/" + epochMillis,
                     epochMillis,
                     MAPPER.writeValueAsBytes(report));
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/FairWaitingQueue.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/FairWaitingQueue.java
@@ -4,17 +4,20 @@
 import io.oleandermoor.protocol.message.RequestClass;
 import io.oleandermoor.state.admission.AdmissionDecision;
 import io.oleandermoor.state.admission.Deadline;
-import io.oleandermoor.state.admission.FairQueue;
 import io.oleandermoor.state.admission.QueueSettings;
+import io.oleandermoor.state.admission.SuspectQueue;
 import io.oleandermoor.state.admission.WaitingRequest;
 import io.oleandermoor.state.identity.TeamName;
 import io.oleandermoor.state.ledger.AttemptKey;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 
-/** A waiting queue with the fair queue's decisions. Its lock has place 5 in the lock order. */
+/** A waiting queue with the decisions of {@link SuspectQueue}. Its lock has place 5 in the lock order. */
 final class FairWaitingQueue implements WaitingQueue {
 
     /** Charge of a call of a plain service, which has no tokens. */
@@ -22,14 +25,17 @@
 
     private final Object lock = new Object();
 
-    private final FairQueue<AttemptKey> queue;
+    private final SuspectQueue<AttemptKey> queue;
+
+    private final Predicate<String> isSuspect;
 
     private final Map<AttemptKey, RunningAttempt> attempts = new ConcurrentHashMap<>();
 
     private final LongSupplier nowMillis;
 
-    FairWaitingQueue(QueueSettings settings, LongSupplier nowMillis) {
-        this.queue = new FairQueue<>(settings);
+    FairWaitingQueue(QueueSettings settings, Predicate<String> isSuspect, LongSupplier nowMillis) {
+        this.queue = new SuspectQueue<>(settings);
+        this.isSuspect = isSuspect;
         this.nowMillis = nowMillis;
     }
 
@@ -37,7 +43,7 @@
     public Optional<Long> offer(RunningAttempt attempt) {
         long now = nowMillis.getAsLong();
         synchronized (lock) {
-            AdmissionDecision decision = queue.offer(toWaiting(attempt, now), now);
+            AdmissionDecision decision = queue.offer(toWaiting(attempt, now), attempt.fingerprint(), isSuspect, now);
             if (decision instanceof AdmissionDecision.Refused refused) {
                 return Optional.of(refused.retryAfterMillis());
             }
@@ -49,7 +55,7 @@
     @Override
     public Optional<RunningAttempt> poll() {
         synchronized (lock) {
-            return queue.poll(nowMillis.getAsLong()).map(request -> attempts.remove(request.key()));
+            return queue.poll(isSuspect, nowMillis.getAsLong()).map(request -> attempts.remove(request.key()));
         }
     }
 
@@ -68,6 +74,23 @@
         }
     }
 
+    @Override
+    public List<RunningAttempt> expire() {
+        synchronized (lock) {
+            return queue.expire(nowMillis.getAsLong()).stream()
+                    .map(request -> Optional.ofNullable(attempts.remove(request.key())))
+                    .flatMap(Optional::stream)
+                    .toList();
+        }
+    }
+
+    @Override
+    public Set<String> charged() {
+        synchronized (lock) {
+            return queue.charged(nowMillis.getAsLong());
+        }
+    }
+
     @Override
     public int running() {
         synchronized (lock) {
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/RequestExecutor.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/RequestExecutor.java
@@ -125,6 +125,9 @@
         for (AttemptKey key : ledger.expire(nowMillis.getAsLong())) {
             Optional.ofNullable(attempts.get(key)).ifPresent(attempt -> run(key, attempt::cancelCall));
         }
+        for (RunningAttempt attempt : queue.expire()) {
+            run(attempt.key(), () -> refuse(attempt, NotRunReason.DEADLINE_PASSED, 0));
+        }
         for (RunningAttempt attempt : attempts.values()) {
             run(attempt.key(), () -> forgetIfRefused(attempt));
         }
@@ -161,7 +164,8 @@
         }
     }
 
-    private void startWaiting() {
+    /** Starts attempts as far as slots are free; to be called regularly for attempts that wait for their turn. */
+    void startWaiting() {
         for (Optional<RunningAttempt> next = queue.poll(); next.isPresent(); next = queue.poll()) {
             RunningAttempt attempt = next.get();
             run(attempt.key(), () -> start(attempt));
@@ -188,7 +192,6 @@
                 System.nanoTime() - attempt.arrivedNanos());
         try {
             attempt.started(call(attempt), nowMillis.getAsLong());
-            crashes.started(attempt);
         } catch (IOException | IllegalArgumentException exception) {
             finish(attempt, new AttemptResult(FinishReason.UPSTREAM_FAILED, 0, List.of(), Body.empty(), 0), 0);
         }
@@ -268,7 +271,6 @@
 
     private void finish(RunningAttempt attempt, AttemptResult result, long promptTokens) {
         attempts.remove(attempt.key());
-        crashes.ended(attempt);
         releaseSlot(attempt, promptTokens + attempt.nextOffset());
         if (ledger.finish(attempt.key(), result, nowMillis.getAsLong())) {
             send(attempt, AttemptMessages.finished(attempt.key(), result, promptTokens, load.get()));
@@ -282,10 +284,10 @@
         } else if (cancelled) {
             finish(attempt, result(attempt, FinishReason.CANCELLED), 0);
         } else if (attempt.dispatch().getRepeatable() || failure.isCertainlyNotRun()) {
-            crashes.failed(attempt, failure);
+            crashes.failed(failure);
             finish(attempt, result(attempt, FinishReason.UPSTREAM_FAILED), 0);
         } else {
-            crashes.failed(attempt, failure);
+            crashes.failed(failure);
             attempts.remove(attempt.key());
             releaseSlot(attempt, 0);
             ledger.lose(attempt.key(), nowMillis.getAsLong());
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/WaitingQueue.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/WaitingQueue.java
@@ -1,6 +1,8 @@
 package io.oleandermoor.daemon.agent;
 
+import java.util.List;
 import java.util.Optional;
+import java.util.Set;
 
 /** Orders the attempts that wait for a slot at the upstream. Safe for use by several threads. */
 interface WaitingQueue {
@@ -35,6 +37,16 @@
      */
     void release(RunningAttempt attempt, long usedTokens);
 
+    /**
+     * Removes the attempts whose deadline passed while they waited.
+     *
+     * @return the attempts, which did not run
+     */
+    List<RunningAttempt> expire();
+
+    /** Returns the fingerprints to which a crash of the upstream now is charged. */
+    Set<String> charged();
+
     /** Returns the number of attempts that have a slot. */
     int running();
 
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
@@ -46,6 +46,10 @@
     /** Time to wait for the result of a cancellation. */
     private static final long CANCEL_GRACE_MILLIS = 2_000;
 
+    private static final String BLOCKED_CODE = "content_crashes_upstreams";
+
+    private static final String BLOCKED_MESSAGE = "requests with this content have crashed upstreams";
+
     private static final Logger LOGGER = LogManager.getLogger(ActiveRequest.class);
 
     private final CallerRequest request;
@@ -126,11 +130,8 @@
     }
 
     void start() {
-        String fingerprint =
-                HexFormat.of().formatHex(request.dispatch().getFingerprint().toByteArray());
-        if (services.crashes().isBlocked(fingerprint, System.currentTimeMillis())) {
-            refuse(CallerError.notRun(
-                    422, "content_crashes_upstreams", "requests with this content have crashed upstreams"));
+        if (isBlocked()) {
+            refuse(CallerError.notRun(422, BLOCKED_CODE, BLOCKED_MESSAGE));
             return;
         }
         deadlineTimer = services.timers()
@@ -211,7 +212,7 @@
             return;
         }
         OnceCall call = new OnceCall(
-                HexFormat.of().formatHex(request.dispatch().getFingerprint().toByteArray()),
+                fingerprint(),
                 request.id().toString(),
                 services.instance(),
                 first.get().upstream());
@@ -284,6 +285,9 @@
         attemptSentMillis = now;
         lastHeardMillis = now;
         services.router().sent(chosen, request.query().prefix(), now);
+        if (services.crashes().isSuspect(fingerprint(), System.currentTimeMillis())) {
+            services.crashReports().accept(connection);
+        }
         Dispatch dispatch = request.dispatch().toBuilder()
                 .setKey(AttemptMessages.toMessage(attempt))
                 .setRemainingMillis((int) Math.max(1, request.deadlineMillis() - now))
@@ -317,13 +321,30 @@
         } else if (decision instanceof AttemptDecision.Retry retry) {
             retry.cancelled().ifPresent(attempt -> sendToAgent(AttemptMessages.cancel(attempt)));
             attemptFailed();
-            services.metrics().event("retry");
-            dispatch(retry.excluded());
+            retry(retry.excluded());
         } else if (decision instanceof AttemptDecision.Reply reply) {
             reply(reply);
         }
     }
 
+    /** Sends the request elsewhere, unless its content was blocked meanwhile: it would crash the next upstream. */
+    private void retry(Set<UpstreamId> excluded) {
+        if (request.repeatable() && isBlocked()) {
+            refuse(CallerError.unknown(422, BLOCKED_CODE, BLOCKED_MESSAGE));
+            return;
+        }
+        services.metrics().event("retry");
+        dispatch(excluded);
+    }
+
+    private String fingerprint() {
+        return HexFormat.of().formatHex(request.dispatch().getFingerprint().toByteArray());
+    }
+
+    private boolean isBlocked() {
+        return services.crashes().isBlocked(fingerprint(), System.currentTimeMillis());
+    }
+
     private void forward(TextChunk chunk) {
         long now = System.nanoTime();
         if (text.isEmpty()) {
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -20,6 +20,7 @@
 import io.oleandermoor.daemon.health.AdministrationServer.Readiness;
 import io.oleandermoor.daemon.network.ConfigurationItems;
 import io.oleandermoor.daemon.network.CrashReport;
+import io.oleandermoor.daemon.network.CrashReportListener;
 import io.oleandermoor.daemon.network.DisseminatingItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
 import io.oleandermoor.daemon.network.UpstreamDescription;
@@ -345,6 +346,7 @@
                 new StoreOnceService(
                         store, new OnceDecider(RequestParser.LARGEST_TIMEOUT_MILLIS, LARGEST_STORED_BODY_BYTES)),
                 crashes,
+                this::sendCrashReports,
                 new SharedRetryBudget(),
                 placement.demand(),
                 metrics,
@@ -353,6 +355,12 @@
                 NOW_MILLIS);
     }
 
+    /** Lets an agent know that a request is suspect before it receives the request. */
+    private void sendCrashReports(PeerConnection connection) {
+        long oldest = System.currentTimeMillis() - CrashRegistry.BLOCK_MILLIS;
+        items.sendKnown(connection, item -> item.name().startsWith(CrashReport.ITEM_PREFIX) && item.version() > oldest);
+    }
+
     private Heartbeat heartbeat() {
         return Heartbeat.newBuilder()
                 .setConfigurationVersion(configuration.configuration().version())
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryServices.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryServices.java
@@ -4,7 +4,9 @@
 import io.oleandermoor.state.ledger.CrashRegistry;
 import io.oleandermoor.state.routing.Router;
 import io.oleandermoor.transport.metrics.ProcessMetrics;
+import io.oleandermoor.transport.peer.PeerConnection;
 import io.oleandermoor.transport.worker.Timers;
+import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.apache.commons.rng.UniformRandomProvider;
 
@@ -17,6 +19,7 @@
  * @param tokens limits tokens
  * @param once records of non-repeatable calls
  * @param crashes fingerprints that crash upstreams
+ * @param crashReports sends the reports of recent crashes to an agent
  * @param retries the retry budget
  * @param demand counts the demand for models
  * @param metrics the metrics of the process
@@ -31,6 +34,7 @@
         TokenService tokens,
         OnceService once,
         CrashRegistry crashes,
+        Consumer<PeerConnection> crashReports,
         SharedRetryBudget retries,
         DemandMeter demand,
         ProcessMetrics metrics,
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/CrashReport.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/CrashReport.java
@@ -1,5 +1,8 @@
 package io.oleandermoor.daemon.network;
 
+import io.oleandermoor.state.identity.UpstreamId;
+import io.oleandermoor.state.ledger.Crash;
+import io.oleandermoor.state.ledger.CrashRegistry;
 import java.util.List;
 
 /**
@@ -18,4 +21,14 @@
     public CrashReport {
         fingerprints = List.copyOf(fingerprints);
     }
+
+    /**
+     * Adds the crash to a registry. The agent's clock stands for the incarnation of the upstream.
+     *
+     * @param registry the registry
+     */
+    public void enterInto(CrashRegistry registry) {
+        Crash crash = new Crash(new UpstreamId(upstream), atEpochMillis, atEpochMillis);
+        fingerprints.forEach(fingerprint -> registry.add(fingerprint, crash));
+    }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/CrashReportListener.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/CrashReportListener.java
@@ -1,10 +1,7 @@
-package io.oleandermoor.daemon.entry;
+package io.oleandermoor.daemon.network;
 
 import com.fasterxml.jackson.databind.ObjectMapper;
-import io.oleandermoor.daemon.network.CrashReport;
 import io.oleandermoor.daemon.network.ItemExchange.ItemListener;
-import io.oleandermoor.state.identity.UpstreamId;
-import io.oleandermoor.state.ledger.Crash;
 import io.oleandermoor.state.ledger.CrashRegistry;
 import io.oleandermoor.transport.log.LogEvent;
 import io.oleandermoor.transport.metrics.ProcessMetrics;
@@ -12,8 +9,8 @@
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
-/** Enters the crashes that agents report into the registry. */
-final class CrashReportListener implements ItemListener {
+/** Enters the crashes that agents report into the registry of a process. Safe for use by several threads. */
+public final class CrashReportListener implements ItemListener {
 
     private static final Logger LOGGER = LogManager.getLogger(CrashReportListener.class);
 
@@ -23,7 +20,13 @@
 
     private final ProcessMetrics metrics;
 
-    CrashReportListener(CrashRegistry crashes, ProcessMetrics metrics) {
+    /**
+     * Creates a listener.
+     *
+     * @param crashes the registry
+     * @param metrics counts the crashes
+     */
+    public CrashReportListener(CrashRegistry crashes, ProcessMetrics metrics) {
         this.crashes = crashes;
         this.metrics = metrics;
     }
@@ -32,8 +35,7 @@
     public void received(String name, long version, byte[] content) {
         try {
             CrashReport report = MAPPER.readValue(content, CrashReport.class);
-            Crash crash = new Crash(new UpstreamId(report.upstream()), report.atEpochMillis(), report.atEpochMillis());
-            report.fingerprints().forEach(fingerprint -> crashes.add(fingerprint, crash));
+            report.enterInto(crashes);
             metrics.event("upstream_crash");
         } catch (IOException exception) {
             LogEvent.of("item_unreadable")
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/DisseminatingItemExchange.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/DisseminatingItemExchange.java
@@ -84,6 +84,29 @@
         carryOut(step);
     }
 
+    @Override
+    public void publishToAll(String name, long version, byte[] content) {
+        publish(name, version, content);
+        Item item = new Item(name, version, content);
+        connections.get().forEach(connection -> sendNews(connection, List.of(item)));
+    }
+
+    /**
+     * Sends known items to a process before other messages that depend on them.
+     *
+     * @param connection the connection
+     * @param condition which items
+     */
+    public void sendKnown(PeerConnection connection, Predicate<Item> condition) {
+        List<Item> known;
+        synchronized (lock) {
+            known = disseminator.items().stream().filter(condition).toList();
+        }
+        if (!known.isEmpty()) {
+            sendNews(connection, known);
+        }
+    }
+
     @Override
     public void listen(String prefix, ItemListener listener) {
         subscriptions.add(new Subscription(prefix, listener));
@@ -105,14 +128,11 @@
      * @param connection the new connection
      */
     public void opened(PeerConnection connection) {
-        ItemMessage message;
+        List<Item> items;
         synchronized (lock) {
-            message = ItemMessage.builder()
-                    .news(true)
-                    .items(new ArrayList<>(own.values()))
-                    .build();
+            items = new ArrayList<>(own.values());
         }
-        connection.send(ItemMessages.toMessage(message));
+        sendNews(connection, items);
     }
 
     /**
@@ -182,6 +202,11 @@
         }
     }
 
+    private static void sendNews(PeerConnection connection, List<Item> items) {
+        connection.send(ItemMessages.toMessage(
+                ItemMessage.builder().news(true).items(items).build()));
+    }
+
     private void updatePeers() {
         List<InstanceId> peers = connections.get().stream()
                 .map(connection -> new InstanceId(connection.remote().instance()))
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/ItemExchange.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/ItemExchange.java
@@ -12,6 +12,16 @@
      */
     void publish(String name, long version, byte[] content);
 
+    /**
+     * Makes an item known like {@link #publish}, and sends it on all open connections. Whoever receives a later message
+     * of the same thread on one of them knows the item.
+     *
+     * @param name the name
+     * @param version the version
+     * @param content the content
+     */
+    void publishToAll(String name, long version, byte[] content);
+
     /**
      * Adds a listener for items whose name starts with a prefix. It is called for each newer item once.
      *
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/AgentSettings.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/AgentSettings.java
@@ -48,6 +48,14 @@
                     "upstream.order-delay-limit", "Time after which an order that was sent can no longer take effect.")
             .defaultingTo("60s");
 
+    /** Longest silence of the upstream during a call. */
+    public static final Setting<Duration> SILENCE_LIMIT = Setting.duration(
+                    "upstream.silence-limit",
+                    "Time without a byte from the upstream after which a call counts as failed. Must be longer than"
+                            + " the processing of the longest prompt; if not set, 10s for kind ENGINE and 60s for"
+                            + " kind SERVICE.")
+            .optional();
+
     /** Longest wait in the queue. */
     public static final Setting<Duration> QUEUE_WAIT_LIMIT = Setting.duration(
                     "limits.queue-wait", "Expected wait beyond which a new request is refused.")
@@ -74,6 +82,7 @@
                     SLOTS,
                     FENCING,
                     ORDER_DELAY_LIMIT,
+                    SILENCE_LIMIT,
                     QUEUE_WAIT_LIMIT,
                     CommonSettings.ADMINISTRATION_CREDENTIAL_HASH,
                     CommonSettings.ADMINISTRATION_BODY_LIMIT,
@@ -81,10 +90,25 @@
             .rule(AgentSettings::checkKind)
             .build();
 
+    private static final Duration SILENCE_OF_ENGINE = Duration.ofSeconds(10);
+
+    private static final Duration SILENCE_OF_SERVICE = Duration.ofSeconds(60);
+
     private static final long MEGABYTE = 1L << 20;
 
     private AgentSettings() {}
 
+    /**
+     * Returns the longest silence of the upstream during a call.
+     *
+     * @param settings settings of the agent's schema
+     * @return the setting, or else the default for the kind of the upstream
+     */
+    public static Duration silenceLimit(Settings settings) {
+        return settings.find(SILENCE_LIMIT)
+                .orElse(settings.get(UPSTREAM_KIND) == UpstreamKind.SERVICE ? SILENCE_OF_SERVICE : SILENCE_OF_ENGINE);
+    }
+
     private static void checkKind(Settings settings, Findings findings) {
         boolean service = settings.get(UPSTREAM_KIND) == UpstreamKind.SERVICE;
         if (service && settings.find(SERVICE_NAME).isEmpty()) {
