Keep the former rate owner of a group as its pool in the daemon

The role keeps its owner core after the ownership has ended, and an entry asks itself while no later owner is announced. An announcement with a lower fencing number no longer replaces a later one. The settings of the daemon are now the defaults.

Compiled with the checks of the build; not run with running daemons.

--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -33,7 +33,6 @@
 import io.oleandermoor.state.ledger.CrashRegistry;
 import io.oleandermoor.state.ledger.OnceDecider;
 import io.oleandermoor.state.rate.RateClientId;
-import io.oleandermoor.state.rate.RatePolicy;
 import io.oleandermoor.state.rate.RateSettings;
 import io.oleandermoor.state.routing.Router;
 import io.oleandermoor.state.routing.RoutingPolicy;
@@ -83,12 +82,7 @@
     /** Largest number of entries that share the floors of the teams. */
     private static final int MAXIMUM_ENTRIES = 8;
 
-    /**
-     * Floors add up to the whole rate, so that an outage of the key-value service costs teams only what their load is
-     * unevenly spread over the entries.
-     */
-    private static final RateSettings RATE_SETTINGS =
-            new RateSettings(RatePolicy.OWNER_GRANTS, MAXIMUM_ENTRIES, 4_000, 500, 8_000, 100, 5, 50);
+    private static final RateSettings RATE_SETTINGS = RateSettings.defaults(MAXIMUM_ENTRIES);
 
     private static final UniformRandomProvider RANDOM = new ThreadLocalRandomProvider();
 
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RateShell.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RateShell.java
@@ -59,11 +59,15 @@
 
     private final LongSupplier nowMillis;
 
+    private final RateSettings settings;
+
+    private final long startedMillis;
+
     private final TokenLedger ledger;
 
     private final List<RateOwnerRole> roles = new ArrayList<>();
 
-    private final Map<Integer, String> owners = new ConcurrentHashMap<>();
+    private final Map<Integer, KnownOwner> owners = new ConcurrentHashMap<>();
 
     private final CompositeDisposable timers = new CompositeDisposable();
 
@@ -82,6 +86,8 @@
         this.items = items;
         this.network = network;
         this.nowMillis = nowMillis;
+        this.settings = settings;
+        this.startedMillis = nowMillis.getAsLong();
         this.ledger = new TokenLedger(settings, self, this::sendToOwner, nowMillis);
         for (int group = 0; group < RateGroups.COUNT; group++) {
             int number = group;
@@ -100,8 +106,9 @@
     void start() {
         items.listen(
                 OWNER_PREFIX,
-                (name, version, content) -> owners.put(
+                (name, version, content) -> learn(
                         Integer.parseInt(name.substring(OWNER_PREFIX.length())),
+                        version,
                         new String(content, StandardCharsets.UTF_8)));
         timers.add(Observable.interval(TokenLedger.TICK_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                 .subscribe(tick -> ledger.tick(), failure -> LOGGER.error("event=rate_tick_failed", failure)));
@@ -154,18 +161,32 @@
 
     private boolean sendToOwner(int group, RateRequest request) {
         RateOwnerRole local = roles.get(group);
-        if (local.isOwner()) {
+        // After its lease has lapsed, this process answers as a pool until another owner is announced.
+        if (local.isOwner()
+                || ownerOf(group).filter(self.instance().value()::equals).isPresent()) {
             local.handle(request)
                     .ifPresent(response -> Schedulers.io().scheduleDirect(() -> ledger.accept(group, response)));
             return true;
         }
-        return Optional.ofNullable(owners.get(group))
+        return ownerOf(group)
                 .flatMap(network::connection)
                 .map(connection -> connection.send(RateMessages.request(group, request)))
                 .orElse(false);
     }
 
+    private Optional<String> ownerOf(int group) {
+        return Optional.ofNullable(owners.get(group)).map(KnownOwner::instance);
+    }
+
+    private void learn(int group, long fencing, String instance) {
+        owners.merge(
+                group,
+                new KnownOwner(fencing, instance),
+                (known, learned) -> learned.fencing() > known.fencing() ? learned : known);
+    }
+
     private void announce(int group, Ownership ownership) {
+        learn(group, ownership.fencing().value(), self.instance().value());
         items.publish(
                 OWNER_PREFIX + group,
                 ownership.fencing().value(),
@@ -174,7 +195,7 @@
 
     /** Registers this process and, while it owns a group, reads who else is registered. */
     private void maintainRegistration() {
-        if (!registered) {
+        if (!registered && nowMillis.getAsLong() - startedMillis >= settings.registrationDelayMillis()) {
             register();
         }
         if (roles.stream().anyMatch(RateOwnerRole::isOwner)) {
@@ -218,4 +239,6 @@
         }
         return clients;
     }
+
+    private record KnownOwner(long fencing, String instance) {}
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/rate/RateOwnerRole.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/rate/RateOwnerRole.java
@@ -17,8 +17,9 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The rate owner of one group while this process owns the group's name. Safe for use by several threads; its lock has
- * place 4 in the lock order.
+ * The rate owner of one group while this process owns the group's name, and afterwards a pool of the floors that
+ * entries lend to it, until it owns the name again. Safe for use by several threads; its lock has place 4 in the lock
+ * order.
  */
 public final class RateOwnerRole implements OwnedRole {
 
@@ -74,7 +75,9 @@
     @Override
     public void ended(Ownership ended) {
         synchronized (lock) {
-            owner = null;
+            if (owner != null) {
+                owner.retire();
+            }
             ownership = null;
         }
     }
@@ -114,7 +117,7 @@
     }
 
     /**
-     * Answers a request of an entry.
+     * Answers a request of an entry, as owner or as pool.
      *
      * @param request the request
      * @return the answer, or empty for a request that is older than one answered before
@@ -124,10 +127,15 @@
             RateOwner current = owner;
             Ownership held = ownership;
             long now = nowMillis.getAsLong();
-            if (current == null || held == null || !held.isOwner(now)) {
+            if (current == null) {
                 return Optional.of(new RateResponse(request.sequence(), false, 0, 0, List.of()));
             }
-            current.renewed(held.validUntilMillis());
+            if (held != null) {
+                current.renewed(held.validUntilMillis());
+            }
+            if (held == null || !held.isOwner(now)) {
+                current.retire();
+            }
             return current.handle(request, now);
         }
     }
