Run requests elsewhere that an upstream did not start or stopped answering

Cause: an engine that had just unloaded a model answered 404, and the agent passed that on to the caller although other copies were ready. A call whose connection was refused ended as UPSTREAM_FAILED, so a booking was answered as "may have taken effect". The listing of a paused engine waited as long as an order (60 s), so its models stayed announced and its streams waited. A stopping process tried to open connections on event loops that had ended.

Now the agent reports the first two as not run (RequestLedger.notStarted, refused after the first chunk), limits a listing to 3 s, and lets streams go on elsewhere that have heard nothing for 3 s while no listing was answered.

Ruled out: the entry's routing table as the cause of the 404; it shows what the agent announced at most 0.5 s ago.

--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
@@ -68,6 +68,9 @@
 
     private static final Duration UPSTREAM_SILENCE = Duration.ofSeconds(60);
 
+    /** Time without an answer to a listing and without a token after which a stream goes on at another upstream. */
+    private static final long UPSTREAM_STALLED_MILLIS = 3_000;
+
     private static final int LARGEST_QUEUE = 1024;
 
     private static final int POLL_MILLIS = 500;
@@ -109,6 +112,9 @@
 
     private long sequence;
 
+    /** When the engine last answered a listing; used by the thread of the monitor only. */
+    private long lastListedMillis = NOW_MILLIS.getAsLong();
+
     private boolean leaving;
 
     private volatile boolean accepting = true;
@@ -309,6 +315,12 @@
     }
 
     private void observed(Optional<List<Resident>> listing, long requestedMillis) {
+        long now = NOW_MILLIS.getAsLong();
+        if (listing.isPresent()) {
+            lastListedMillis = now;
+        } else if (now - lastListedMillis >= UPSTREAM_STALLED_MILLIS) {
+            executor.moveSilent(UPSTREAM_STALLED_MILLIS);
+        }
         listing.ifPresent(residents -> orders.ifPresent(executor -> executor.listed(residents, requestedMillis)));
         observed(listing.orElse(List.of()));
     }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/RequestExecutor.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/RequestExecutor.java
@@ -46,6 +46,9 @@
  */
 final class RequestExecutor {
 
+    /** Status with which an engine answers a completion for a model that it does not hold. */
+    private static final int STATUS_NOT_LOADED = 404;
+
     private final RequestLedger ledger;
 
     private final WaitingQueue queue;
@@ -133,7 +136,7 @@
     /** Lets streams that run here go on at other upstreams; waiting attempts are refused as not run. */
     void moveAll() {
         for (RunningAttempt attempt : attempts.values()) {
-            run(attempt.key(), () -> move(attempt));
+            run(attempt.key(), () -> move(attempt, NotRunReason.LEAVING));
         }
     }
 
@@ -150,7 +153,7 @@
         if (decision instanceof DispatchDecision.Refuse refuse) {
             connection.send(AttemptMessages.notRun(key, refuse.reason(), 0, load.get()));
         } else if (decision instanceof DispatchDecision.Admit) {
-            RunningAttempt attempt = new RunningAttempt(key, dispatch, entry);
+            RunningAttempt attempt = new RunningAttempt(key, dispatch, entry, nowMillis.getAsLong());
             attempts.put(key, attempt);
             Optional<Long> refusedFor = queue.offer(attempt);
             if (refusedFor.isPresent()) {
@@ -235,10 +238,26 @@
         replay.result().ifPresent(result -> connection.send(AttemptMessages.finished(key, result, 0, load.get())));
     }
 
-    private void move(RunningAttempt attempt) {
-        if (ledger.refuse(attempt.key(), NotRunReason.LEAVING, nowMillis.getAsLong())) {
+    /**
+     * Lets work go on at other upstreams that has heard nothing from this one. Called while the upstream does not
+     * answer.
+     *
+     * @param silentMillis time without a token after which an attempt is moved
+     */
+    void moveSilent(long silentMillis) {
+        for (RunningAttempt attempt : attempts.values()) {
+            run(attempt.key(), () -> {
+                if (nowMillis.getAsLong() - attempt.lastHeardMillis() >= silentMillis) {
+                    move(attempt, NotRunReason.UPSTREAM_UNREACHABLE);
+                }
+            });
+        }
+    }
+
+    private void move(RunningAttempt attempt, NotRunReason reason) {
+        if (ledger.refuse(attempt.key(), reason, nowMillis.getAsLong())) {
             queue.remove(attempt);
-            refused(attempt, NotRunReason.LEAVING, 0);
+            refused(attempt, reason, 0);
         } else if (attempt.dispatch().getRepeatable()) {
             attempt.move();
             attempt.cancelCall();
@@ -275,13 +294,23 @@
         }
     }
 
+    /** Tells the entry that the upstream did not start the attempt, so that it can run elsewhere. */
+    private void notStarted(RunningAttempt attempt, NotRunReason reason) {
+        crashes.ended(attempt);
+        releaseSlot(attempt, 0);
+        refused(attempt, reason, 0);
+    }
+
     private void failed(RunningAttempt attempt, UpstreamFailure failure) {
         boolean cancelled = failure == UpstreamFailure.CANCELLED;
         if (cancelled && attempt.isMoving()) {
             finish(attempt, result(attempt, FinishReason.MOVED), 0);
         } else if (cancelled) {
             finish(attempt, result(attempt, FinishReason.CANCELLED), 0);
-        } else if (attempt.dispatch().getRepeatable() || failure.isCertainlyNotRun()) {
+        } else if (failure.isCertainlyNotRun()
+                && ledger.notStarted(attempt.key(), NotRunReason.UPSTREAM_UNREACHABLE, nowMillis.getAsLong())) {
+            notStarted(attempt, NotRunReason.UPSTREAM_UNREACHABLE);
+        } else if (attempt.dispatch().getRepeatable()) {
             crashes.failed(attempt, failure);
             finish(attempt, result(attempt, FinishReason.UPSTREAM_FAILED), 0);
         } else {
@@ -322,6 +351,7 @@
         @Override
         public void tokens(String text, long generatedTokens) {
             run(attempt.key(), () -> {
+                attempt.heard(nowMillis.getAsLong());
                 int offset = attempt.nextOffset();
                 TextChunk chunk = new TextChunk(offset, attempt.tokensGenerated(generatedTokens), text);
                 if (ledger.append(attempt.key(), chunk)) {
@@ -334,6 +364,13 @@
         public void completed(Result result) {
             run(attempt.key(), () -> {
                 boolean completion = attempt.dispatch().getKind() == CallKind.COMPLETION;
+                // An engine that has just unloaded the model did not start the completion.
+                if (completion
+                        && result.status() == STATUS_NOT_LOADED
+                        && ledger.notStarted(attempt.key(), NotRunReason.MODEL_NOT_READY, nowMillis.getAsLong())) {
+                    notStarted(attempt, NotRunReason.MODEL_NOT_READY);
+                    return;
+                }
                 boolean failed = completion && result.status() >= 500;
                 FinishReason reason = failed
                         ? FinishReason.UPSTREAM_FAILED
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/RunningAttempt.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/RunningAttempt.java
@@ -21,12 +21,15 @@
 
     private volatile long startedMillis;
 
+    private volatile long lastHeardMillis;
+
     private long generatedTokens;
 
     private boolean moving;
 
-    RunningAttempt(AttemptKey key, Dispatch dispatch, InstanceId entry) {
+    RunningAttempt(AttemptKey key, Dispatch dispatch, InstanceId entry, long nowMillis) {
         this.key = key;
+        this.lastHeardMillis = nowMillis;
         this.dispatch = dispatch;
         this.entry = entry;
     }
@@ -58,6 +61,7 @@
     void started(UpstreamCall started, long nowMillis) {
         call = started;
         startedMillis = nowMillis;
+        lastHeardMillis = nowMillis;
     }
 
     /** Returns when the attempt started at the upstream, 0 if it waits. */
@@ -65,6 +69,16 @@
         return startedMillis;
     }
 
+    /** Notes that the upstream has sent something. */
+    void heard(long nowMillis) {
+        lastHeardMillis = nowMillis;
+    }
+
+    /** Returns when the attempt arrived, started or last received something from the upstream, whichever is latest. */
+    long lastHeardMillis() {
+        return lastHeardMillis;
+    }
+
     void cancelCall() {
         call.cancel();
     }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/PeerNetwork.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/PeerNetwork.java
@@ -135,6 +135,10 @@
     }
 
     private void connectMissing() {
+        if (timers.isDisposed()) {
+            // The loss of a connection during close opens no new one; the event loops accept no task any more.
+            return;
+        }
         for (InstanceListClient.Instance instance : listed) {
             String name = instance.instance();
             if (name.equals(self.instance()) || !connectTo.test(instance) || connections.containsKey(name)) {
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/load/LoadReport.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/load/LoadReport.java
@@ -37,6 +37,10 @@
 
     private long elapsedNanos;
 
+    private final long startNanos = System.nanoTime();
+
+    private long lastFailureNanos;
+
     LoadReport() {}
 
     synchronized void sent() {
@@ -53,14 +57,17 @@
     }
 
     synchronized void wrong() {
+        lastFailureNanos = System.nanoTime() - startNanos;
         wrong++;
     }
 
     synchronized void refused(String code) {
+        lastFailureNanos = System.nanoTime() - startNanos;
         refusals.merge(code, 1L, Long::sum);
     }
 
     synchronized void error(String kind) {
+        lastFailureNanos = System.nanoTime() - startNanos;
         errors.merge(kind, 1L, Long::sum);
     }
 
@@ -150,6 +157,15 @@
         return betweenTokens.getValueAtPercentile(percentile) / 1_000.0;
     }
 
+    /**
+     * Returns when the last request ended that was not complete.
+     *
+     * @return seconds from the start of the run, 0 if all requests were complete
+     */
+    public synchronized double lastFailureSeconds() {
+        return lastFailureNanos / 1e9;
+    }
+
     /**
      * Returns the rate of tokens in complete answers, over the whole run.
      *
--- a/oleandermoor-standin/src/main/java/io/oleandermoor/standin/load/LoadResult.java
+++ b/oleandermoor-standin/src/main/java/io/oleandermoor/standin/load/LoadResult.java
@@ -59,13 +59,18 @@
                     decimal(entries.firstTokenMillis(percentile)),
                     decimal(direct.firstTokenMillis(percentile)));
         }
-        for (int percentile : new int[] {50, 95, 99}) {
+        for (int percentile : new int[] {50, 95, 99, 100}) {
             row(
                     output,
                     "between tokens p" + percentile + " ms",
                     decimal(entries.betweenTokensMillis(percentile)),
                     decimal(direct.betweenTokensMillis(percentile)));
         }
+        row(
+                output,
+                "last failure after s",
+                decimal(entries.lastFailureSeconds()),
+                decimal(direct.lastFailureSeconds()));
         row(output, "tokens/s", decimal(entries.tokensPerSecond()), decimal(direct.tokensPerSecond()));
     }
 
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/ledger/LedgerRecord.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/ledger/LedgerRecord.java
@@ -41,6 +41,11 @@
         return bytes;
     }
 
+    /** Returns whether the upstream has generated anything. */
+    boolean hasChunks() {
+        return chunks != null;
+    }
+
     /** Adds a chunk, dropping the oldest beyond the limit, and returns the change of the number of bytes. */
     int add(TextChunk chunk, int limit) {
         if (chunks == null) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/ledger/RequestLedger.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/ledger/RequestLedger.java
@@ -105,6 +105,26 @@
         }
     }
 
+    /**
+     * Takes the upstream's confirmation that it did not start a running attempt: no connection could be opened, or the
+     * upstream does not hold the model. A sent chunk proves the contrary, so the attempt then stays as it is.
+     *
+     * @param key the attempt
+     * @param reason why it does not run
+     * @param nowMillis the time in milliseconds
+     * @return true if the attempt did not run and never will
+     */
+    public boolean notStarted(AttemptKey key, NotRunReason reason, long nowMillis) {
+        synchronized (lock) {
+            LedgerRecord record = records.get(key);
+            if (record == null || record.state != AttemptState.RUNNING || record.hasChunks()) {
+                return false;
+            }
+            endNotRun(record, reason, nowMillis);
+            return true;
+        }
+    }
+
     /**
      * Takes a chunk of a running attempt.
      *
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/ledger/RequestLedgerTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/ledger/RequestLedgerTest.java
@@ -60,6 +60,21 @@
         assertThat(ledger.size()).isEqualTo(4);
     }
 
+    @Test
+    @DisplayName("Guards against an attempt reported as not started that runs later, or that has generated text")
+    void refusesWhatTheUpstreamDidNotStart() {
+        run(1);
+        assertThat(ledger.notStarted(key(1), NotRunReason.UPSTREAM_UNREACHABLE, 1))
+                .isTrue();
+        assertThat(ledger.dispatch(key(1), true, ENTRY, 0, 2))
+                .isEqualTo(new DispatchDecision.Refuse(NotRunReason.UPSTREAM_UNREACHABLE));
+        assertThat(ledger.start(key(1))).isFalse();
+        run(2);
+        append(2, 0, "a");
+        assertThat(ledger.notStarted(key(2), NotRunReason.MODEL_NOT_READY, 3)).isFalse();
+        assertThat(ledger.query(key(2), 3)).isEqualTo(AttemptState.RUNNING);
+    }
+
     @Test
     @DisplayName("Guards against unbounded buffers, and against a replay that leaves a gap")
     void replaysWhatIsBuffered() {
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/EngineControl.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/EngineControl.java
@@ -31,8 +31,16 @@
 
     private static final int OK = 200;
 
+    /**
+     * Longest time for a listing. A paused engine accepts connections and answers nothing, so waiting as long as for an
+     * order would keep its models announced as ready for all that time.
+     */
+    private static final Duration LISTING_TIMEOUT = Duration.ofSeconds(3);
+
     private final OkHttpClient client;
 
+    private final OkHttpClient listingClient;
+
     private final String base;
 
     /**
@@ -44,6 +52,7 @@
      */
     public EngineControl(OkHttpClient client, String address, Duration orderTimeout) {
         this.client = client.newBuilder().readTimeout(orderTimeout).build();
+        this.listingClient = client.newBuilder().callTimeout(LISTING_TIMEOUT).build();
         this.base = "http://" + address;
     }
 
@@ -55,7 +64,7 @@
      * @throws IOException if the engine does not answer
      */
     public List<Resident> list(long fencingNumber) throws IOException {
-        JsonNode response = post("/v2/repository/index", MAPPER.createObjectNode(), fencingNumber);
+        JsonNode response = post(listingClient, "/v2/repository/index", MAPPER.createObjectNode(), fencingNumber);
         List<Resident> residents = new ArrayList<>();
         for (JsonNode node : response) {
             residents.add(new Resident(
@@ -120,12 +129,16 @@
     }
 
     private JsonNode post(String path, ObjectNode body, long fencingNumber) throws IOException {
+        return post(client, path, body, fencingNumber);
+    }
+
+    private JsonNode post(OkHttpClient caller, String path, ObjectNode body, long fencingNumber) throws IOException {
         Request request = new Request.Builder()
                 .url(base + path)
                 .header(FENCING_HEADER, Long.toString(fencingNumber))
                 .post(RequestBody.create(body.toString(), JSON))
                 .build();
-        try (Response response = client.newCall(request).execute()) {
+        try (Response response = caller.newCall(request).execute()) {
             if (response.code() != OK) {
                 throw new EngineRefusedException(path, response.code());
             }
