Let an entry wait for lost connections, and call it ready only when it can serve

Cause 1: an entry that was paused loses the connections to all agents. Requests that it read before it had opened them again were refused with 503 unavailable. It now waits up to 2 s for the agent of a ready upstream. Cause 2: an entry was ready as soon as it had a configuration, before it could accept keys or reach any upstream, so a load balancer sent it requests that it refused. It now becomes ready once it could serve.

Ruled out: an outage as a reason to become unready later; that would take all entries out of service at once.

--- a/oleandermoor-command/src/test/java/io/oleandermoor/command/FleetFailureTest.java
+++ b/oleandermoor-command/src/test/java/io/oleandermoor/command/FleetFailureTest.java
@@ -9,6 +9,7 @@
 import io.oleandermoor.standin.load.LoadGenerator;
 import io.oleandermoor.standin.load.LoadPlan;
 import io.oleandermoor.standin.load.LoadReport;
+import io.oleandermoor.standin.network.FaultyProxy;
 import io.oleandermoor.standin.network.FaultyProxy.Direction;
 import io.oleandermoor.standin.platform.StoreFaults;
 import io.oleandermoor.standin.service.ServiceFaults;
@@ -67,7 +68,6 @@
 
         /** Guards against a stream that ends, or repeats or loses tokens, when its engine dies. */
         @Test
-        @Tag("known-red")
         void goOnAtAnotherUpstreamWhenTheUpstreamDies() {
             fleet.engines.get(agent).close();
             assertComplete();
@@ -306,6 +306,28 @@
         }
     }
 
+    @Nested
+    class Connections {
+
+        private static final int REQUESTS = 20;
+
+        /** Guards against refusals by an entry that has lost all connections for a moment, as after a pause. */
+        @Test
+        void areWaitedForWhenAllAreLost() {
+            fleet.proxies.forEach(FaultyProxy::cut);
+            List<CompletableFuture<HttpResponse<String>>> answers = new ArrayList<>();
+            for (int index = 0; index < REQUESTS; index++) {
+                HttpRequest request = fleet.request(0, "/v1/chat/completions")
+                        .header("Authorization", "Bearer " + TestFleet.KEY)
+                        .POST(HttpRequest.BodyPublishers.ofString(
+                                TestFleet.completion("model-1", "after a cut " + index, 5, false)))
+                        .build();
+                answers.add(fleet.client.sendAsync(request, HttpResponse.BodyHandlers.ofString()));
+            }
+            assertThat(answers).extracting(answer -> answer.join().statusCode()).containsOnly(200);
+        }
+    }
+
     @Nested
     class BadRequests {
 
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
@@ -21,6 +21,7 @@
 import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
@@ -46,6 +47,14 @@
     /** Time to wait for the result of a cancellation. */
     private static final long CANCEL_GRACE_MILLIS = 2_000;
 
+    /**
+     * Longest wait for the connection to the agent of a ready upstream. An entry that was paused has lost all
+     * connections and opens them again within this time; until then it knows of no reason to refuse.
+     */
+    private static final long CONNECTION_WAIT_MILLIS = 2_000;
+
+    private static final long CONNECTION_POLL_MILLIS = 50;
+
     private static final Logger LOGGER = LogManager.getLogger(ActiveRequest.class);
 
     private final CallerRequest request;
@@ -80,6 +89,8 @@
 
     private long lastTextNanos;
 
+    private OptionalLong connectionWaitEndsMillis = OptionalLong.empty();
+
     private long promptTokens;
 
     private Runnable deadlineTimer = () -> {};
@@ -234,7 +245,7 @@
                             "in_progress",
                             "a call with this idempotency key is in progress",
                             "unknown",
-                            java.util.OptionalLong.empty())
+                            OptionalLong.empty())
                     .retryAfter(1_000));
         } else if (decision instanceof OnceDecision.OutcomeUnknown) {
             refuse(CallerError.unknown(
@@ -262,7 +273,29 @@
             unreachable.add(next.get().upstream());
             next = choose(unreachable);
         }
-        on(new AttemptEvent.NoUpstream(0));
+        if (unreachable.size() == excluded.size() || !waitsForConnection(excluded)) {
+            on(new AttemptEvent.NoUpstream(0));
+        }
+    }
+
+    /** Tries the dispatch again soon, unless the longest wait for a connection has passed. */
+    private boolean waitsForConnection(Set<UpstreamId> excluded) {
+        long now = services.nowMillis().getAsLong();
+        if (connectionWaitEndsMillis.isEmpty()) {
+            connectionWaitEndsMillis = OptionalLong.of(now + CONNECTION_WAIT_MILLIS);
+        }
+        if (now >= connectionWaitEndsMillis.getAsLong()) {
+            return false;
+        }
+        var unused = services.timers()
+                .schedule(
+                        CONNECTION_POLL_MILLIS,
+                        () -> worker.execute(() -> {
+                            if (!ended) {
+                                dispatch(excluded);
+                            }
+                        }));
+        return true;
     }
 
     private Optional<RouteChoice> choose(Set<UpstreamId> excluded) {
@@ -279,6 +312,7 @@
                 tracker.begin(chosen.upstream(), connection.remote().incarnation(), now);
         key = attempt;
         agent = connection;
+        connectionWaitEndsMillis = OptionalLong.empty();
         choice = Optional.of(chosen);
         successReported = false;
         attemptSentMillis = now;
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -137,6 +137,8 @@
 
     private final AdministrationApi administrationApi;
 
+    private final EntryReadiness readiness = new EntryReadiness();
+
     private volatile boolean draining;
 
     private volatile boolean stopping;
@@ -391,12 +393,8 @@
     }
 
     private Readiness readiness() {
-        if (draining) {
-            return new Readiness(false, "stopping");
-        }
-        return configuration.configuration().version() == 0
-                ? new Readiness(false, "no configuration")
-                : Readiness.READY;
+        return readiness.decide(
+                draining, configuration.configuration().version(), keysUsable(), upstreams.isAnyConnected());
     }
 
     private void administer(HttpExchange exchange) {
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/UpstreamDirectory.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/UpstreamDirectory.java
@@ -108,6 +108,12 @@
         return description.leaving() ? EngineStatus.LEAVING : EngineStatus.LIVE;
     }
 
+    /** Returns whether requests can be sent to any upstream. */
+    boolean isAnyConnected() {
+        return byUpstream.keySet().stream()
+                .anyMatch(upstream -> connection(upstream).isPresent());
+    }
+
     Collection<UpstreamDescription> descriptions() {
         return Collections.unmodifiableCollection(byUpstream.values());
     }
