--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/LoadCommand.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/LoadCommand.java
@@ -77,7 +77,11 @@
             throw CommandFailedException.usage(String.valueOf(exception.getMessage()));
         }
         try {
-            LoadResult result = new LoadGenerator(plan).run();
+            LoadGenerator generator = new LoadGenerator(plan);
+            // A script that provokes a failure counts its time from this line, not from the start of the process.
+            context.output().println("sending");
+            context.output().flush();
+            LoadResult result = generator.run();
             result.print(context.output());
             if (!result.isCorrect()) {
                 throw new CommandFailedException("an answer lost, doubled or changed tokens");
