Keep HTTP connections open during a graceful stop, and reconnect to paused peers

Cause 1: the HTTP server registers a shutdown hook of its own, which runs beside the graceful stop of the daemon and closes all connections at the signal. Tests in one process stop the daemon without a signal and cannot see it. Cause 2: a connection that is opened to a paused process completes in the kernel and is closed for silence before the process introduces itself. The name of the peer then stayed marked as being connected, so the process never tried again.

Ruled out for cause 1: the drain itself; the entry logged unfinished=0 only because the connections had gone.

--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/JoobyHttpServer.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/JoobyHttpServer.java
@@ -12,6 +12,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.util.List;
+import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -66,7 +67,7 @@
             });
         }
         application.error((context, cause, status) -> answerError(context, cause, status.value()));
-        NettyServer server = new NettyServer(Executors.newSingleThreadExecutor(task -> {
+        NettyServer server = new ServerWithoutShutdownHook(Executors.newSingleThreadExecutor(task -> {
             Thread thread = new Thread(task, "http-worker");
             thread.setDaemon(true);
             return thread;
@@ -86,6 +87,22 @@
         application.stop();
     }
 
+    /**
+     * Leaves the stop to the daemon. The hook of Jooby closes all connections at the signal, beside the graceful stop
+     * that waits for the requests under way.
+     */
+    private static final class ServerWithoutShutdownHook extends NettyServer {
+
+        ServerWithoutShutdownHook(ExecutorService worker) {
+            super(worker);
+        }
+
+        @Override
+        protected void addShutdownHook() {
+            // See the class comment.
+        }
+    }
+
     /** Jooby reports a port in use only in its log, so the address is tried before. */
     private static void checkFree(InetSocketAddress address) throws IOException {
         try (ServerSocket socket = new ServerSocket()) {
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/peer/PeerNode.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/peer/PeerNode.java
@@ -3,6 +3,7 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoopGroup;
@@ -99,9 +100,9 @@
      * Opens a connection. The listener is told when it is ready.
      *
      * @param address the address of the other process
-     * @param onFailure called if the connection could not be opened
+     * @param onEnd called if the connection could not be opened, and when an opened one has closed
      */
-    public void connect(InetSocketAddress address, Runnable onFailure) {
+    public void connect(InetSocketAddress address, Runnable onEnd) {
         Bootstrap bootstrap = new Bootstrap()
                 .group(eventLoops)
                 .channel(NioSocketChannel.class)
@@ -110,8 +111,12 @@
                 .option(ChannelOption.WRITE_BUFFER_WATER_MARK, waterMark())
                 .handler(new Initializer());
         bootstrap.connect(address).addListener(future -> {
-            if (!future.isSuccess()) {
-                onFailure.run();
+            if (future.isSuccess()) {
+                // A paused process completes the handshake of TCP and never introduces itself; the connection is then
+                // closed for silence, and the caller must be able to try again.
+                ((ChannelFuture) future).channel().closeFuture().addListener(closed -> onEnd.run());
+            } else {
+                onEnd.run();
             }
         });
     }
