--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
@@ -16,16 +16,14 @@
 import io.oleandermoor.state.ledger.TextChunk;
 import io.oleandermoor.state.ledger.TrackedRequest;
 import io.oleandermoor.state.routing.RouteChoice;
-import io.oleandermoor.transport.log.LogEvent;
 import io.oleandermoor.transport.peer.PeerConnection;
 import java.util.HashSet;
 import java.util.HexFormat;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.concurrent.Executor;
 import java.util.function.Consumer;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -50,7 +48,13 @@
 
     private static final String BLOCKED_MESSAGE = "requests with this content have crashed upstreams";
 
-    private static final Logger LOGGER = LogManager.getLogger(ActiveRequest.class);
+    /**
+     * Longest wait for the connection to the agent of a ready upstream. An entry that was paused has lost all
+     * connections and opens them again within this time; until then it knows of no reason to refuse.
+     */
+    private static final long CONNECTION_WAIT_MILLIS = 2_000;
+
+    private static final long CONNECTION_POLL_MILLIS = 50;
 
     private final CallerRequest request;
 
@@ -66,7 +70,7 @@
 
     private final StringBuilder text = new StringBuilder();
 
-    private final long arrivedNanos = System.nanoTime();
+    private final RequestMeter meter;
 
     private Consumer<Long> settle = used -> {};
 
@@ -82,7 +86,7 @@
 
     private long lastHeardMillis;
 
-    private long lastTextNanos;
+    private OptionalLong connectionWaitEndsMillis = OptionalLong.empty();
 
     private long promptTokens;
 
@@ -105,6 +109,7 @@
         this.services = services;
         this.worker = worker;
         this.onEnd = onEnd;
+        this.meter = new RequestMeter(request, services.metrics());
         this.tracker = new AttemptTracker(
                 new TrackedRequest(
                         request.id(),
@@ -229,23 +234,8 @@
             dispatch(Set.of());
         } else if (decision instanceof OnceDecision.Replay replay) {
             finish("replayed", () -> responder.replay(replay.answer()));
-        } else if (decision instanceof OnceDecision.InProgress) {
-            refuse(new CallerError(
-                            409,
-                            "in_progress",
-                            "a call with this idempotency key is in progress",
-                            "unknown",
-                            java.util.OptionalLong.empty())
-                    .retryAfter(1_000));
-        } else if (decision instanceof OnceDecision.OutcomeUnknown) {
-            refuse(CallerError.unknown(
-                    409, "outcome_unknown", "an earlier call with this idempotency key may have taken effect"));
-        } else if (decision instanceof OnceDecision.RefuseOtherBody) {
-            refuse(CallerError.notRun(
-                    422, "idempotency_key_reused", "the idempotency key was used with another request"));
         } else {
-            refuse(CallerError.notRun(503, "store_unavailable", "the call cannot be recorded, so it was not started")
-                    .retryAfter(1_000));
+            refuse(ReplyErrors.of(decision));
         }
     }
 
@@ -263,7 +253,29 @@
             unreachable.add(next.get().upstream());
             next = choose(unreachable);
         }
-        on(new AttemptEvent.NoUpstream(0));
+        if (unreachable.size() == excluded.size() || !waitsForConnection(excluded)) {
+            on(new AttemptEvent.NoUpstream(0));
+        }
+    }
+
+    /** Tries the dispatch again soon, unless the longest wait for a connection has passed. */
+    private boolean waitsForConnection(Set<UpstreamId> excluded) {
+        long now = services.nowMillis().getAsLong();
+        if (connectionWaitEndsMillis.isEmpty()) {
+            connectionWaitEndsMillis = OptionalLong.of(now + CONNECTION_WAIT_MILLIS);
+        }
+        if (now >= connectionWaitEndsMillis.getAsLong()) {
+            return false;
+        }
+        var unused = services.timers()
+                .schedule(
+                        CONNECTION_POLL_MILLIS,
+                        () -> worker.execute(() -> {
+                            if (!ended) {
+                                dispatch(excluded);
+                            }
+                        }));
+        return true;
     }
 
     private Optional<RouteChoice> choose(Set<UpstreamId> excluded) {
@@ -280,6 +292,7 @@
                 tracker.begin(chosen.upstream(), connection.remote().incarnation(), now);
         key = attempt;
         agent = connection;
+        connectionWaitEndsMillis = OptionalLong.empty();
         choice = Optional.of(chosen);
         successReported = false;
         attemptSentMillis = now;
@@ -346,14 +359,8 @@
     }
 
     private void forward(TextChunk chunk) {
-        long now = System.nanoTime();
-        if (text.isEmpty()) {
-            services.metrics().firstToken(request.teamLabel(), request.classLabel(), now - arrivedNanos);
-        } else {
-            services.metrics().betweenTokens(request.teamLabel(), request.classLabel(), now - lastTextNanos);
-        }
+        meter.textForwarded();
         succeeded();
-        lastTextNanos = now;
         text.append(chunk.text());
         responder.text(chunk.text());
     }
@@ -383,12 +390,12 @@
         CallerError error = ReplyErrors.of(reply, request.repeatable());
         finish(outcome, () -> responder.failed(error));
         if (reply.outcome() == Outcome.NOT_RUN) {
-            services.metrics().refused(request.teamLabel(), error.code());
+            meter.refused(error);
         }
     }
 
     private void refuse(CallerError error) {
-        services.metrics().refused(request.teamLabel(), error.code());
+        meter.refused(error);
         finish(error.outcome(), () -> responder.failed(error));
     }
 
@@ -406,21 +413,7 @@
         long used = ran ? Math.min(request.tokens(), prompt + generated) : 0;
         settle.accept(used);
         answer.run();
-        String team = request.teamLabel();
-        services.metrics().requestEnded(team, request.classLabel(), outcome);
-        services.metrics().duration(team, request.classLabel(), System.nanoTime() - arrivedNanos);
-        if (used > 0) {
-            services.metrics().tokensUsed(team, prompt, generated);
-        }
-        LogEvent.of("request_ended")
-                .with("request", request.id())
-                .with("team", team)
-                .with("class", request.classLabel())
-                .with("outcome", outcome)
-                .with("upstream", choice.map(value -> value.upstream().value()).orElse("none"))
-                .with("tokens", used)
-                .with("millis", (System.nanoTime() - arrivedNanos) / 1_000_000)
-                .debug(LOGGER);
+        meter.ended(outcome, choice, prompt, generated, used);
         onEnd.accept(this);
     }
 
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ReplyErrors.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ReplyErrors.java
@@ -1,11 +1,16 @@
 package io.oleandermoor.daemon.entry;
 
 import io.oleandermoor.state.ledger.AttemptDecision.Reply;
+import io.oleandermoor.state.ledger.OnceDecision;
 import io.oleandermoor.state.ledger.Outcome;
+import java.util.OptionalLong;
 
 /** Turns the end of a request without a complete answer into the error that the caller sees. */
 final class ReplyErrors {
 
+    /** Time after which a call that waits for the key-value service may be repeated. */
+    private static final long STORE_RETRY_MILLIS = 1_000;
+
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
 
     private ReplyErrors() {}
@@ -35,4 +40,27 @@
         long retryAfterMillis = reply.retryAfterMillis() > 0 ? reply.retryAfterMillis() : DEFAULT_RETRY_AFTER_MILLIS;
         return error.retryAfter(retryAfterMillis);
     }
+
+    /** Returns the refusal for a call whose idempotency key does not permit to run it. */
+    static CallerError of(OnceDecision decision) {
+        if (decision instanceof OnceDecision.InProgress) {
+            return new CallerError(
+                            409,
+                            "in_progress",
+                            "a call with this idempotency key is in progress",
+                            "unknown",
+                            OptionalLong.empty())
+                    .retryAfter(STORE_RETRY_MILLIS);
+        }
+        if (decision instanceof OnceDecision.OutcomeUnknown) {
+            return CallerError.unknown(
+                    409, "outcome_unknown", "an earlier call with this idempotency key may have taken effect");
+        }
+        if (decision instanceof OnceDecision.RefuseOtherBody) {
+            return CallerError.notRun(
+                    422, "idempotency_key_reused", "the idempotency key was used with another request");
+        }
+        return CallerError.notRun(503, "store_unavailable", "the call cannot be recorded, so it was not started")
+                .retryAfter(STORE_RETRY_MILLIS);
+    }
 }
