Use the admission settings of the configuration in agents

Cause: agents queued with AdmissionPolicy.FAIR and equal weights, whatever the configuration said, and the configuration named that policy WEIGHTED.

Agents now hold the configuration, which they receive through items, and apply its admission settings and team weights to waiting and later requests without removing any. The policy is named WEIGHTED everywhere: that is the name in documents and stored configurations, so none has to be changed. A running request remembers the queue and the weight of its charge, so a correction after a change gives no team credit that it did not pay for.

Every process now removes old change items, not only those that read the key-value service; the others kept them without bound and would have sent them back after an hour.

Ruled out: sending the settings with each dispatch (an agent would follow whichever entry lags most), and a new queue per policy beside the old one (slots would be counted twice).

--- a/oleandermoor-benchmark/src/main/java/io/oleandermoor/benchmark/FairQueueBenchmark.java
+++ b/oleandermoor-benchmark/src/main/java/io/oleandermoor/benchmark/FairQueueBenchmark.java
@@ -45,7 +45,7 @@
         for (int index = 0; index < TEAMS; index++) {
             teams.add(new TeamName("team-" + index));
         }
-        queue = new FairQueue<>(new QueueSettings(AdmissionPolicy.FAIR, 64, 4 * waiting, 1, 1, 10));
+        queue = new FairQueue<>(new QueueSettings(AdmissionPolicy.WEIGHTED, 64, 4 * waiting, 1, 1, 10));
         while (queue.waitingCount() < waiting) {
             offer();
         }
--- a/oleandermoor-command/src/test/java/io/oleandermoor/command/TestFleet.java
+++ b/oleandermoor-command/src/test/java/io/oleandermoor/command/TestFleet.java
@@ -76,9 +76,18 @@
     private final int tokenMillis;
     private volatile String crashText = "";
     private final String platform;
+    private final String upstreamSettings;
+    private final String entryLimits;
 
     TestFleet(int tokenMillis) throws Exception {
+        this(tokenMillis, "", "");
+    }
+
+    /** Starts a fleet with further lines in the sections [upstream] of agents and [limits] of entries. */
+    TestFleet(int tokenMillis, String upstreamSettings, String entryLimits) throws Exception {
         this.tokenMillis = tokenMillis;
+        this.upstreamSettings = upstreamSettings;
+        this.entryLimits = entryLimits;
         int storePort = freePort();
         int listPort = freePort();
         platform = "[platform]\nkey-value-service = 127.0.0.1:" + storePort + "\ninstance-list = 127.0.0.1:" + listPort
@@ -205,7 +214,8 @@
         callerPorts.add(freePort());
         entryAdminPorts.add(freePort());
         String text = process("entry-" + index, entryAdminPorts.get(index), peerPort) + "caller = 127.0.0.1:"
-                + callerPorts.get(index) + "\n[drain]\nload-balancer-wait = 1s\n[limits]\nbody = 64KB\n" + platform;
+                + callerPorts.get(index) + "\n[drain]\nload-balancer-wait = 1s\n[limits]\nbody = 64KB\n" + entryLimits
+                + platform;
         return new SettingsReader(EntrySettings.SCHEMA).read("entry-" + index, text, List.of());
     }
 
@@ -247,7 +257,7 @@
         int peer = freePort();
         agentAdminPorts.add(freePort());
         String text = process("agent-" + index, agentAdminPorts.get(index), peer) + "[upstream]\nid = upstream-" + index
-                + "\n" + upstream + "\n" + platform;
+                + "\n" + upstream + "\n" + upstreamSettings + "\n" + platform;
         AgentDaemon agent = new AgentDaemon(new SettingsReader(AgentSettings.SCHEMA).read("agent", text, List.of()));
         agent.start();
         agents.add(agent);
@@ -269,7 +279,52 @@
                 + "\",\"state\":\"live\"}";
     }
 
+    /** Puts an admission policy in force everywhere. */
+    void admission(String policy) throws Exception {
+        apply(",\"settings\":{\"admission\":{\"policy\":\"" + policy + "\"}}");
+        double version = metric(entryAdminPorts.get(1), "oleandermoor_configuration_version");
+        for (int port : agentAdminPorts) {
+            await("agent has the configuration")
+                    .atMost(SECONDS)
+                    .until(() -> metric(port, "oleandermoor_configuration_version") >= version);
+        }
+    }
+
+    /** Returns the number of attempts that wait or run in all agents. */
+    long attempts() throws Exception {
+        long sum = 0;
+        for (int port : agentAdminPorts) {
+            sum += (long) metric(port, "oleandermoor_attempts");
+        }
+        return sum;
+    }
+
+    private double metric(int port, String name) throws Exception {
+        String page = send(HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + port + "/metrics"))
+                        .build())
+                .body();
+        return page.lines()
+                .filter(line -> line.startsWith(name + " "))
+                .mapToDouble(line -> Double.parseDouble(line.substring(name.length() + 1)))
+                .findFirst()
+                .orElse(-1);
+    }
+
     private void configure() throws Exception {
+        apply("");
+        for (int entry = 0; entry < ENTRIES; entry++) {
+            int index = entry;
+            await("entry serves")
+                    .atMost(SECONDS.multipliedBy(2))
+                    .ignoreExceptions()
+                    .until(() -> complete(index, KEY, "ready", 400).statusCode() == 200
+                            && complete(index, OTHER_KEY, "ready", 2).statusCode() == 200
+                            && send(booking(index, "ready-" + index)).statusCode() == 200);
+        }
+    }
+
+    /** Applies the document of this fleet with further members. */
+    private void apply(String members) throws Exception {
         String route = "\"service\":\"shop\",\"access\":\"TEAM\",\"repeatability\":\"AT_MOST_ONCE\"";
         String document = "{\"teams\":[" + team("one") + "," + team("two") + "],\"keys\":[" + key("one", KEY) + ","
                 + key("two", OTHER_KEY) + "],\"models\":["
@@ -277,7 +332,7 @@
                 + "\"adapters\":[],\"routes\":[{\"name\":\"booking\",\"method\":\"POST\",\"path\":\"/bookings\","
                 + route
                 + ",\"idempotencyKeyRequired\":true},{\"name\":\"payment\",\"method\":\"POST\",\"path\":\"/payments\","
-                + route + "}]}";
+                + route + "}]" + members + "}";
         Path file = Files.createTempFile("document", ".json");
         try {
             Files.writeString(file, document);
@@ -287,15 +342,6 @@
         } finally {
             Files.delete(file);
         }
-        for (int entry = 0; entry < ENTRIES; entry++) {
-            int index = entry;
-            await("entry serves")
-                    .atMost(SECONDS.multipliedBy(2))
-                    .ignoreExceptions()
-                    .until(() -> complete(index, KEY, "ready", 400).statusCode() == 200
-                            && complete(index, OTHER_KEY, "ready", 2).statusCode() == 200
-                            && send(booking(index, "ready-" + index)).statusCode() == 200);
-        }
     }
 
     private static String team(String name) {
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
@@ -2,11 +2,13 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.oleandermoor.coordination.configuration.ConfigurationHolder;
 import io.oleandermoor.coordination.dissemination.Freshness;
 import io.oleandermoor.coordination.store.ConditionalWriter;
 import io.oleandermoor.coordination.store.KeyValueStore;
 import io.oleandermoor.daemon.health.AdministrationServer;
 import io.oleandermoor.daemon.health.AdministrationServer.Readiness;
+import io.oleandermoor.daemon.network.ConfigurationItems;
 import io.oleandermoor.daemon.network.DisseminatingItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
 import io.oleandermoor.daemon.network.UpstreamDescription;
@@ -95,6 +97,8 @@
 
     private final DisseminatingItemExchange items;
 
+    private final ConfigurationHolder configuration = new ConfigurationHolder();
+
     private final FairWaitingQueue queue;
 
     private final RequestExecutor executor;
@@ -147,7 +151,7 @@
         this.items = new DisseminatingItemExchange(
                 RandomSource.XO_RO_SHI_RO_128_PP.create(), new Freshness(), network::connections, List::of, NOW_MILLIS);
         this.queue = new FairWaitingQueue(
-                new QueueSettings(AdmissionPolicy.FAIR, settings.get(AgentSettings.SLOTS), LARGEST_QUEUE, 1, 1, 10),
+                new QueueSettings(AdmissionPolicy.WEIGHTED, settings.get(AgentSettings.SLOTS), LARGEST_QUEUE, 1, 1, 10),
                 NOW_MILLIS);
         CrashWatch crashes = new CrashWatch(
                 settings.get(AgentSettings.UPSTREAM_ID),
@@ -194,14 +198,23 @@
         items.listen(
                 PlacementOwnerRole.NAME,
                 (name, version, content) -> placementOwner = new String(content, StandardCharsets.UTF_8));
+        configuration.addListener((before, after) -> queue.configure(after));
+        ConfigurationItems configurationItems = new ConfigurationItems(items, configuration);
         timers.add(
                 Observable.interval(DisseminatingItemExchange.EXCHANGE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
-                        .subscribe(tick -> items.exchange()));
+                        .subscribe(tick -> {
+                            items.exchange();
+                            configurationItems.repair();
+                        }));
         timers.add(Observable.interval(STEP_REQUEST_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                 .subscribe(tick -> askForSteps()));
         timers.add(Observable.interval(EXPIRE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                 .subscribe(tick -> executor.expire()));
         metrics.gauge("oleandermoor_attempts", "Attempts that wait or run", executor::size);
+        metrics.gauge(
+                "oleandermoor_configuration_version",
+                "Version of the configuration in force",
+                () -> configuration.configuration().version());
         LogEvent.of("agent_started")
                 .with("instance", instance)
                 .with("upstream", settings.get(AgentSettings.UPSTREAM_ID))
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/FairWaitingQueue.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/FairWaitingQueue.java
@@ -3,18 +3,26 @@
 import io.oleandermoor.protocol.message.Dispatch;
 import io.oleandermoor.protocol.message.RequestClass;
 import io.oleandermoor.state.admission.AdmissionDecision;
+import io.oleandermoor.state.admission.AdmissionPolicy;
 import io.oleandermoor.state.admission.Deadline;
 import io.oleandermoor.state.admission.FairQueue;
 import io.oleandermoor.state.admission.QueueSettings;
 import io.oleandermoor.state.admission.WaitingRequest;
+import io.oleandermoor.state.configuration.AdmissionSettings;
+import io.oleandermoor.state.configuration.Configuration;
+import io.oleandermoor.state.configuration.Team;
 import io.oleandermoor.state.identity.TeamName;
 import io.oleandermoor.state.ledger.AttemptKey;
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.LongSupplier;
+import java.util.stream.Collectors;
 
-/** A waiting queue with the fair queue's decisions. Its lock has place 5 in the lock order. */
+/**
+ * A waiting queue with the fair queue's decisions. It follows the admission settings and team weights of the
+ * configuration. Its lock has place 5 in the lock order.
+ */
 final class FairWaitingQueue implements WaitingQueue {
 
     /** Charge of a call of a plain service, which has no tokens. */
@@ -26,13 +34,31 @@
 
     private final Map<AttemptKey, RunningAttempt> attempts = new ConcurrentHashMap<>();
 
+    private final QueueSettings initial;
+
     private final LongSupplier nowMillis;
 
-    FairWaitingQueue(QueueSettings settings, LongSupplier nowMillis) {
-        this.queue = new FairQueue<>(settings);
+    /** Weights of the teams of the configuration in force; guarded by the lock. */
+    private Map<TeamName, Long> weights = Map.of();
+
+    /** Creates an empty queue with settings that apply until the first configuration arrives. */
+    FairWaitingQueue(QueueSettings initial, LongSupplier nowMillis) {
+        this.initial = initial;
+        this.queue = new FairQueue<>(initial);
         this.nowMillis = nowMillis;
     }
 
+    /** Applies the admission settings and team weights of a configuration to waiting and later attempts. */
+    void configure(Configuration configuration) {
+        QueueSettings next = settings(configuration.settings().admission());
+        Map<TeamName, Long> teams =
+                configuration.teams().stream().collect(Collectors.toUnmodifiableMap(Team::name, Team::queueWeight));
+        synchronized (lock) {
+            weights = teams;
+            queue.configure(next, teams::getOrDefault);
+        }
+    }
+
     @Override
     public Optional<Long> offer(RunningAttempt attempt) {
         long now = nowMillis.getAsLong();
@@ -89,13 +115,26 @@
         }
     }
 
-    private static WaitingRequest<AttemptKey> toWaiting(RunningAttempt attempt, long nowMillis) {
+    private QueueSettings settings(AdmissionSettings admission) {
+        return new QueueSettings(
+                AdmissionPolicy.valueOf(admission.policy()),
+                initial.slots(),
+                initial.maximumQueued(),
+                admission.worstServedWeight(),
+                admission.refusalWeight(),
+                admission.batchSharePercent());
+    }
+
+    /** The weight in the dispatch counts only for a team that this agent's configuration does not have yet. */
+    private WaitingRequest<AttemptKey> toWaiting(RunningAttempt attempt, long nowMillis) {
         Dispatch dispatch = attempt.dispatch();
+        TeamName team = new TeamName(dispatch.getTeam());
+        long weight = weights.getOrDefault(team, dispatch.getTeamWeight());
         long tokens = (long) dispatch.getPromptTokens() + dispatch.getMaximumTokens();
         return new WaitingRequest<>(
                 attempt.key(),
-                new TeamName(dispatch.getTeam()),
-                Math.max(1, Math.min(WaitingRequest.MAXIMUM, dispatch.getTeamWeight())),
+                team,
+                Math.max(1, Math.min(WaitingRequest.MAXIMUM, weight)),
                 dispatch.getRequestClass() == RequestClass.BATCH
                         ? io.oleandermoor.state.admission.RequestClass.BATCH
                         : io.oleandermoor.state.admission.RequestClass.LIVE,
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
@@ -8,11 +8,11 @@
 import io.oleandermoor.protocol.message.Header;
 import io.oleandermoor.protocol.message.HttpCall;
 import io.oleandermoor.protocol.message.RequestClass;
-import io.oleandermoor.state.admission.WaitingRequest;
 import io.oleandermoor.state.configuration.Adapter;
 import io.oleandermoor.state.configuration.ApiKey;
 import io.oleandermoor.state.configuration.Configuration;
 import io.oleandermoor.state.configuration.Route;
+import io.oleandermoor.state.configuration.Team;
 import io.oleandermoor.state.identity.AdapterName;
 import io.oleandermoor.state.identity.FailureDomain;
 import io.oleandermoor.state.identity.Identifiers;
@@ -164,9 +164,7 @@
 
     /** Teams share a contended upstream in proportion to their rates and weights. */
     private static long weight(Configuration current, ApiKey key) {
-        return current.team(key.team())
-                .map(team -> Math.min(WaitingRequest.MAXIMUM, Math.max(1, team.rate() * team.weight())))
-                .orElse(1L);
+        return current.team(key.team()).map(Team::queueWeight).orElse(1L);
     }
 
     private static Target target(Configuration current, String name) throws RefusedException {
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/ConfigurationItems.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/ConfigurationItems.java
@@ -56,8 +56,7 @@
      */
     public void publish(VersionedChange change) {
         items.publish(CHANGE_PREFIX + change.version(), change.version(), ConfigurationJson.write(change.changeSet()));
-        long oldest = change.version() - KEPT_CHANGES;
-        items.remove(item -> item.name().startsWith(CHANGE_PREFIX) && item.version() < oldest);
+        forgetOld(change.version());
     }
 
     /** Asks a peer for the whole configuration if this process has none or lacks changes. */
@@ -70,11 +69,18 @@
     private void changeReceived(String name, long version, byte[] content) {
         try {
             holder.offer(new VersionedChange(version, ConfigurationJson.readChangeSet(content)));
+            forgetOld(version);
         } catch (IOException exception) {
             unreadable(name, version, exception);
         }
     }
 
+    /** Every process forgets old changes, or the exchanges would bring them back to those that have forgotten them. */
+    private void forgetOld(long version) {
+        long oldest = version - KEPT_CHANGES;
+        items.remove(item -> item.name().startsWith(CHANGE_PREFIX) && item.version() < oldest);
+    }
+
     private Optional<Item> whole() {
         Configuration current = holder.configuration();
         if (current.version() == 0) {
--- a/oleandermoor-replay/src/main/java/io/oleandermoor/replay/Policies.java
+++ b/oleandermoor-replay/src/main/java/io/oleandermoor/replay/Policies.java
@@ -18,8 +18,8 @@
 public record Policies(RoutingPolicy routing, RatePolicy rate, AdmissionPolicy admission, PlacementPolicy placement) {
 
     /** The policies that the system uses. */
-    public static final Policies STANDARD =
-            new Policies(RoutingPolicy.AFFINITY, RatePolicy.OWNER_GRANTS, AdmissionPolicy.FAIR, PlacementPolicy.DEMAND);
+    public static final Policies STANDARD = new Policies(
+            RoutingPolicy.AFFINITY, RatePolicy.OWNER_GRANTS, AdmissionPolicy.WEIGHTED, PlacementPolicy.DEMAND);
 
     /**
      * Returns the baselines; each differs from {@link #STANDARD} in one policy.
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/AdmissionPolicy.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/AdmissionPolicy.java
@@ -22,7 +22,7 @@
     },
 
     /** Serves live before batch and, within a class, the team that has received the least for its weight. */
-    FAIR {
+    WEIGHTED {
         @Override
         boolean separatesTeams() {
             return true;
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/ClassQueue.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/ClassQueue.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.TreeSet;
+import java.util.function.ToLongBiFunction;
 
 /**
  * Waiting requests of one class. Serves the team with the smallest virtual counter; serving a request adds its tokens
@@ -100,6 +101,15 @@
         forgetIdle();
     }
 
+    /** Changes the weights of the teams that are known here; what was served before keeps its charge. */
+    void reweigh(ToLongBiFunction<TeamName, Long> weights) {
+        activeWeight = 0;
+        for (TeamQueue<K> team : teams.values()) {
+            team.weight = weights.applyAsLong(team.name, team.weight);
+            activeWeight += team.nodes.isEmpty() ? 0 : team.weight;
+        }
+    }
+
     boolean isEmpty() {
         return active.isEmpty();
     }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/FairQueue.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/FairQueue.java
@@ -6,11 +6,13 @@
 import io.oleandermoor.state.admission.TeamQueue.Node;
 import io.oleandermoor.state.identity.TeamName;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeSet;
+import java.util.function.ToLongBiFunction;
 
 /**
  * Bounded queue in front of the slots of one upstream.
@@ -35,11 +37,13 @@
     /** Stands for all teams when the policy does not separate them. */
     private static final TeamName ALL_TEAMS = new TeamName("all");
 
-    private record Running<K>(WaitingRequest<K> request, long startedMillis) {}
+    /** A running request and where and at which weight its tokens were charged. */
+    private record Running<K>(
+            WaitingRequest<K> request, ClassQueue<K> queue, TeamName team, long weight, long startedMillis) {}
 
-    private final QueueSettings settings;
-    private final ClassQueue<K> live = new ClassQueue<>(RequestClass.LIVE);
-    private final ClassQueue<K> batch = new ClassQueue<>(RequestClass.BATCH);
+    private QueueSettings settings;
+    private ClassQueue<K> live = new ClassQueue<>(RequestClass.LIVE);
+    private ClassQueue<K> batch = new ClassQueue<>(RequestClass.BATCH);
     private final Map<K, Node<K>> waiting = new HashMap<>();
     private final TreeSet<Node<K>> byDeadline = new TreeSet<>(Node.BY_DEADLINE);
     private final Map<K, Running<K>> running = new HashMap<>();
@@ -57,6 +61,47 @@
         this.rate = new ServiceRate(settings.slots());
     }
 
+    /**
+     * Changes policy, bounds and weights. Waiting requests keep their order of arrival and stay, also beyond a smaller
+     * bound; running requests keep their slots. A policy that separates teams differently starts with equal counters.
+     *
+     * @param next the settings from now on; the number of slots must not change
+     * @param weights gives the weight of a team from the team and its weight so far, in 1..
+     *     {@link WaitingRequest#MAXIMUM}
+     */
+    public void configure(QueueSettings next, ToLongBiFunction<TeamName, Long> weights) {
+        if (next.slots() != settings.slots()) {
+            throw new IllegalArgumentException("slots must stay " + settings.slots() + ": " + next.slots());
+        }
+        boolean regroup = next.policy().separatesTeams() != settings.policy().separatesTeams();
+        settings = next;
+        if (regroup) {
+            regroup(weights);
+        } else if (settings.policy().separatesTeams()) {
+            live.reweigh(weights);
+            batch.reweigh(weights);
+        }
+    }
+
+    /** Puts all waiting requests into new queues, because the policy groups them differently. */
+    private void regroup(ToLongBiFunction<TeamName, Long> weights) {
+        List<Node<K>> nodes = new ArrayList<>(waiting.values());
+        nodes.sort(Comparator.comparingLong(node -> node.arrival));
+        live = new ClassQueue<>(RequestClass.LIVE);
+        batch = new ClassQueue<>(RequestClass.BATCH);
+        batchCredit = 0;
+        byDeadline.clear();
+        for (Node<K> old : nodes) {
+            WaitingRequest<K> request = old.request;
+            long weight = settings.policy().separatesTeams()
+                    ? weights.applyAsLong(request.team(), request.weight())
+                    : weight(request);
+            Node<K> node = queue(request).add(request, team(request), weight, old.arrival);
+            waiting.put(request.key(), node);
+            byDeadline.add(node);
+        }
+    }
+
     /**
      * Offers a request.
      *
@@ -107,7 +152,9 @@
                     : node.request.tokens() * settings.batchSharePercent();
         }
         forget(node);
-        running.put(node.request.key(), new Running<>(node.request, nowMillis));
+        running.put(
+                node.request.key(),
+                new Running<>(node.request, fromBatch ? batch : live, node.team.name, node.team.weight, nowMillis));
         return Optional.of(node.request);
     }
 
@@ -132,7 +179,10 @@
             // Waiting requests are counted by their upper bound, so the rate is measured in the same unit.
             rate.add(request.tokens(), nowMillis - ended.startedMillis());
         }
-        queue(request).correct(team(request), weight(request), request.tokens(), actualTokens);
+        if (ended.queue() == live || ended.queue() == batch) {
+            // Charges in queues of an earlier policy are not corrected: they do not count any more.
+            ended.queue().correct(ended.team(), ended.weight(), request.tokens(), actualTokens);
+        }
         return true;
     }
 
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/AdmissionSettings.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/AdmissionSettings.java
@@ -1,6 +1,9 @@
 package io.oleandermoor.state.configuration;
 
+import io.oleandermoor.state.admission.AdmissionPolicy;
+import java.util.Arrays;
 import java.util.Set;
+import java.util.stream.Collectors;
 
 /**
  * How agents decide between waiting requests and when they refuse one.
@@ -13,13 +16,14 @@
 public record AdmissionSettings(String policy, int worstServedWeight, int refusalWeight, int batchSharePercent) {
 
     /** Name of the policy that weighs the worst-served team against wrongful refusals. */
-    public static final String WEIGHTED = "WEIGHTED";
+    public static final String WEIGHTED = AdmissionPolicy.WEIGHTED.name();
 
     /** Name of the baseline policy, which serves requests in the order of their arrival. */
-    public static final String FIRST_COME = "FIRST_COME";
+    public static final String FIRST_COME = AdmissionPolicy.FIRST_COME.name();
 
     /** Names that a configuration may use. */
-    public static final Set<String> POLICY_NAMES = Set.of(WEIGHTED, FIRST_COME);
+    public static final Set<String> POLICY_NAMES =
+            Arrays.stream(AdmissionPolicy.values()).map(AdmissionPolicy::name).collect(Collectors.toUnmodifiableSet());
 
     /** Settings in force until an operator sets others: both weights equal, a tenth of the slots for batch work. */
     public static final AdmissionSettings DEFAULT = new AdmissionSettings(WEIGHTED, 1, 1, 10);
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/Team.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/configuration/Team.java
@@ -1,5 +1,6 @@
 package io.oleandermoor.state.configuration;
 
+import io.oleandermoor.state.admission.WaitingRequest;
 import io.oleandermoor.state.identity.TeamName;
 
 /**
@@ -10,4 +11,14 @@
  * @param burst largest number of tokens that may be used at once beyond the rate
  * @param weight share of a contended upstream relative to other teams
  */
-public record Team(TeamName name, long rate, long burst, int weight) {}
+public record Team(TeamName name, long rate, long burst, int weight) {
+
+    /**
+     * Returns the weight of this team's waiting requests at an upstream: the rate times the weight.
+     *
+     * @return a number in 1..{@link WaitingRequest#MAXIMUM}
+     */
+    public long queueWeight() {
+        return Math.min(WaitingRequest.MAXIMUM, Math.max(1, Math.min(WaitingRequest.MAXIMUM, rate) * weight));
+    }
+}
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/admission/FairQueueTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/admission/FairQueueTest.java
@@ -5,6 +5,7 @@
 
 import io.oleandermoor.state.admission.QueueSimulation.Demand;
 import io.oleandermoor.state.identity.TeamName;
+import java.util.List;
 import java.util.stream.LongStream;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -13,7 +14,7 @@
 
     private static final long RUN_MILLIS = 120_000;
 
-    private final FairQueue<Long> queue = new FairQueue<>(QueueSimulation.settings(AdmissionPolicy.FAIR, 10));
+    private final FairQueue<Long> queue = new FairQueue<>(QueueSimulation.settings(AdmissionPolicy.WEIGHTED, 10));
     private long nextKey;
 
     private AdmissionDecision offer(String team, RequestClass requestClass, long tokens, long remaining, long now) {
@@ -48,8 +49,8 @@
         @Test
         void teamSendingEightTimesItsShareCostsOthersNothing() {
             for (long seed = 1; seed <= 10; seed++) {
-                long[] quiet = served(AdmissionPolicy.FAIR, seed, 0);
-                long[] flooded = served(AdmissionPolicy.FAIR, seed, 16_000);
+                long[] quiet = served(AdmissionPolicy.WEIGHTED, seed, 0);
+                long[] flooded = served(AdmissionPolicy.WEIGHTED, seed, 16_000);
                 double worst = Math.min((double) flooded[0] / quiet[0], (double) flooded[1] / quiet[1]);
                 long[] baseline = served(AdmissionPolicy.FIRST_COME, seed, 16_000);
                 double worstFirstCome = Math.min((double) baseline[0] / quiet[0], (double) baseline[1] / quiet[1]);
@@ -98,7 +99,7 @@
         /** Guards against batch work that never runs while live work fills the upstream. */
         @Test
         void receivesItsShareUnderLiveOverload() {
-            QueueSimulation simulation = new QueueSimulation(QueueSimulation.settings(AdmissionPolicy.FAIR, 10), 7)
+            QueueSimulation simulation = new QueueSimulation(QueueSimulation.settings(AdmissionPolicy.WEIGHTED, 10), 7)
                     .run(
                             RUN_MILLIS,
                             new Demand("live", 1, RequestClass.LIVE, 12_000),
@@ -187,6 +188,68 @@
         }
     }
 
+    @Nested
+    class Reconfiguration {
+
+        /** Guards against requests that a change of the policy loses, repeats or puts out of order. */
+        @Test
+        void keepsWaitingRequestsAndOrdersThemByTheNewPolicy() {
+            for (long i = 0; i < 12; i++) {
+                offer("early", RequestClass.BATCH, 10, 10_000, 0);
+            }
+            offer("late", RequestClass.LIVE, 10, 10_000, 0);
+            queue.configure(QueueSimulation.settings(AdmissionPolicy.FIRST_COME, 10), (team, weight) -> weight);
+            assertThat(pollKeys(2)).containsExactly(0L, 1L);
+            queue.configure(QueueSimulation.settings(AdmissionPolicy.WEIGHTED, 0), (team, weight) -> weight);
+            assertThat(pollKeys(11)).containsExactly(12L, 2L, 3L, 4L, 5L, 6L, 7L, 8L, 9L, 10L, 11L);
+            assertThat(queue.waitingCount() + queue.runningCount()).isZero();
+            assertThat(queue.expire(20_000)).isEmpty();
+        }
+
+        /** Guards against charges of an earlier policy that give a team credit under the next one. */
+        @Test
+        void correctsNoChargeOfAnEarlierPolicy() {
+            offer("one", RequestClass.LIVE, 1_000, 10_000, 0);
+            WaitingRequest<Long> running = queue.poll(0).orElseThrow();
+            for (int i = 0; i < 4; i++) {
+                offer("one", RequestClass.LIVE, 10, 10_000, 0);
+                offer("two", RequestClass.LIVE, 10, 10_000, 0);
+            }
+            queue.configure(QueueSimulation.settings(AdmissionPolicy.FIRST_COME, 10), (team, weight) -> weight);
+            queue.configure(QueueSimulation.settings(AdmissionPolicy.WEIGHTED, 10), (team, weight) -> weight);
+            queue.finished(running.key(), 10, 10);
+            assertThat(List.of(pollTeam(10), pollTeam(20), pollTeam(30), pollTeam(40)))
+                    .containsExactly("one", "two", "one", "two");
+        }
+
+        /** Guards against a changed weight that waits for the queue to become empty. */
+        @Test
+        void appliesChangedWeightsToWaitingRequests() {
+            for (int i = 0; i < 40; i++) {
+                offer("one", RequestClass.LIVE, 10, 10_000, 0);
+                offer("two", RequestClass.LIVE, 10, 10_000, 0);
+            }
+            queue.configure(
+                    QueueSimulation.settings(AdmissionPolicy.WEIGHTED, 10),
+                    (team, weight) -> team.value().equals("two") ? 3 : weight);
+            long served = LongStream.range(0, 40)
+                    .filter(i -> pollTeam(i).equals("two"))
+                    .count();
+            assertThat(served).isBetween(29L, 31L);
+        }
+
+        private List<Long> pollKeys(int count) {
+            return LongStream.range(0, count)
+                    .map(i -> {
+                        WaitingRequest<Long> request = queue.poll(i).orElseThrow();
+                        queue.finished(request.key(), request.tokens(), i);
+                        return request.key();
+                    })
+                    .boxed()
+                    .toList();
+        }
+    }
+
     @Nested
     class Retries {
 
