Make the limits of connections, requests, request time and queue wait work

Cause: limits.connections, limits.requests and limits.request-time of entries and limits.queue-wait of agents were read and then ignored.

- limits.requests: 503 too_many_requests with Retry-After, not run, decided before anything is parsed.
- limits.request-time: the largest X-Request-Timeout-Ms (400 beyond it), and the time without that header if it is less than 60 s.
At most 1 h, because records of non-repeatable calls are kept for that long.
- limits.queue-wait: a request whose expected wait is longer is refused by the agent as busy, with the time after which it may be accepted.

Ruled out: a time of 10 min for requests without the header (a request would wait ten times as long for a lost upstream), and a clamp of longer times (the caller would not learn of it).

--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
@@ -151,7 +151,14 @@
         this.items = new DisseminatingItemExchange(
                 RandomSource.XO_RO_SHI_RO_128_PP.create(), new Freshness(), network::connections, List::of, NOW_MILLIS);
         this.queue = new FairWaitingQueue(
-                new QueueSettings(AdmissionPolicy.WEIGHTED, settings.get(AgentSettings.SLOTS), LARGEST_QUEUE, 1, 1, 10),
+                new QueueSettings(
+                        AdmissionPolicy.WEIGHTED,
+                        settings.get(AgentSettings.SLOTS),
+                        LARGEST_QUEUE,
+                        1,
+                        1,
+                        10,
+                        settings.get(AgentSettings.QUEUE_WAIT_LIMIT).toMillis()),
                 NOW_MILLIS);
         CrashWatch crashes = new CrashWatch(
                 settings.get(AgentSettings.UPSTREAM_ID),
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/FairWaitingQueue.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/FairWaitingQueue.java
@@ -122,7 +122,8 @@
                 initial.maximumQueued(),
                 admission.worstServedWeight(),
                 admission.refusalWeight(),
-                admission.batchSharePercent());
+                admission.batchSharePercent(),
+                initial.maximumWaitMillis());
     }
 
     /** The weight in the dispatch counts only for a team that this agent's configuration does not have yet. */
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CallerApi.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CallerApi.java
@@ -8,6 +8,9 @@
 /** Answers callers: chat completions and calls of plain services. */
 final class CallerApi implements HttpHandler {
 
+    /** A place becomes free whenever any request ends, so a short wait is enough. */
+    private static final long FULL_RETRY_MILLIS = 1_000;
+
     private final RequestParser parser;
 
     private final RequestTable requests;
@@ -30,14 +33,32 @@
                 throw new RefusedException(CallerError.notRun(503, "stopping", "this entry is stopping")
                         .retryAfter(1));
             }
+            enter(exchange);
+        } catch (RefusedException refused) {
+            services.metrics().refused("unknown", refused.error().code());
+            exchange.respond(refused.error().toResponse());
+        }
+    }
+
+    /** Starts a request if one more may be in flight. This is decided first, so that overload costs no parsing. */
+    private void enter(HttpExchange exchange) throws RefusedException {
+        if (!requests.tryEnter()) {
+            throw new RefusedException(CallerError.notRun(
+                            503, "too_many_requests", "this entry has as many requests in flight as it may have")
+                    .retryAfter(FULL_RETRY_MILLIS));
+        }
+        boolean started = false;
+        try {
             if (exchange.path().startsWith("/v1/")) {
                 complete(exchange);
             } else {
                 requests.start(call(exchange), new ServiceResponder(exchange), services);
             }
-        } catch (RefusedException refused) {
-            services.metrics().refused("unknown", refused.error().code());
-            exchange.respond(refused.error().toResponse());
+            started = true;
+        } finally {
+            if (!started) {
+                requests.leave();
+            }
         }
     }
 
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -8,9 +8,6 @@
 import io.oleandermoor.coordination.lease.LeaseKeeper;
 import io.oleandermoor.coordination.lease.LeaseSettings;
 import io.oleandermoor.coordination.lease.OwnershipPreference;
-import io.oleandermoor.coordination.membership.KeyFreshnessPolicy;
-import io.oleandermoor.coordination.membership.ServiceReaders;
-import io.oleandermoor.coordination.selection.RendezvousHash;
 import io.oleandermoor.coordination.store.KeyValueStore;
 import io.oleandermoor.daemon.administration.AdministrationApi;
 import io.oleandermoor.daemon.administration.AdministrationRequest;
@@ -27,7 +24,6 @@
 import io.oleandermoor.protocol.message.Heartbeat;
 import io.oleandermoor.protocol.message.Role;
 import io.oleandermoor.state.configuration.Configuration;
-import io.oleandermoor.state.identity.FailureDomain;
 import io.oleandermoor.state.identity.InstanceId;
 import io.oleandermoor.state.identity.RequestId;
 import io.oleandermoor.state.ledger.CrashRegistry;
@@ -40,6 +36,7 @@
 import io.oleandermoor.state.routing.RoutingSettings;
 import io.oleandermoor.state.routing.RoutingTable;
 import io.oleandermoor.transport.client.HttpClients;
+import io.oleandermoor.transport.http.ConnectionLimit;
 import io.oleandermoor.transport.http.HttpExchange;
 import io.oleandermoor.transport.http.HttpResponse;
 import io.oleandermoor.transport.http.HttpServer;
@@ -113,6 +110,8 @@
 
     private final PeerNetwork network;
 
+    private final EntryPeers peers;
+
     private final DisseminatingItemExchange items;
 
     private final ConfigurationHolder configuration = new ConfigurationHolder();
@@ -162,7 +161,6 @@
         this.workers = new WorkerPool(
                 configured > 0 ? configured : Runtime.getRuntime().availableProcessors());
         OkHttpClient client = HttpClients.create(settings.get(CommonSettings.PLATFORM_TIMEOUT));
-        FailureDomain home = settings.get(CommonSettings.FAILURE_DOMAIN);
         this.network = new PeerNetwork(
                 identity(),
                 new InstanceListClient(
@@ -170,7 +168,8 @@
                 this::connectsTo,
                 this,
                 this::heartbeat);
-        this.items = new DisseminatingItemExchange(RANDOM, freshness, network::connections, this::readers, NOW_MILLIS);
+        this.peers = new EntryPeers(instance, network, freshness, NOW_MILLIS);
+        this.items = new DisseminatingItemExchange(RANDOM, freshness, network::connections, peers::readers, NOW_MILLIS);
         KeyValueStore store = new EtcdKeyValueStore(
                 client, settings.get(CommonSettings.KEY_VALUE_SERVICE).toString());
         ConfigurationLog log =
@@ -196,14 +195,12 @@
         this.upstreams = new UpstreamDirectory(table, network, NOW_MILLIS);
         this.placement = placementShell(store);
         this.requests = new RequestTable(
-                workers, timers, name -> network.connection(name).isPresent());
+                workers,
+                timers,
+                name -> network.connection(name).isPresent(),
+                settings.get(EntrySettings.REQUEST_LIMIT));
         EntryServices services = services(table, store);
-        this.callerApi = new CallerApi(
-                new RequestParser(
-                        configuration::configuration, this::keysUsable, home, NOW_MILLIS, EntryDaemon::newRequestId),
-                requests,
-                services,
-                () -> !stopping);
+        this.callerApi = new CallerApi(parser(), requests, services, () -> !stopping);
         this.administrationApi = new AdministrationApi(
                 new StoreConfigurationService(log, configuration, this::status),
                 settings.get(CommonSettings.ADMINISTRATION_CREDENTIAL_HASH),
@@ -227,7 +224,7 @@
                 this::administer);
         network.start(settings.get(CommonSettings.PEER_ADDRESS).toSocketAddress());
         ConfigurationItems configurationItems = new ConfigurationItems(items, configuration);
-        follower.start(() -> readers().contains(instance), configurationItems::publish);
+        follower.start(() -> peers.readers().contains(instance), configurationItems::publish);
         exchanges = Observable.interval(
                         DisseminatingItemExchange.EXCHANGE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                 .subscribe(tick -> {
@@ -239,10 +236,17 @@
         rates.start();
         placement.start();
         leases.start();
+        ConnectionLimit connections = new ConnectionLimit(settings.get(EntrySettings.CONNECTION_LIMIT));
         callers = JoobyHttpServer.start(
                 settings.get(EntrySettings.CALLER_ADDRESS).toSocketAddress(),
                 settings.get(EntrySettings.BODY_LIMIT).intValue(),
+                connections,
                 callerApi);
+        metrics.gauge("oleandermoor_connections", "Open connections of callers", connections::open);
+        metrics.gauge(
+                "oleandermoor_connections_refused",
+                "Connections refused because of their number",
+                connections::refused);
         metrics.gauge("oleandermoor_requests_in_flight", "Requests in flight", requests::size);
         metrics.gauge(
                 "oleandermoor_configuration_version",
@@ -336,6 +340,16 @@
                 && after.key(request.key().get().hash()).isEmpty());
     }
 
+    private RequestParser parser() {
+        return new RequestParser(
+                configuration::configuration,
+                peers::keysUsable,
+                settings.get(CommonSettings.FAILURE_DOMAIN),
+                NOW_MILLIS,
+                EntryDaemon::newRequestId,
+                settings.get(EntrySettings.REQUEST_TIME_LIMIT).toMillis());
+    }
+
     private EntryServices services(RoutingTable table, KeyValueStore store) {
         return new EntryServices(
                 instance,
@@ -385,7 +399,7 @@
                 Schedulers.computation(),
                 NOW_MILLIS,
                 LeaseSettings.DEFAULT,
-                OwnershipPreference.rendezvous(instance, this::entries),
+                OwnershipPreference.rendezvous(instance, peers::entries),
                 instance,
                 incarnation);
     }
@@ -435,34 +449,6 @@
         return other.role().equals("agent") || instance.value().compareTo(other.instance()) < 0;
     }
 
-    private List<InstanceId> entries() {
-        List<InstanceId> entries = new ArrayList<>();
-        entries.add(instance);
-        for (PeerConnection connection : network.connections()) {
-            if (connection.remote().role() == Role.ENTRY) {
-                entries.add(new InstanceId(connection.remote().instance()));
-            }
-        }
-        return entries;
-    }
-
-    private boolean keysUsable() {
-        java.util.OptionalLong age = freshness.ageMillis(NOW_MILLIS.getAsLong());
-        return age.isPresent() && (age.getAsLong() < KeyFreshnessPolicy.MAXIMUM_AGE_MILLIS || reachesMostEntries());
-    }
-
-    /** Returns the entries that read the configuration at the key-value service for all others. */
-    private List<InstanceId> readers() {
-        return RendezvousHash.choose("configuration-readers", entries(), ServiceReaders.READERS_PER_REGION);
-    }
-
-    private boolean reachesMostEntries() {
-        long listed = network.listed().stream()
-                .filter(other -> other.role().equals("entry"))
-                .count();
-        return entries().size() * 2L > listed;
-    }
-
     private static RequestId newRequestId() {
         ThreadLocalRandom random = ThreadLocalRandom.current();
         return new RequestId(random.nextLong(), random.nextLong());
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
@@ -22,6 +22,7 @@
 import io.oleandermoor.state.routing.PromptPrefix;
 import io.oleandermoor.state.routing.RouteQuery;
 import io.oleandermoor.transport.http.HttpExchange;
+import io.oleandermoor.transport.settings.EntrySettings;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -46,7 +47,7 @@
 
     static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
 
-    static final long LARGEST_TIMEOUT_MILLIS = 3_600_000;
+    static final long LARGEST_TIMEOUT_MILLIS = EntrySettings.LARGEST_REQUEST_TIME.toMillis();
 
     private static final int LONGEST_IDEMPOTENCY_KEY = 255;
 
@@ -62,17 +63,21 @@
 
     private final Supplier<RequestId> ids;
 
+    private final long timeLimitMillis;
+
     RequestParser(
             Supplier<Configuration> configuration,
             BooleanSupplier keysUsable,
             FailureDomain home,
             LongSupplier nowMillis,
-            Supplier<RequestId> ids) {
+            Supplier<RequestId> ids,
+            long timeLimitMillis) {
         this.configuration = configuration;
         this.keysUsable = keysUsable;
         this.home = home;
         this.nowMillis = nowMillis;
         this.ids = ids;
+        this.timeLimitMillis = timeLimitMillis;
     }
 
     /** Checks a chat completion. */
@@ -215,15 +220,13 @@
 
     private long deadline(HttpExchange exchange) throws RefusedException {
         Optional<String> header = exchange.header(TIMEOUT_HEADER);
-        long millis = DEFAULT_TIMEOUT_MILLIS;
+        long millis = Math.min(DEFAULT_TIMEOUT_MILLIS, timeLimitMillis);
         if (header.isPresent()) {
             millis = header.get().matches("[0-9]{1,9}") ? Long.parseLong(header.get()) : 0;
         }
-        if (millis < 1 || millis > LARGEST_TIMEOUT_MILLIS) {
+        if (millis < 1 || millis > timeLimitMillis) {
             throw new RefusedException(CallerError.notRun(
-                    400,
-                    "invalid_request",
-                    TIMEOUT_HEADER + " must be a whole number from 1 to " + LARGEST_TIMEOUT_MILLIS));
+                    400, "invalid_request", TIMEOUT_HEADER + " must be a whole number from 1 to " + timeLimitMillis));
         }
         return nowMillis.getAsLong() + millis;
     }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestTable.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestTable.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
@@ -33,19 +34,36 @@
 
     private final Predicate<String> isConnected;
 
-    RequestTable(WorkerPool workers, Timers timers, Predicate<String> isConnected) {
+    private final int limit;
+
+    /** Number of requests that have a place; at least the size of the table. */
+    private final AtomicInteger places = new AtomicInteger();
+
+    RequestTable(WorkerPool workers, Timers timers, Predicate<String> isConnected, int limit) {
+        this.limit = limit;
         this.workers = workers;
         this.timers = timers;
         this.isConnected = isConnected;
     }
 
+    /** Takes a place for a request that is to be started, unless as many as the limit are in flight. */
+    boolean tryEnter() {
+        return places.getAndUpdate(count -> count < limit ? count + 1 : count) < limit;
+    }
+
+    /** Gives back the place of a request that was not started. */
+    void leave() {
+        places.decrementAndGet();
+    }
+
+    /** Starts a request that has a place; the place becomes free when the request ends. */
     void start(CallerRequest request, Responder responder, EntryServices services) {
         ActiveRequest active = new ActiveRequest(
-                request,
-                responder,
-                services,
-                workers.executor(request.id().low()),
-                ended -> requests.remove(ended.request().id()));
+                request, responder, services, workers.executor(request.id().low()), ended -> {
+                    if (requests.remove(ended.request().id(), ended)) {
+                        leave();
+                    }
+                });
         requests.put(request.id(), active);
         run(active, ActiveRequest::start);
     }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/AdmissionDecision.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/AdmissionDecision.java
@@ -22,6 +22,8 @@
     enum Reason {
         /** It would not start before its deadline. */
         DEADLINE,
+        /** It would wait longer than the queue allows. */
+        WAIT_LIMIT,
         /** The queue is full, or the team already uses its part of it. */
         QUEUE_FULL
     }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/FairQueue.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/FairQueue.java
@@ -122,10 +122,13 @@
             return new Refused(Math.max(1, (long) Math.ceil(untilNext)), Reason.QUEUE_FULL);
         }
         long wait = (long) Math.ceil(expectedWait(request));
-        long allowed = (long) (request.deadline().remainingMillis(nowMillis)
+        long inTime = (long) (request.deadline().remainingMillis(nowMillis)
                 * (settings.policy().patiencePercent(settings) / 100.0));
-        if (wait > allowed || request.deadline().hasPassed(nowMillis)) {
-            return new Refused(Math.max(1, wait - allowed), Reason.DEADLINE);
+        if (wait > inTime || request.deadline().hasPassed(nowMillis)) {
+            return new Refused(Math.max(1, wait - Math.min(inTime, settings.maximumWaitMillis())), Reason.DEADLINE);
+        }
+        if (wait > settings.maximumWaitMillis()) {
+            return new Refused(wait - settings.maximumWaitMillis(), Reason.WAIT_LIMIT);
         }
         Node<K> node = queue.add(request, team, weight(request), arrivals++);
         waiting.put(request.key(), node);
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/QueueSettings.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/QueueSettings.java
@@ -9,6 +9,7 @@
  * @param worstServedWeight importance of the service to the worst-served team, not negative
  * @param refusalWeight importance of few wrongful refusals, not negative
  * @param batchSharePercent part of the served tokens guaranteed to waiting batch work, in 0..100
+ * @param maximumWaitMillis expected wait beyond which a new request is refused, not negative
  */
 public record QueueSettings(
         AdmissionPolicy policy,
@@ -16,7 +17,8 @@
         int maximumQueued,
         int worstServedWeight,
         int refusalWeight,
-        int batchSharePercent) {
+        int batchSharePercent,
+        long maximumWaitMillis) {
 
     /** Checks the ranges. */
     public QueueSettings {
@@ -31,5 +33,28 @@
         if (batchSharePercent < 0 || batchSharePercent > 100) {
             throw new IllegalArgumentException("batchSharePercent must be in 0..100: " + batchSharePercent);
         }
+        if (maximumWaitMillis < 0) {
+            throw new IllegalArgumentException("maximumWaitMillis must not be negative: " + maximumWaitMillis);
+        }
+    }
+
+    /**
+     * Creates settings under which only the deadline of a request limits its wait.
+     *
+     * @param policy order and bounds of waiting requests
+     * @param slots number of requests that the upstream runs at the same time, positive
+     * @param maximumQueued largest number of waiting requests, positive
+     * @param worstServedWeight importance of the service to the worst-served team, not negative
+     * @param refusalWeight importance of few wrongful refusals, not negative
+     * @param batchSharePercent part of the served tokens guaranteed to waiting batch work, in 0..100
+     */
+    public QueueSettings(
+            AdmissionPolicy policy,
+            int slots,
+            int maximumQueued,
+            int worstServedWeight,
+            int refusalWeight,
+            int batchSharePercent) {
+        this(policy, slots, maximumQueued, worstServedWeight, refusalWeight, batchSharePercent, Long.MAX_VALUE);
     }
 }
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/admission/FairQueueTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/admission/FairQueueTest.java
@@ -150,6 +150,33 @@
                     .isInstanceOf(AdmissionDecision.Queued.class);
         }
 
+        /** Guards against a queue that grows beyond the wait that operators allow, for requests with late deadlines. */
+        @Test
+        void refusesBeyondTheWaitLimit() {
+            FairQueue<Long> limited =
+                    new FairQueue<>(new QueueSettings(AdmissionPolicy.WEIGHTED, 1, 1_000, 1, 1, 10, 300));
+            TeamName team = new TeamName("one");
+            List<AdmissionDecision> decisions = LongStream.range(0, 10)
+                    .mapToObj(key -> {
+                        AdmissionDecision decision = limited.offer(
+                                new WaitingRequest<>(
+                                        key, team, 1, RequestClass.LIVE, 100, Deadline.after(0, 3_600_000)),
+                                0);
+                        if (key == 0) {
+                            limited.poll(0);
+                            limited.finished(0L, 100, 100);
+                        } else if (key == 1) {
+                            limited.poll(0);
+                        }
+                        return decision;
+                    })
+                    .toList();
+            // A request takes 100 ms: the slot is awaited for up to 100 ms, so three can wait at most 300 ms.
+            assertThat(decisions.subList(0, 5)).allMatch(AdmissionDecision.Queued.class::isInstance);
+            assertThat(decisions.subList(5, 10))
+                    .containsOnly(new AdmissionDecision.Refused(100, AdmissionDecision.Reason.WAIT_LIMIT));
+        }
+
         /** Guards against one team that fills the queue so that others are refused. */
         @Test
         void oneTeamCannotFillTheQueue() {
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/JoobyHttpServer.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/JoobyHttpServer.java
@@ -45,8 +45,25 @@
      */
     public static JoobyHttpServer start(InetSocketAddress address, int maximumBodyBytes, HttpHandler handler)
             throws IOException {
-        RequestTimeoutExtension.enable();
+        return start(address, maximumBodyBytes, new ConnectionLimit(Integer.MAX_VALUE), handler);
+    }
+
+    /**
+     * Starts a server with a limited number of connections.
+     *
+     * @param address the address to listen on
+     * @param maximumBodyBytes the largest body of a request; a larger one is answered with status 413
+     * @param connections counts the connections and refuses further ones with status 503
+     * @param handler answers all requests
+     * @return the running server
+     * @throws IOException if the address cannot be bound
+     */
+    public static JoobyHttpServer start(
+            InetSocketAddress address, int maximumBodyBytes, ConnectionLimit connections, HttpHandler handler)
+            throws IOException {
+        ConnectionExtension.enable();
         checkFree(address);
+        ConnectionExtension.limit(address.getPort(), connections);
         ServerOptions options = new ServerOptions();
         options.setHost(address.getAddress().getHostAddress());
         options.setPort(address.getPort());
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/AgentSettings.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/AgentSettings.java
@@ -50,7 +50,8 @@
 
     /** Longest wait in the queue. */
     public static final Setting<Duration> QUEUE_WAIT_LIMIT = Setting.duration(
-                    "limits.queue-wait", "Expected wait beyond which a new request is refused.")
+                    "limits.queue-wait",
+                    "Expected wait for a slot beyond which a new request is refused with status 503.")
             .defaultingTo("30s");
 
     /** All settings of the agent. */
--- a/oleandermoor-transport/src/test/java/io/oleandermoor/transport/settings/SettingsTest.java
+++ b/oleandermoor-transport/src/test/java/io/oleandermoor/transport/settings/SettingsTest.java
@@ -1,6 +1,7 @@
 package io.oleandermoor.transport.settings;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatCode;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 import static org.assertj.core.api.Assertions.catchThrowableOfType;
 
@@ -125,6 +126,18 @@
                             "ERROR agent.ini:27 other.key: is not a setting of role agent");
         }
 
+        /** Guards against a time limit that outlasts the records that keep calls from running twice. */
+        @Test
+        void includeARequestTimeBeyondAnHour() {
+            String entry = AGENT.replaceAll("(?s)\\[upstream].*?\\n\\n", "")
+                    .replace("[listen]", "[limits]\nrequest-time = 61min\n[listen]\ncaller = 127.0.0.1:9003");
+            SettingsReader reader = new SettingsReader(EntrySettings.SCHEMA);
+            assertThatThrownBy(() -> reader.read("entry.ini", entry, List.of()))
+                    .hasMessageContaining("entry.ini:8 limits.request-time: must be more than 0ms and at most 1h");
+            assertThatCode(() -> reader.read("entry.ini", entry, List.of("limits.request-time=1h")))
+                    .doesNotThrowAnyException();
+        }
+
         /** Guards against a misplaced setting being overlooked or reported under another name. */
         @Test
         void includeSettingsOutsideOfTheirSection() {
