Revoke keys while the key-value service does not answer

Cause: without the key-value service no change is accepted, so a key could not be revoked during an outage, and its streams went on.

A request that only revokes one key and gets no answer from the service within 2 s now makes a revocation item. It goes to all connected entries at once, every process keeps it, and each entry refuses the key and ends its requests. It is forgotten only when a configuration at least as new as the one it was made at is without the key. Entries with a configuration confirmed within 3 s write it under the operator's change id, against the version in which the identifier names that key, so that another key under that identifier is never revoked. The admin API answers 202 and the command ends with status 1; both say that the revocation is not durable and to how many entries it was sent.

Ruled out: an item for every revocation before the service is asked (a change that is then refused would have ended the key), items for other changes, and one chosen writer (it may be the one that does not reach the service).

--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/AdministrationClient.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/AdministrationClient.java
@@ -90,6 +90,9 @@
         }
         return switch (answer.status()) {
             case 200 -> accepted(answer);
+            case 202 ->
+                new SubmitResult.RevokedForNow(
+                        answer.json().path("otherEntries").asInt());
             case 409 ->
                 new SubmitResult.Conflict(answer.json().path("currentVersion").asLong());
             case 400 -> new SubmitResult.Rejected(findings(answer));
--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/ChangeCommand.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/ChangeCommand.java
@@ -64,6 +64,9 @@
         if (result instanceof SubmitResult.Unavailable unavailable) {
             throw new CommandFailedException(unavailable.reason() + " (nothing was changed)");
         }
+        if (result instanceof SubmitResult.RevokedForNow revoked) {
+            throw new CommandFailedException(revoked.message() + " (change " + id + ")");
+        }
         return ask(context, client, id, ((SubmitResult.Unknown) result).reason());
     }
 
--- a/oleandermoor-command/src/test/java/io/oleandermoor/command/TestFleet.java
+++ b/oleandermoor-command/src/test/java/io/oleandermoor/command/TestFleet.java
@@ -290,6 +290,11 @@
         }
     }
 
+    /** Returns the version of the configuration in force at an entry. */
+    long version(int entry) throws Exception {
+        return (long) metric(entryAdminPorts.get(entry), "oleandermoor_configuration_version");
+    }
+
     /** Returns the number of attempts that wait or run in all agents. */
     long attempts() throws Exception {
         long sum = 0;
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/administration/AdministrationApi.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/administration/AdministrationApi.java
@@ -131,6 +131,13 @@
         if (result instanceof SubmitResult.Unavailable unavailable) {
             return error(ErrorCode.UNAVAILABLE, unavailable.reason() + "; nothing was changed", List.of());
         }
+        if (result instanceof SubmitResult.RevokedForNow revoked) {
+            ObjectNode body = MAPPER.createObjectNode();
+            body.put("durable", false)
+                    .put("otherEntries", revoked.otherEntries())
+                    .put("message", revoked.message());
+            return new AdministrationResponse(202, body.toString());
+        }
         SubmitResult.Unknown unknown = (SubmitResult.Unknown) result;
         return error(ErrorCode.UNKNOWN, unknown.reason() + "; ask by change id", List.of());
     }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.oleandermoor.coordination.configuration.ConfigurationHolder;
+import io.oleandermoor.coordination.configuration.RevocationTable;
 import io.oleandermoor.coordination.dissemination.Freshness;
 import io.oleandermoor.coordination.store.ConditionalWriter;
 import io.oleandermoor.coordination.store.KeyValueStore;
@@ -11,6 +12,7 @@
 import io.oleandermoor.daemon.network.ConfigurationItems;
 import io.oleandermoor.daemon.network.DisseminatingItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
+import io.oleandermoor.daemon.network.RevocationItems;
 import io.oleandermoor.daemon.network.UpstreamDescription;
 import io.oleandermoor.daemon.placement.OrderExecutor;
 import io.oleandermoor.daemon.placement.PlacementOwnerRole;
@@ -206,6 +208,9 @@
                 PlacementOwnerRole.NAME,
                 (name, version, content) -> placementOwner = new String(content, StandardCharsets.UTF_8));
         configuration.addListener((before, after) -> queue.configure(after));
+        RevocationItems revocations =
+                new RevocationItems(items, new RevocationTable(), configuration::configuration, hash -> {});
+        configuration.addListener((before, after) -> revocations.configurationChanged(after));
         ConfigurationItems configurationItems = new ConfigurationItems(items, configuration);
         timers.add(
                 Observable.interval(DisseminatingItemExchange.EXCHANGE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -132,6 +132,8 @@
 
     private final CrashRegistry crashes = new CrashRegistry(LARGEST_CRASH_REGISTRY);
 
+    private final KeyRevocations revocations;
+
     private final CallerApi callerApi;
 
     private final AdministrationApi administrationApi;
@@ -199,10 +201,11 @@
                 timers,
                 name -> network.connection(name).isPresent(),
                 settings.get(EntrySettings.REQUEST_LIMIT));
+        this.revocations = new KeyRevocations(items, configuration, log, freshness, requests, NOW_MILLIS);
         EntryServices services = services(table, store);
         this.callerApi = new CallerApi(parser(), requests, services, () -> !stopping);
         this.administrationApi = new AdministrationApi(
-                new StoreConfigurationService(log, configuration, this::status),
+                new StoreConfigurationService(log, configuration, this::status, revocations),
                 settings.get(CommonSettings.ADMINISTRATION_CREDENTIAL_HASH),
                 settings.get(CommonSettings.ADMINISTRATION_BODY_LIMIT).intValue());
     }
@@ -230,6 +233,7 @@
                 .subscribe(tick -> {
                     items.exchange();
                     configurationItems.repair();
+                    revocations.tick();
                 });
         rates.register(leases);
         placement.register(leases);
@@ -344,6 +348,7 @@
         return new RequestParser(
                 configuration::configuration,
                 peers::keysUsable,
+                revocations::isRevoked,
                 settings.get(CommonSettings.FAILURE_DOMAIN),
                 NOW_MILLIS,
                 EntryDaemon::newRequestId,
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
@@ -32,6 +32,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /** Checks the requests of callers against the configuration in force. Safe for use by several threads. */
@@ -57,6 +58,8 @@
 
     private final BooleanSupplier keysUsable;
 
+    private final Predicate<KeyHash> revoked;
+
     private final FailureDomain home;
 
     private final LongSupplier nowMillis;
@@ -68,12 +71,14 @@
     RequestParser(
             Supplier<Configuration> configuration,
             BooleanSupplier keysUsable,
+            Predicate<KeyHash> revoked,
             FailureDomain home,
             LongSupplier nowMillis,
             Supplier<RequestId> ids,
             long timeLimitMillis) {
         this.configuration = configuration;
         this.keysUsable = keysUsable;
+        this.revoked = revoked;
         this.home = home;
         this.nowMillis = nowMillis;
         this.ids = ids;
@@ -163,6 +168,7 @@
         String text = credential.orElseThrow(
                 () -> new RefusedException(CallerError.notRun(401, "key_missing", "a key is needed")));
         return current.key(KeyHash.of(text))
+                .filter(key -> !revoked.test(key.hash()))
                 .orElseThrow(() -> new RefusedException(
                         CallerError.notRun(401, "key_invalid", "the key is not valid or was revoked")));
     }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/DisseminatingItemExchange.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/DisseminatingItemExchange.java
@@ -34,8 +34,9 @@
     public static final long EXCHANGE_MILLIS = 1_000;
 
     /** Items that are pushed even when pushes exceed their share of the traffic: a revoked key must not wait. */
-    private static final Predicate<Item> URGENT =
-            item -> item.name().startsWith("configuration/") || item.name().startsWith("owner/");
+    private static final Predicate<Item> URGENT = item -> item.name().startsWith("configuration/")
+            || item.name().startsWith("owner/")
+            || item.name().startsWith(RevocationItems.ITEM_PREFIX);
 
     private final Object lock = new Object();
 
@@ -84,6 +85,30 @@
         carryOut(step);
     }
 
+    /**
+     * Makes an item known to all processes, and sends it to some of them directly instead of through others.
+     *
+     * @param direct selects the connections on which the item is sent at once
+     * @param name the name
+     * @param version the version
+     * @param content the content
+     * @return the number of connections on which it was sent at once
+     */
+    public int publishTo(Predicate<PeerConnection> direct, String name, long version, byte[] content) {
+        publish(name, version, content);
+        ItemMessage message = ItemMessage.builder()
+                .news(true)
+                .items(List.of(new Item(name, version, content)))
+                .build();
+        int sent = 0;
+        for (PeerConnection connection : connections.get()) {
+            if (direct.test(connection) && connection.send(ItemMessages.toMessage(message))) {
+                sent++;
+            }
+        }
+        return sent;
+    }
+
     @Override
     public void listen(String prefix, ItemListener listener) {
         subscriptions.add(new Subscription(prefix, listener));
