Ask the other entries whether they reach the key-value service

Cause: KeyFreshnessPolicy.decide was not used by entries. An entry without a confirmed configuration accepted keys as soon as it was connected to most entries, whatever those knew.

From an age of 5 s on, an entry asks all connected entries every 2 s how old their confirmation is, with the exchange message that exists already, and takes over the newest. Those without one of less than 5 s count as without the service, for 5 s and while connected. Once a second the entry decides by KeyFreshnessPolicy with the entries of the instance list; without a list it does not continue. The turn of exchanges with readers has a counter of its own, which the questions do not move.

Ruled out: a field in heartbeats (the generated code needs protoc, which is not in the shared cache), and items (each report would be spread to all processes).

Before: with the limits of PeerConfirmations removed (every answer of the last 5 s counts as a report), PeerConfirmationsTest 1 of 2 failed. After: 2 of 2, and DisseminatorTest, FreshnessTest, ArchitectureTest pass; FleetRevocationTest 2 of 2 in 45.5 s, with valid keys accepted through 15 s of outage. That second test of running daemons was not run without the change. A partition between entries was not tested with running daemons, and the traffic of the questions at the target size was not measured.

--- a/oleandermoor-command/src/test/java/io/oleandermoor/command/FleetRevocationTest.java
+++ b/oleandermoor-command/src/test/java/io/oleandermoor/command/FleetRevocationTest.java
@@ -14,6 +14,8 @@
 
     private static final Duration DETECTION = Duration.ofSeconds(3);
 
+    private static final Duration LONG_OUTAGE = Duration.ofSeconds(15);
+
     private TestFleet fleet;
 
     @BeforeEach
@@ -26,6 +28,21 @@
         fleet.close();
     }
 
+    /** Guards against entries that refuse valid keys in a long outage, although no revocation can be accepted then. */
+    @Test
+    void validKeysWorkThroughALongOutage() {
+        fleet.store.setFaults(new StoreFaults(true, 0, 0, 0, "", false));
+        // Longer than the 10 s after which an entry needs the reports of the others.
+        await().during(LONG_OUTAGE).atMost(LONG_OUTAGE.multipliedBy(2)).until(() -> {
+            for (int entry = 0; entry < TestFleet.ENTRIES; entry++) {
+                if (fleet.complete(entry, TestFleet.KEY, "valid", 2).statusCode() != 200) {
+                    return false;
+                }
+            }
+            return true;
+        });
+    }
+
     /** Guards against a key that works on through an outage, and against a revocation that is lost after it. */
     @Test
     void endsTheKeyAtOnceAndIsWrittenAfterTheOutage() throws Exception {
--- a/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/dissemination/Disseminator.java
+++ b/oleandermoor-coordination/src/main/java/io/oleandermoor/coordination/dissemination/Disseminator.java
@@ -49,7 +49,9 @@
     private final LinkedHashMap<Long, Exchange> exchanges = new LinkedHashMap<>();
     private List<InstanceId> peers = List.of();
     private List<InstanceId> readers = List.of();
+    private final PeerConfirmations confirmations = new PeerConfirmations();
     private long lastExchange;
+    private long turns;
     private DisseminationCounters counters = new DisseminationCounters(0, 0, 0, 0);
 
     /**
@@ -131,7 +133,7 @@
         });
         List<OutgoingMessage> messages = new ArrayList<>();
         if (!peers.isEmpty()) {
-            boolean fresh = !readers.isEmpty() && lastExchange % EXCHANGES_PER_READER == 0;
+            boolean fresh = !readers.isEmpty() && turns++ % EXCHANGES_PER_READER == 0;
             List<InstanceId> choice = fresh ? readers : peers;
             InstanceId peer = choice.get(random.nextInt(choice.size()));
             exchanges.put(++lastExchange, new Exchange(peer, nowMillis));
@@ -146,6 +148,33 @@
         return new DisseminationStep(List.of(), messages, List.copyOf(unanswered));
     }
 
+    /**
+     * Asks peers how long ago their configuration was confirmed. A newer confirmation than that of this process is
+     * taken over.
+     *
+     * @param asked the peers
+     * @param nowMillis the present
+     * @return the questions; the answers are in {@link #confirmations}
+     */
+    public DisseminationStep ask(Collection<InstanceId> asked, long nowMillis) {
+        confirmations.ask(asked);
+        List<OutgoingMessage> messages = new ArrayList<>();
+        for (InstanceId peer : asked) {
+            exchanges.put(++lastExchange, new Exchange(peer, nowMillis));
+            messages.add(send(peer, ItemMessage.builder().exchange(lastExchange).build()));
+        }
+        return new DisseminationStep(List.of(), messages, List.of());
+    }
+
+    /**
+     * Returns the answers to {@link #ask}.
+     *
+     * @return the answers so far
+     */
+    public PeerConfirmations confirmations() {
+        return confirmations;
+    }
+
     /**
      * Handles a message of a peer.
      *
@@ -159,6 +188,7 @@
         Exchange answered = exchanges.get(message.answers());
         if (answered != null && answered.peer.equals(sender)) {
             exchanges.remove(message.answers());
+            confirmations.answered(sender, message.confirmed(), answered.sentMillis);
             message.confirmed().ifPresent(confirmed -> freshness.confirm(confirmed, answered.sentMillis));
         }
         List<Item> accepted = new ArrayList<>();
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -170,8 +170,8 @@
                 this::connectsTo,
                 this,
                 this::heartbeat);
-        this.peers = new EntryPeers(instance, network, freshness, NOW_MILLIS);
-        this.items = new DisseminatingItemExchange(RANDOM, freshness, network::connections, peers::readers, NOW_MILLIS);
+        this.items = new DisseminatingItemExchange(RANDOM, freshness, network::connections, this::readers, NOW_MILLIS);
+        this.peers = new EntryPeers(instance, network, freshness, items, NOW_MILLIS);
         KeyValueStore store = new EtcdKeyValueStore(
                 client, settings.get(CommonSettings.KEY_VALUE_SERVICE).toString());
         ConfigurationLog log =
@@ -233,6 +233,7 @@
                 .subscribe(tick -> {
                     items.exchange();
                     configurationItems.repair();
+                    peers.tick();
                     revocations.tick();
                 });
         rates.register(leases);
@@ -454,6 +455,10 @@
         return other.role().equals("agent") || instance.value().compareTo(other.instance()) < 0;
     }
 
+    private List<InstanceId> readers() {
+        return peers.readers();
+    }
+
     private static RequestId newRequestId() {
         ThreadLocalRandom random = ThreadLocalRandom.current();
         return new RequestId(random.nextLong(), random.nextLong());
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/DisseminatingItemExchange.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/DisseminatingItemExchange.java
@@ -124,6 +124,31 @@
         carryOut(step);
     }
 
+    /**
+     * Asks processes how long ago their configuration was confirmed.
+     *
+     * @param asked the processes
+     */
+    public void ask(Collection<InstanceId> asked) {
+        DisseminationStep step;
+        synchronized (lock) {
+            step = disseminator.ask(asked, nowMillis.getAsLong());
+        }
+        carryOut(step);
+    }
+
+    /**
+     * Counts the processes whose last answer to {@link #ask} was that they do not reach the key-value service.
+     *
+     * @param peers the processes that are connected now
+     * @return a count
+     */
+    public int unconfirmed(Collection<InstanceId> peers) {
+        synchronized (lock) {
+            return disseminator.confirmations().unconfirmed(peers, nowMillis.getAsLong());
+        }
+    }
+
     /**
      * Sends the items of this process to a process that has just connected, so that it need not wait for an exchange.
      *
