--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
@@ -2,15 +2,19 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
+import io.oleandermoor.coordination.configuration.ConfigurationHolder;
+import io.oleandermoor.coordination.configuration.RevocationTable;
 import io.oleandermoor.coordination.dissemination.Freshness;
 import io.oleandermoor.coordination.store.ConditionalWriter;
 import io.oleandermoor.coordination.store.KeyValueStore;
 import io.oleandermoor.daemon.health.AdministrationServer;
 import io.oleandermoor.daemon.health.AdministrationServer.Readiness;
+import io.oleandermoor.daemon.network.ConfigurationItems;
 import io.oleandermoor.daemon.network.CrashReport;
 import io.oleandermoor.daemon.network.CrashReportListener;
 import io.oleandermoor.daemon.network.DisseminatingItemExchange;
 import io.oleandermoor.daemon.network.PeerNetwork;
+import io.oleandermoor.daemon.network.RevocationItems;
 import io.oleandermoor.daemon.network.UpstreamDescription;
 import io.oleandermoor.daemon.placement.OrderExecutor;
 import io.oleandermoor.daemon.placement.PlacementOwnerRole;
@@ -106,6 +110,8 @@
 
     private final CrashRegistry crashes = new CrashRegistry(LARGEST_CRASH_REGISTRY);
 
+    private final ConfigurationHolder configuration = new ConfigurationHolder();
+
     private final FairWaitingQueue queue;
 
     private final RequestExecutor executor;
@@ -161,7 +167,14 @@
         this.items = new DisseminatingItemExchange(
                 RandomSource.XO_RO_SHI_RO_128_PP.create(), new Freshness(), network::connections, List::of, NOW_MILLIS);
         this.queue = new FairWaitingQueue(
-                new QueueSettings(AdmissionPolicy.FAIR, settings.get(AgentSettings.SLOTS), LARGEST_QUEUE, 1, 1, 10),
+                new QueueSettings(
+                        AdmissionPolicy.WEIGHTED,
+                        settings.get(AgentSettings.SLOTS),
+                        LARGEST_QUEUE,
+                        1,
+                        1,
+                        10,
+                        settings.get(AgentSettings.QUEUE_WAIT_LIMIT).toMillis()),
                 fingerprint -> crashes.isSuspect(fingerprint, System.currentTimeMillis()),
                 NOW_MILLIS);
         CrashWatch watch = new CrashWatch(
@@ -213,9 +226,17 @@
             orders.ifPresent(OrderExecutor::ownerChanged);
         });
         items.listen(CrashReport.ITEM_PREFIX, new CrashReportListener(crashes, metrics));
+        configuration.addListener((before, after) -> queue.configure(after));
+        RevocationItems revocations =
+                new RevocationItems(items, new RevocationTable(), configuration::configuration, hash -> {});
+        configuration.addListener((before, after) -> revocations.configurationChanged(after));
+        ConfigurationItems configurationItems = new ConfigurationItems(items, configuration);
         timers.add(
                 Observable.interval(DisseminatingItemExchange.EXCHANGE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
-                        .subscribe(tick -> items.exchange()));
+                        .subscribe(tick -> {
+                            items.exchange();
+                            configurationItems.repair();
+                        }));
         timers.add(Observable.interval(STEP_REQUEST_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                 .subscribe(tick -> askForSteps()));
         timers.add(Observable.interval(EXPIRE_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
@@ -226,6 +247,10 @@
         timers.add(Observable.interval(START_MILLIS, TimeUnit.MILLISECONDS, Schedulers.io())
                 .subscribe(tick -> executor.startWaiting()));
         metrics.gauge("oleandermoor_attempts", "Attempts that wait or run", executor::size);
+        metrics.gauge(
+                "oleandermoor_configuration_version",
+                "Version of the configuration in force",
+                () -> configuration.configuration().version());
         LogEvent.of("agent_started")
                 .with("instance", instance)
                 .with("upstream", settings.get(AgentSettings.UPSTREAM_ID))
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
@@ -8,11 +8,11 @@
 import io.oleandermoor.protocol.message.Header;
 import io.oleandermoor.protocol.message.HttpCall;
 import io.oleandermoor.protocol.message.RequestClass;
-import io.oleandermoor.state.admission.WaitingRequest;
 import io.oleandermoor.state.configuration.Adapter;
 import io.oleandermoor.state.configuration.ApiKey;
 import io.oleandermoor.state.configuration.Configuration;
 import io.oleandermoor.state.configuration.Route;
+import io.oleandermoor.state.configuration.Team;
 import io.oleandermoor.state.identity.AdapterName;
 import io.oleandermoor.state.identity.FailureDomain;
 import io.oleandermoor.state.identity.Identifiers;
@@ -22,6 +22,7 @@
 import io.oleandermoor.state.routing.PromptPrefix;
 import io.oleandermoor.state.routing.RouteQuery;
 import io.oleandermoor.transport.http.HttpExchange;
+import io.oleandermoor.transport.settings.EntrySettings;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
@@ -31,6 +32,7 @@
 import java.util.Optional;
 import java.util.function.BooleanSupplier;
 import java.util.function.LongSupplier;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /** Checks the requests of callers against the configuration in force. Safe for use by several threads. */
@@ -46,7 +48,7 @@
 
     static final long DEFAULT_TIMEOUT_MILLIS = 60_000;
 
-    static final long LARGEST_TIMEOUT_MILLIS = 3_600_000;
+    static final long LARGEST_TIMEOUT_MILLIS = EntrySettings.LARGEST_REQUEST_TIME.toMillis();
 
     private static final int LONGEST_IDEMPOTENCY_KEY = 255;
 
@@ -56,23 +58,31 @@
 
     private final BooleanSupplier keysUsable;
 
+    private final Predicate<KeyHash> revoked;
+
     private final FailureDomain home;
 
     private final LongSupplier nowMillis;
 
     private final Supplier<RequestId> ids;
 
+    private final long timeLimitMillis;
+
     RequestParser(
             Supplier<Configuration> configuration,
             BooleanSupplier keysUsable,
+            Predicate<KeyHash> revoked,
             FailureDomain home,
             LongSupplier nowMillis,
-            Supplier<RequestId> ids) {
+            Supplier<RequestId> ids,
+            long timeLimitMillis) {
         this.configuration = configuration;
         this.keysUsable = keysUsable;
+        this.revoked = revoked;
         this.home = home;
         this.nowMillis = nowMillis;
         this.ids = ids;
+        this.timeLimitMillis = timeLimitMillis;
     }
 
     /** Checks a chat completion. */
@@ -158,15 +168,14 @@
         String text = credential.orElseThrow(
                 () -> new RefusedException(CallerError.notRun(401, "key_missing", "a key is needed")));
         return current.key(KeyHash.of(text))
+                .filter(key -> !revoked.test(key.hash()))
                 .orElseThrow(() -> new RefusedException(
                         CallerError.notRun(401, "key_invalid", "the key is not valid or was revoked")));
     }
 
     /** Teams share a contended upstream in proportion to their rates and weights. */
     private static long weight(Configuration current, ApiKey key) {
-        return current.team(key.team())
-                .map(team -> Math.min(WaitingRequest.MAXIMUM, Math.max(1, team.rate() * team.weight())))
-                .orElse(1L);
+        return current.team(key.team()).map(Team::queueWeight).orElse(1L);
     }
 
     private static Target target(Configuration current, String name) throws RefusedException {
@@ -217,15 +226,13 @@
 
     private long deadline(HttpExchange exchange) throws RefusedException {
         Optional<String> header = exchange.header(TIMEOUT_HEADER);
-        long millis = DEFAULT_TIMEOUT_MILLIS;
+        long millis = Math.min(DEFAULT_TIMEOUT_MILLIS, timeLimitMillis);
         if (header.isPresent()) {
             millis = header.get().matches("[0-9]{1,9}") ? Long.parseLong(header.get()) : 0;
         }
-        if (millis < 1 || millis > LARGEST_TIMEOUT_MILLIS) {
+        if (millis < 1 || millis > timeLimitMillis) {
             throw new RefusedException(CallerError.notRun(
-                    400,
-                    "invalid_request",
-                    TIMEOUT_HEADER + " must be a whole number from 1 to " + LARGEST_TIMEOUT_MILLIS));
+                    400, "invalid_request", TIMEOUT_HEADER + " must be a whole number from 1 to " + timeLimitMillis));
         }
         return nowMillis.getAsLong() + millis;
     }
--- a/oleandermoor-daemon/src/test/java/io/oleandermoor/daemon/agent/RequestExecutorTest.java
+++ b/oleandermoor-daemon/src/test/java/io/oleandermoor/daemon/agent/RequestExecutorTest.java
@@ -123,7 +123,7 @@
 
     private RequestExecutor executor() {
         FairWaitingQueue queue = new FairWaitingQueue(
-                new QueueSettings(AdmissionPolicy.FAIR, 4, 16, 1, 1, 10), fingerprint -> false, NOW_MILLIS);
+                new QueueSettings(AdmissionPolicy.WEIGHTED, 4, 16, 1, 1, 10), fingerprint -> false, NOW_MILLIS);
         return new RequestExecutor(
                 new RequestExecutor.Parts(
                         new RequestLedger(LedgerSettings.defaults()),
--- a/oleandermoor-replay/src/test/java/io/oleandermoor/replay/ReplayScenarioTest.java
+++ b/oleandermoor-replay/src/test/java/io/oleandermoor/replay/ReplayScenarioTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/SuspectQueue.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/admission/SuspectQueue.java
@@ -3,6 +3,7 @@
 import io.oleandermoor.state.admission.AdmissionDecision.Queued;
 import io.oleandermoor.state.admission.AdmissionDecision.Reason;
 import io.oleandermoor.state.admission.AdmissionDecision.Refused;
+import io.oleandermoor.state.identity.TeamName;
 import io.oleandermoor.state.ledger.CrashAttribution;
 import io.oleandermoor.state.ledger.CrashAttribution.Running;
 import java.util.ArrayList;
@@ -13,6 +14,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.function.Predicate;
+import java.util.function.ToLongBiFunction;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -47,6 +49,16 @@
         this.maximumHeld = settings.maximumQueued();
     }
 
+    /**
+     * Changes policy and weights as {@link FairQueue#configure} does. Held suspects keep the weight they came with.
+     *
+     * @param next the settings from now on; the number of slots must not change
+     * @param weights gives the weight of a team from the team and its weight so far
+     */
+    public void configure(QueueSettings next, ToLongBiFunction<TeamName, Long> weights) {
+        queue.configure(next, weights);
+    }
+
     /**
      * Offers a request. A suspect that could not start before its deadline is refused at once.
      *
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/admission/SuspectQueueTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/admission/SuspectQueueTest.java
@@ -27,7 +27,7 @@
     private static final String POISON = "poison";
 
     private static SuspectQueue<String> queue(int slots) {
-        return new SuspectQueue<>(new QueueSettings(AdmissionPolicy.FAIR, slots, 200, 1, 1, 20));
+        return new SuspectQueue<>(new QueueSettings(AdmissionPolicy.WEIGHTED, slots, 200, 1, 1, 20));
     }
 
     private static WaitingRequest<String> request(String key, long deadlineMillis) {
