Share the log line of unreadable items, the clock and the fingerprint

Cause: the line item_unreadable stood four times, the monotonic clock and the sleep of the daemons twice, and the fingerprint's digits twice. Two methods that nothing calls are gone.

--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/AgentDaemon.java
@@ -47,6 +47,7 @@
 import io.oleandermoor.transport.settings.CommonSettings;
 import io.oleandermoor.transport.settings.FencingSupport;
 import io.oleandermoor.transport.settings.Settings;
+import io.oleandermoor.transport.worker.MonotonicClock;
 import io.oleandermoor.transport.worker.WorkerPool;
 import io.reactivex.rxjava3.core.Observable;
 import io.reactivex.rxjava3.disposables.CompositeDisposable;
@@ -70,7 +71,7 @@
 
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
-    private static final LongSupplier NOW_MILLIS = () -> System.nanoTime() / 1_000_000;
+    private static final LongSupplier NOW_MILLIS = MonotonicClock::nowMillis;
 
     /** Time without an answer to a listing and without a token after which a stream goes on at another upstream. */
     private static final long UPSTREAM_STALLED_MILLIS = 3_000;
@@ -284,20 +285,20 @@
      */
     public void stop() {
         leave();
-        sleep(LEAVING_GRACE_MILLIS);
+        MonotonicClock.sleep(LEAVING_GRACE_MILLIS);
         accepting = false;
         long until = NOW_MILLIS.getAsLong()
                 + settings.get(CommonSettings.DRAIN_LIMIT).toMillis();
         while (executor.size() > 0 && NOW_MILLIS.getAsLong() < until) {
-            sleep(DRAIN_POLL_MILLIS);
+            MonotonicClock.sleep(DRAIN_POLL_MILLIS);
         }
         executor.moveAll();
         // Non-repeatable calls cannot go elsewhere; they are waited for.
         while (executor.size() > 0) {
-            sleep(DRAIN_POLL_MILLIS);
+            MonotonicClock.sleep(DRAIN_POLL_MILLIS);
         }
         // Gives the last messages time to leave.
-        sleep(DRAIN_POLL_MILLIS);
+        MonotonicClock.sleep(DRAIN_POLL_MILLIS);
         LogEvent.of("agent_stopped").with("instance", instance).info(LOGGER);
         close();
     }
@@ -407,12 +408,4 @@
                 .map(Resident::name)
                 .toList();
     }
-
-    private static void sleep(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/RunningAttempt.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/RunningAttempt.java
@@ -1,10 +1,10 @@
 package io.oleandermoor.daemon.agent;
 
+import io.oleandermoor.protocol.mapping.AttemptMessages;
 import io.oleandermoor.protocol.message.Dispatch;
 import io.oleandermoor.state.identity.InstanceId;
 import io.oleandermoor.state.ledger.AttemptKey;
 import io.oleandermoor.transport.client.UpstreamCall;
-import java.util.HexFormat;
 
 /** An attempt that waits or runs in this agent. Changed only on the worker of the attempt. */
 final class RunningAttempt {
@@ -43,7 +43,7 @@
     }
 
     String fingerprint() {
-        return HexFormat.of().formatHex(dispatch.getFingerprint().toByteArray());
+        return AttemptMessages.fingerprint(dispatch);
     }
 
     long arrivedNanos() {
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
@@ -18,7 +18,6 @@
 import io.oleandermoor.state.routing.RouteChoice;
 import io.oleandermoor.transport.peer.PeerConnection;
 import java.util.HashSet;
-import java.util.HexFormat;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -351,7 +350,7 @@
     }
 
     private String fingerprint() {
-        return HexFormat.of().formatHex(request.dispatch().getFingerprint().toByteArray());
+        return AttemptMessages.fingerprint(request.dispatch());
     }
 
     private boolean isBlocked() {
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/EntryDaemon.java
@@ -51,6 +51,7 @@
 import io.oleandermoor.transport.settings.CommonSettings;
 import io.oleandermoor.transport.settings.EntrySettings;
 import io.oleandermoor.transport.settings.Settings;
+import io.oleandermoor.transport.worker.MonotonicClock;
 import io.oleandermoor.transport.worker.Timers;
 import io.oleandermoor.transport.worker.WorkerPool;
 import io.reactivex.rxjava3.core.Observable;
@@ -75,7 +76,7 @@
 
     private static final Logger LOGGER = LogManager.getLogger(EntryDaemon.class);
 
-    private static final LongSupplier NOW_MILLIS = () -> System.nanoTime() / 1_000_000;
+    private static final LongSupplier NOW_MILLIS = MonotonicClock::nowMillis;
 
     /** Largest number of entries that share the floors of the teams. */
     private static final int MAXIMUM_ENTRIES = 8;
@@ -301,12 +302,12 @@
                 .with("instance", instance)
                 .with("requests", requests.size())
                 .info(LOGGER);
-        sleep(settings.get(EntrySettings.LOAD_BALANCER_WAIT).toMillis());
+        MonotonicClock.sleep(settings.get(EntrySettings.LOAD_BALANCER_WAIT).toMillis());
         stopping = true;
         long until = NOW_MILLIS.getAsLong()
                 + settings.get(CommonSettings.DRAIN_LIMIT).toMillis();
         while (requests.size() > 0 && NOW_MILLIS.getAsLong() < until) {
-            sleep(DRAIN_POLL_MILLIS);
+            MonotonicClock.sleep(DRAIN_POLL_MILLIS);
         }
         LogEvent.of("entry_stopped")
                 .with("instance", instance)
@@ -463,12 +464,4 @@
         ThreadLocalRandom random = ThreadLocalRandom.current();
         return new RequestId(random.nextLong(), random.nextLong());
     }
-
-    private static void sleep(long millis) {
-        try {
-            Thread.sleep(millis);
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-        }
-    }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/UpstreamDirectory.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/UpstreamDirectory.java
@@ -2,17 +2,15 @@
 
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.oleandermoor.daemon.network.PeerNetwork;
+import io.oleandermoor.daemon.network.UnreadableItem;
 import io.oleandermoor.daemon.network.UpstreamDescription;
 import io.oleandermoor.protocol.message.Load;
 import io.oleandermoor.state.identity.UpstreamId;
 import io.oleandermoor.state.placement.EngineStatus;
 import io.oleandermoor.state.routing.RoutingTable;
 import io.oleandermoor.state.routing.UpstreamLoad;
-import io.oleandermoor.transport.log.LogEvent;
 import io.oleandermoor.transport.peer.PeerConnection;
 import java.io.IOException;
-import java.util.Collection;
-import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -20,14 +18,10 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /** What the agents announce about their upstreams, and the connections to them. Safe for use by several threads. */
 final class UpstreamDirectory implements AgentDirectory {
 
-    private static final Logger LOGGER = LogManager.getLogger(UpstreamDirectory.class);
-
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private final Map<UpstreamId, UpstreamDescription> byUpstream = new ConcurrentHashMap<>();
@@ -56,11 +50,7 @@
         try {
             next = MAPPER.readValue(content, UpstreamDescription.class);
         } catch (IOException exception) {
-            LogEvent.of("item_unreadable")
-                    .with("item", name)
-                    .with("version", version)
-                    .with("reason", exception.getMessage())
-                    .warn(LOGGER);
+            UnreadableItem.log(name, version, exception);
             return;
         }
         UpstreamId upstream = new UpstreamId(next.upstream());
@@ -114,10 +104,6 @@
                 .anyMatch(upstream -> connection(upstream).isPresent());
     }
 
-    Collection<UpstreamDescription> descriptions() {
-        return Collections.unmodifiableCollection(byUpstream.values());
-    }
-
     @Override
     public Optional<PeerConnection> connection(UpstreamId upstream) {
         return Optional.ofNullable(byUpstream.get(upstream))
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/ConfigurationItems.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/ConfigurationItems.java
@@ -8,11 +8,8 @@
 import io.oleandermoor.state.configuration.Configuration;
 import io.oleandermoor.state.configuration.ConfigurationDocument;
 import io.oleandermoor.state.finding.InvalidInputException;
-import io.oleandermoor.transport.log.LogEvent;
 import java.io.IOException;
 import java.util.Optional;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
 
 /**
  * Spreads the configuration among processes, so that few of them have to read the key-value service: each change as an
@@ -20,8 +17,6 @@
  */
 public final class ConfigurationItems {
 
-    private static final Logger LOGGER = LogManager.getLogger(ConfigurationItems.class);
-
     private static final ObjectMapper MAPPER = new ObjectMapper();
 
     private static final String CHANGE_PREFIX = "configuration/change/";
@@ -71,7 +66,7 @@
             holder.offer(new VersionedChange(version, ConfigurationJson.readChangeSet(content)));
             forgetOld(version);
         } catch (IOException exception) {
-            unreadable(name, version, exception);
+            UnreadableItem.log(name, version, exception);
         }
     }
 
@@ -97,15 +92,7 @@
         try {
             holder.offer(Configuration.of(version, MAPPER.readValue(content, ConfigurationDocument.class)));
         } catch (IOException | InvalidInputException exception) {
-            unreadable(name, version, exception);
+            UnreadableItem.log(name, version, exception);
         }
     }
-
-    private static void unreadable(String name, long version, Exception exception) {
-        LogEvent.of("item_unreadable")
-                .with("item", name)
-                .with("version", version)
-                .with("reason", exception.getMessage())
-                .warn(LOGGER);
-    }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/RevocationItems.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/network/RevocationItems.java
@@ -99,11 +99,7 @@
                 onRevoked.accept(revocation.hash());
             }
         } catch (IOException | IllegalArgumentException exception) {
-            LogEvent.of("item_unreadable")
-                    .with("item", name)
-                    .with("version", version)
-                    .with("reason", exception.getMessage())
-                    .warn(LOGGER);
+            UnreadableItem.log(name, version, exception);
         }
     }
 
--- a/oleandermoor-protocol/src/main/java/io/oleandermoor/protocol/mapping/AttemptMessages.java
+++ b/oleandermoor-protocol/src/main/java/io/oleandermoor/protocol/mapping/AttemptMessages.java
@@ -5,6 +5,7 @@
 import io.oleandermoor.protocol.message.AttachFailed;
 import io.oleandermoor.protocol.message.Cancel;
 import io.oleandermoor.protocol.message.Chunk;
+import io.oleandermoor.protocol.message.Dispatch;
 import io.oleandermoor.protocol.message.Envelope;
 import io.oleandermoor.protocol.message.Finished;
 import io.oleandermoor.protocol.message.Header;
@@ -22,6 +23,7 @@
 import io.oleandermoor.state.ledger.HeaderField;
 import io.oleandermoor.state.ledger.NotRunReason;
 import io.oleandermoor.state.ledger.TextChunk;
+import java.util.HexFormat;
 import java.util.List;
 
 /** Converts messages about attempts. */
@@ -29,6 +31,16 @@
 
     private AttemptMessages() {}
 
+    /**
+     * Returns the fingerprint of a request's content.
+     *
+     * @param dispatch the request
+     * @return hexadecimal digits
+     */
+    public static String fingerprint(Dispatch dispatch) {
+        return HexFormat.of().formatHex(dispatch.getFingerprint().toByteArray());
+    }
+
     /**
      * Converts the identity of an attempt.
      *
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/worker/WorkerPool.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/worker/WorkerPool.java
@@ -64,15 +64,6 @@
         };
     }
 
-    /**
-     * Returns a scheduler for a chain of events that belong together.
-     *
-     * @return a scheduler with one thread, chosen in turn
-     */
-    public Scheduler scheduler() {
-        return schedulers.get(Math.floorMod(next.getAndIncrement(), schedulers.size()));
-    }
-
     @Override
     public void close() {
         workers.forEach(ExecutorService::shutdown);
