--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/worker/WorkerPool.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/worker/WorkerPool.java
@@ -1,14 +1,11 @@
 package io.oleandermoor.transport.worker;
 
-import io.reactivex.rxjava3.core.Scheduler;
-import io.reactivex.rxjava3.schedulers.Schedulers;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -24,10 +21,6 @@
 
     private final List<ExecutorService> workers = new ArrayList<>();
 
-    private final List<Scheduler> schedulers = new ArrayList<>();
-
-    private final AtomicInteger next = new AtomicInteger();
-
     /**
      * Creates the pool.
      *
@@ -45,7 +38,6 @@
                 return thread;
             });
             workers.add(worker);
-            schedulers.add(Schedulers.from(worker));
         }
     }
 
