--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/ActiveRequest.java
@@ -18,6 +18,7 @@
 import io.oleandermoor.state.routing.RouteChoice;
 import io.oleandermoor.transport.peer.PeerConnection;
 import java.util.HashSet;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -380,7 +381,7 @@
     }
 
     private void answer(AttemptDecision.Reply reply) {
-        String outcome = reply.outcome().name().toLowerCase(java.util.Locale.ROOT);
+        String outcome = reply.outcome().name().toLowerCase(Locale.ROOT);
         if (reply.outcome() == Outcome.RAN && reply.reason() == AttemptDecision.ReplyReason.COMPLETE) {
             long prompt = promptTokens;
             finish(outcome, () -> responder.finished(reply.result().orElseThrow(), prompt, tracker.nextOffset()));
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CallerRequest.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CallerRequest.java
@@ -5,6 +5,7 @@
 import io.oleandermoor.state.identity.RequestId;
 import io.oleandermoor.state.identity.TeamName;
 import io.oleandermoor.state.routing.RouteQuery;
+import java.util.Locale;
 import java.util.Optional;
 
 /**
@@ -39,7 +40,7 @@
     }
 
     String classLabel() {
-        return dispatch.getRequestClass().name().toLowerCase(java.util.Locale.ROOT);
+        return dispatch.getRequestClass().name().toLowerCase(Locale.ROOT);
     }
 
     boolean repeatable() {
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/FleetView.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/FleetView.java
@@ -14,7 +14,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Function;
 import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
 
 /**
  * The engines as their agents report them, together with the steps that were granted and are not yet reported. Used
@@ -88,7 +90,7 @@
     }
 
     /** Returns the state of all engines, with granted steps counted as under way. */
-    List<EngineState> states(java.util.function.Function<UpstreamId, EngineStatus> status) {
+    List<EngineState> states(Function<UpstreamId, EngineStatus> status) {
         List<EngineState> states = new ArrayList<>();
         for (Engine engine : engines.values()) {
             Map<Weights, EngineListing.Entry> residents = new LinkedHashMap<>();
@@ -112,7 +114,7 @@
         }
     }
 
-    private static Engine merge(Engine engine, @org.jspecify.annotations.Nullable Engine known) {
+    private static Engine merge(Engine engine, @Nullable Engine known) {
         return known == null ? engine : engine.with(known.residents);
     }
 
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/HttpClients.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/HttpClients.java
@@ -1,6 +1,7 @@
 package io.oleandermoor.transport.client;
 
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import okhttp3.ConnectionPool;
 import okhttp3.Dispatcher;
 import okhttp3.OkHttpClient;
@@ -30,8 +31,7 @@
         dispatcher.setMaxRequestsPerHost(MAXIMUM_CONCURRENT_REQUESTS);
         return new OkHttpClient.Builder()
                 .dispatcher(dispatcher)
-                .connectionPool(new ConnectionPool(
-                        IDLE_CONNECTIONS, KEEP_ALIVE.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS))
+                .connectionPool(new ConnectionPool(IDLE_CONNECTIONS, KEEP_ALIVE.toMillis(), TimeUnit.MILLISECONDS))
                 .connectTimeout(CONNECT_TIMEOUT)
                 .readTimeout(readTimeout)
                 .writeTimeout(readTimeout)
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/RequestTimeout.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/RequestTimeout.java
@@ -11,6 +11,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -71,8 +72,7 @@
 
     private void schedule(ChannelHandlerContext context, Duration limit) {
         stop();
-        timer = context.executor()
-                .schedule(() -> refuse(context), limit.toMillis(), java.util.concurrent.TimeUnit.MILLISECONDS);
+        timer = context.executor().schedule(() -> refuse(context), limit.toMillis(), TimeUnit.MILLISECONDS);
     }
 
     private void stop() {
