Build the input of the step table in one place

The placement owner built it the same way for requests and for notifications. No change of behaviour; the checks of the build and PlacementOwnerRoleTest pass.

--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/PlacementOwnerRole.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/placement/PlacementOwnerRole.java
@@ -271,8 +271,7 @@
             abandoned.forEach(weights -> current.limiter.release(upstream, weights, now));
             PlacementPlan wanted = plan;
             if (wanted != null) {
-                StepTable.Input input = new StepTable.Input(wanted, fleet.revision(), current.limiter.startable(now));
-                steps.steps(upstream, input, () -> state(current.demand), now)
+                steps.steps(upstream, stepInput(current, wanted, now), () -> state(current.demand), now)
                         .ifPresent(computed -> grantSteps(current, computed, grant, now));
             }
         }
@@ -293,9 +292,8 @@
             if (current == null || wanted == null || !current.ownership.isOwner(now + GRANT_VALID_MILLIS)) {
                 return List.of();
             }
-            StepTable.Input input = new StepTable.Input(wanted, fleet.revision(), current.limiter.startable(now));
             List<UpstreamId> engines = Stream.concat(
-                            steps.engines(input, () -> state(current.demand), now).stream(),
+                            steps.engines(stepInput(current, wanted, now), () -> state(current.demand), now).stream(),
                             fleet.withPendingSteps().stream())
                     .distinct()
                     .filter(engine ->
@@ -306,6 +304,10 @@
         }
     }
 
+    private StepTable.Input stepInput(Term current, PlacementPlan wanted, long now) {
+        return new StepTable.Input(wanted, fleet.revision(), current.limiter.startable(now));
+    }
+
     private void grantSteps(Term current, StepTable.Steps computed, StepGrant.Builder grant, long now) {
         for (PlacementStep step : computed.steps()) {
             if (!fleet.isPending(step.upstream(), step.weights()) && mayStart(current, step, computed.state(), now)) {
