Add the entry on the platform: adapter, decisions and one event loop

This is the thin path: the platform module translates names and calls, the state module gets the decisions (instances, shared buckets, residency), the gateway module carries them out on one Netty loop. Not measured yet.

--- /dev/null
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/GatewayMain.java
@@ -0,0 +1,45 @@
+package io.oleandermoor.gateway;
+
+import io.oleandermoor.gateway.settings.GatewaySettings;
+import io.oleandermoor.state.finding.InvalidInputException;
+import io.oleandermoor.transport.settings.Settings;
+import io.oleandermoor.transport.settings.SettingsReader;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+
+/** Runs an entry on the platform until a signal asks it to stop. */
+public final class GatewayMain {
+
+    private static final String SETTINGS_VARIABLE = "OLEANDERMOOR_SETTINGS";
+    private static final int INVALID_SETTINGS = 2;
+
+    private GatewayMain() {}
+
+    /**
+     * Reads the settings and starts.
+     *
+     * @param arguments none, or the path of the settings file in place of the one in the environment
+     */
+    public static void main(String[] arguments) {
+        String path = arguments.length > 0 ? arguments[0] : System.getenv(SETTINGS_VARIABLE);
+        if (path == null) {
+            System.err.println("oleandermoor: " + SETTINGS_VARIABLE + " must hold the path of the settings file");
+            System.exit(INVALID_SETTINGS);
+            return;
+        }
+        try {
+            Settings settings = new SettingsReader(GatewaySettings.SCHEMA).read(Path.of(path), List.of());
+            Gateway gateway = new Gateway(settings);
+            Runtime.getRuntime().addShutdownHook(new Thread(gateway::stop, "stop"));
+            gateway.start();
+            gateway.listen();
+        } catch (InvalidInputException exception) {
+            exception.findings().forEach(System.err::println);
+            System.exit(INVALID_SETTINGS);
+        } catch (IOException exception) {
+            System.err.println("oleandermoor: " + exception);
+            System.exit(INVALID_SETTINGS);
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -0,0 +1,150 @@
+package io.oleandermoor.gateway.follow;
+
+import io.netty.channel.EventLoop;
+import io.oleandermoor.gateway.view.FleetView;
+import io.oleandermoor.gateway.view.Moment;
+import io.oleandermoor.platform.DecodeException;
+import io.oleandermoor.platform.FleetDocumentDecoder;
+import io.oleandermoor.platform.StoreClient;
+import io.oleandermoor.platform.StoreItem;
+import io.oleandermoor.platform.StoreReading;
+import io.oleandermoor.platform.UpstreamInstanceDecoder;
+import io.oleandermoor.state.fleet.FleetDocument;
+import io.oleandermoor.state.fleet.UpstreamInstance;
+import java.util.HashSet;
+import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/** Takes over the operators' configuration and the instances from the store. Used on the event loop only. */
+public final class FleetFollower {
+
+    private static final Logger LOG = LogManager.getLogger(FleetFollower.class);
+    private static final String CONFIGURATION_PREFIX = "op/";
+    private static final String CONFIGURATION_KEY = "op/config";
+    private static final String INSTANCE_PREFIX = "servers/";
+    /** A watch confirms the configuration when it ends, so its wait is a fraction of the time for a revocation. */
+    private static final StoreFollower.Pace CONFIGURATION_PACE = new StoreFollower.Pace(1_000, 0, 3_000);
+    /** Instances write every heartbeat; a gap gathers their changes into one call. */
+    private static final StoreFollower.Pace INSTANCE_PACE = new StoreFollower.Pace(2_000, 250, 5_000);
+
+    private final FleetView view;
+
+    private FleetFollower(FleetView view) {
+        this.view = view;
+    }
+
+    /** Starts to follow both. */
+    public static void start(EventLoop loop, StoreClient store, FleetView view) {
+        FleetFollower follower = new FleetFollower(view);
+        new StoreFollower(loop, store, CONFIGURATION_PREFIX, CONFIGURATION_PACE, follower.new Configuration()).start();
+        new StoreFollower(loop, store, INSTANCE_PREFIX, INSTANCE_PACE, follower.new Instances()).start();
+    }
+
+    private final class Configuration implements StoreFollower.Listener {
+
+        private boolean readable;
+
+        @Override
+        public void all(StoreReading reading, Moment asked) {
+            changes(reading, asked);
+        }
+
+        @Override
+        public void changes(StoreReading reading, Moment asked) {
+            reading.items().stream()
+                    .filter(item -> item.key().equals(CONFIGURATION_KEY) && !item.removed())
+                    .forEach(this::put);
+            // A version that cannot be read may revoke a key, so nothing is confirmed until one can be read again.
+            if (readable) {
+                view.confirm(asked);
+            }
+        }
+
+        private void put(StoreItem item) {
+            try {
+                FleetDocument document = FleetDocumentDecoder.decode(item.value());
+                readable = true;
+                if (view.put(document)) {
+                    LOG.info("event=configuration version={} revision={}", document.version(), item.revision());
+                }
+            } catch (DecodeException exception) {
+                readable = false;
+                LOG.error(
+                        "event=configuration_unreadable revision={} cause=\"{}\"",
+                        item.revision(),
+                        exception.getMessage());
+            }
+        }
+    }
+
+    private final class Instances implements StoreFollower.Listener {
+
+        @Override
+        public void all(StoreReading reading, Moment asked) {
+            Set<String> listed = new HashSet<>();
+            for (StoreItem item : reading.items()) {
+                put(item);
+                listed.add(id(item));
+            }
+            Set<String> gone = new HashSet<>();
+            view.instances().all().forEach(state -> gone.add(state.instance().id()));
+            gone.removeAll(listed);
+            gone.forEach(this::remove);
+            view.instancesKnown();
+            view.changed();
+        }
+
+        @Override
+        public void changes(StoreReading reading, Moment asked) {
+            for (StoreItem item : reading.items()) {
+                if (item.removed()) {
+                    remove(id(item));
+                } else {
+                    put(item);
+                }
+            }
+            if (!reading.items().isEmpty()) {
+                view.changed();
+            }
+        }
+
+        private String id(StoreItem item) {
+            return item.key().substring(Math.min(item.key().length(), INSTANCE_PREFIX.length()));
+        }
+
+        private void remove(String id) {
+            view.instances().state(id).ifPresent(state -> {
+                LOG.info(
+                        "event=instance_gone instance={} service={}",
+                        id,
+                        state.instance().service());
+                view.instances().remove(id);
+            });
+        }
+
+        private void put(StoreItem item) {
+            try {
+                UpstreamInstance instance = UpstreamInstanceDecoder.decode(id(item), item.value());
+                boolean known = view.instances().state(instance.id()).isPresent();
+                boolean wasDraining = view.instances()
+                        .state(instance.id())
+                        .map(state -> state.instance().draining())
+                        .orElse(false);
+                view.instances().put(instance, Moment.steadyNow());
+                if (!known || instance.draining() != wasDraining) {
+                    LOG.info(
+                            "event=instance instance={} service={} address={}:{} draining={} models={}",
+                            instance.id(),
+                            instance.service(),
+                            instance.host(),
+                            instance.port(),
+                            instance.draining(),
+                            instance.models());
+                }
+            } catch (DecodeException exception) {
+                LOG.warn("event=instance_unreadable revision={} cause=\"{}\"", item.revision(), exception.getMessage());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
@@ -0,0 +1,122 @@
+package io.oleandermoor.gateway.follow;
+
+import io.netty.channel.EventLoop;
+import io.oleandermoor.gateway.view.Moment;
+import io.oleandermoor.platform.StoreClient;
+import io.oleandermoor.platform.StoreException;
+import io.oleandermoor.platform.StoreItem;
+import io.oleandermoor.platform.StoreReading;
+import java.util.concurrent.TimeUnit;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Keeps a copy of the items under one prefix: reads them all, then waits for changes, and reads them all again when
+ * history is lost. Used on the event loop only.
+ */
+// Calls end by themselves with an answer or a time-out, and tasks run until the loop ends: neither is cancelled.
+@SuppressWarnings({"FutureReturnValueIgnored", "CheckReturnValue"})
+public final class StoreFollower {
+
+    private static final Logger LOG = LogManager.getLogger(StoreFollower.class);
+    private static final long FIRST_PAUSE_MILLIS = 100;
+    private static final long LONGEST_PAUSE_MILLIS = 800;
+
+    private final EventLoop loop;
+    private final StoreClient store;
+    private final String prefix;
+    private final Pace pace;
+    private final Listener listener;
+    private long revision = -1;
+    private long failures;
+    private long listedMillis;
+
+    /**
+     * How often the store is asked.
+     *
+     * @param waitMillis the longest wait of one watch
+     * @param gapMillis the time between an answer and the next watch, in which changes gather
+     * @param listMillis the time after which everything is read again; changes may be missed while history is dropped
+     */
+    public record Pace(long waitMillis, long gapMillis, long listMillis) {}
+
+    /** Receives the items. */
+    public interface Listener {
+
+        /** Everything under the prefix has been read; items that are not listed are gone. */
+        void all(StoreReading reading, Moment asked);
+
+        /** Changes have come, or none within the wait. */
+        void changes(StoreReading reading, Moment asked);
+    }
+
+    /**
+     * Creates a follower that has not started.
+     *
+     * @param loop the event loop
+     * @param store the store
+     * @param prefix the start of the keys
+     * @param pace how often the store is asked
+     * @param listener receives the items
+     */
+    public StoreFollower(EventLoop loop, StoreClient store, String prefix, Pace pace, Listener listener) {
+        this.loop = loop;
+        this.store = store;
+        this.prefix = prefix;
+        this.pace = pace;
+        this.listener = listener;
+    }
+
+    /** Starts to follow. */
+    public void start() {
+        Moment asked = Moment.now();
+        boolean due = asked.steadyMillis() - listedMillis >= pace.listMillis();
+        if (revision < 0 || due) {
+            listedMillis = asked.steadyMillis();
+            store.list(prefix).subscribe(reading -> listed(reading, asked), this::failed);
+        } else {
+            store.watch(prefix, revision, pace.waitMillis())
+                    .subscribe(reading -> changed(reading, asked), this::failed);
+        }
+    }
+
+    private void listed(StoreReading reading, Moment asked) {
+        regained();
+        revision = reading.storeRevision();
+        listener.all(reading, asked);
+        next(0);
+    }
+
+    private void changed(StoreReading reading, Moment asked) {
+        regained();
+        revision = Math.max(revision, reading.storeRevision());
+        for (StoreItem item : reading.items()) {
+            revision = Math.max(revision, item.revision());
+        }
+        listener.changes(reading, asked);
+        next(pace.gapMillis());
+    }
+
+    private void regained() {
+        if (failures > 0) {
+            LOG.info("event=store_regained prefix={} failures={}", prefix, failures);
+        }
+        failures = 0;
+    }
+
+    private void failed(Throwable cause) {
+        if (failures == 0) {
+            LOG.warn("event=store_lost prefix={} revision={} cause=\"{}\"", prefix, revision, cause.getMessage());
+        }
+        if (cause instanceof StoreException answer && answer.historyGone()) {
+            revision = -1;
+        }
+        long pause = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(failures, 3));
+        failures++;
+        next(pause);
+    }
+
+    private void next(long delayMillis) {
+        loop.schedule(this::start, delayMillis, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -0,0 +1,427 @@
+package io.oleandermoor.gateway.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.EmptyHttpHeaders;
+import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpVersion;
+import io.netty.util.concurrent.ScheduledFuture;
+import io.oleandermoor.gateway.upstream.UpstreamPool;
+import io.oleandermoor.gateway.view.Moment;
+import io.oleandermoor.platform.RequestHeaders;
+import io.oleandermoor.state.dispatch.CallerRequest;
+import io.oleandermoor.state.dispatch.InstanceTable;
+import io.oleandermoor.state.dispatch.InstanceTable.Selection;
+import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
+import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.fleet.HostRoute;
+import io.oleandermoor.state.fleet.TeamLimits;
+import io.oleandermoor.state.fleet.UpstreamInstance;
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+
+/** One request of a caller, from its arrival to its one answer. Used on the event loop only. */
+@SuppressWarnings("FutureReturnValueIgnored") // Failures reach the handlers of the channel; tasks run on the loop.
+final class Exchange {
+
+    /** The share of a caller's time within which a request must have begun to run. */
+    private static final double WAIT_SHARE = 0.6;
+    /** Time that the answer to the caller takes. */
+    private static final long ANSWER_MARGIN_MILLIS = 30;
+
+    /** Time that must be left for another send. */
+    private static final long LEAST_REPEAT_MILLIS = 60;
+
+    private static final int TEAM_RANK_WEIGHT = 3;
+    private static final long RETRY_AFTER_MILLIS = 1_000;
+
+    private static final int BAD_GATEWAY = 502;
+    private static final int UNAVAILABLE = 503;
+    private static final int GATEWAY_TIMEOUT = 504;
+
+    private final RequestDesk desk;
+    private final AnswerSink sink;
+    private final FullHttpRequest request;
+    private final Admitted admitted;
+    private final long number;
+    private final long arrivedMillis = Moment.steadyNow();
+    private final long endMillis;
+    private final Set<String> tried = new HashSet<>();
+    private final List<Long> promptKeys;
+    private @Nullable ScheduledFuture<?> endTimer;
+    private @Nullable ScheduledFuture<?> waitTimer;
+    private UpstreamPool.@Nullable Cancellation cancellation;
+    private @Nullable SendAttempt send;
+    private @Nullable EventStream stream;
+    private boolean waiting;
+    private boolean done;
+    private boolean mayHaveRun;
+    private int sends;
+
+    /**
+     * A request that may be sent.
+     *
+     * @param caller what the caller states
+     * @param route its route
+     * @param team the team whose key came with it
+     * @param service the service that runs it
+     */
+    record Admitted(CallerRequest caller, HostRoute route, Optional<TeamLimits> team, String service) {}
+
+    Exchange(RequestDesk desk, AnswerSink sink, FullHttpRequest request, Admitted admitted) {
+        this.desk = desk;
+        this.sink = sink;
+        this.request = request;
+        this.admitted = admitted;
+        this.number = desk.nextNumber();
+        long allowed = Math.min(
+                admitted.route().timeoutMillis(),
+                admitted.caller().deadlineMillis().orElse(Long.MAX_VALUE / 2));
+        this.endMillis = arrivedMillis + allowed;
+        this.promptKeys = promptKeys(admitted.caller());
+    }
+
+    private static List<Long> promptKeys(CallerRequest caller) {
+        List<Long> keys = new ArrayList<>();
+        long chain = caller.target().map(Object::hashCode).orElse(0);
+        for (CallerRequest.PromptPart part : caller.parts()) {
+            chain = chain * 1_000_003L + part.id().hashCode();
+            keys.add(chain);
+        }
+        return keys;
+    }
+
+    int urgency() {
+        int route = admitted.route().priority();
+        return admitted.team()
+                .filter(team -> team.priority().isPresent())
+                .map(team -> team.priority().getAsInt() * TEAM_RANK_WEIGHT + Math.min(route, TEAM_RANK_WEIGHT - 1))
+                .orElse(route);
+    }
+
+    long number() {
+        return number;
+    }
+
+    boolean isDone() {
+        return done;
+    }
+
+    Optional<ModelTarget> target() {
+        return admitted.caller().target();
+    }
+
+    /** Returns what the request waits for; requests with the same need are blocked together. */
+    String need() {
+        return admitted.service() + " " + target().map(ModelTarget::toString).orElse("") + " " + tried;
+    }
+
+    void start() {
+        desk.allowance(admitted.service()).requested(arrivedMillis);
+        long delay = Math.max(1, endMillis - arrivedMillis - ANSWER_MARGIN_MILLIS);
+        endTimer = desk.loop().schedule(this::timedOut, delay, TimeUnit.MILLISECONDS);
+        dispatch();
+    }
+
+    private void dispatch() {
+        if (!offerPlace()) {
+            waitForPlace();
+        }
+    }
+
+    private void waitForPlace() {
+        waiting = true;
+        desk.line().add(this);
+        desk.shortage();
+        long latest = arrivedMillis + (long) ((endMillis - arrivedMillis) * WAIT_SHARE);
+        long delay = Math.max(1, latest - Moment.steadyNow());
+        waitTimer = desk.loop().schedule(this::waitedTooLong, delay, TimeUnit.MILLISECONDS);
+    }
+
+    private void stopWaiting() {
+        waiting = false;
+        desk.line().remove(this);
+        if (waitTimer != null) {
+            waitTimer.cancel(false);
+            waitTimer = null;
+        }
+    }
+
+    /** Sends the request if an instance can take it now; returns whether it was sent. */
+    boolean offerPlace() {
+        if (done) {
+            return true;
+        }
+        InstanceTable.Query query = new InstanceTable.Query(admitted.service(), target(), promptKeys, tried);
+        Selection selection = desk.view().instances().choose(query, Moment.steadyNow());
+        if (selection.instance().isEmpty()) {
+            return false;
+        }
+        stopWaiting();
+        send(selection.instance().get());
+        return true;
+    }
+
+    private void waitedTooLong() {
+        if (!waiting || done) {
+            return;
+        }
+        InstanceTable.Query query = new InstanceTable.Query(admitted.service(), target(), promptKeys, tried);
+        Shortage shortage = desk.view()
+                .instances()
+                .choose(query, Moment.steadyNow())
+                .shortage()
+                .orElse(Shortage.FULL);
+        stopWaiting();
+        giveUp("waited_" + shortage);
+    }
+
+    private void send(UpstreamInstance instance) {
+        long now = Moment.steadyNow();
+        sends++;
+        tried.add(instance.id());
+        OptionalLong lastEvent = stream != null && stream.lastEventId() >= 0
+                ? OptionalLong.of(stream.lastEventId())
+                : admitted.caller().lastEventId();
+        RequestHeaders.Send headers = new RequestHeaders.Send(
+                instance.id(),
+                admitted.team().map(TeamLimits::name),
+                Math.max(1, endMillis - now),
+                urgency(),
+                lastEvent);
+        FullHttpRequest copy = new DefaultFullHttpRequest(
+                HttpVersion.HTTP_1_1,
+                request.method(),
+                request.uri(),
+                request.content().retainedDuplicate(),
+                RequestHeaders.encode(
+                        request.headers(), headers, request.content().readableBytes()),
+                EmptyHttpHeaders.INSTANCE);
+        SendAttempt next = new SendAttempt(this, instance);
+        send = next;
+        next.begin();
+        cancellation = desk.pool().send(instance, copy, admitted.caller().id(), next);
+        if (send != next) {
+            cancellation = null;
+        }
+    }
+
+    private void timedOut() {
+        if (done) {
+            return;
+        }
+        if (sends == 0 || !mayHaveRun) {
+            abandonSend();
+            giveUp("timeout");
+            return;
+        }
+        desk.log()
+                .decided(
+                        "timeout",
+                        "request={} after_ms={} sends={}",
+                        admitted.caller().id(),
+                        age(),
+                        sends);
+        abandonSend();
+        if (sink.started()) {
+            finish();
+            sink.abort();
+        } else {
+            answer(GATEWAY_TIMEOUT, EmptyHttpHeaders.INSTANCE);
+        }
+    }
+
+    private long age() {
+        return Moment.steadyNow() - arrivedMillis;
+    }
+
+    /** The caller has left; what runs for it is cancelled. */
+    void callerLeft() {
+        if (!done) {
+            stopWaiting();
+            abandonSend();
+            finish();
+        }
+    }
+
+    void abandonSend() {
+        SendAttempt current = send;
+        send = null;
+        if (current != null) {
+            current.close();
+        }
+        if (cancellation != null) {
+            cancellation.cancel();
+            cancellation = null;
+        }
+    }
+
+    /** Ends the request with the truest refusal or failure. */
+    private void giveUp(String reason) {
+        desk.log()
+                .decided(
+                        mayHaveRun ? "failed" : "refused",
+                        "request={} route={} team={} target={} reason={} after_ms={} sends={} waiting={} version={}",
+                        admitted.caller().id(),
+                        admitted.route().name(),
+                        admitted.team().map(TeamLimits::name).orElse("-"),
+                        target().map(ModelTarget::toString).orElse("-"),
+                        reason,
+                        age(),
+                        sends,
+                        desk.line().size(),
+                        desk.view()
+                                .document()
+                                .map(document -> document.version())
+                                .orElse(-1L));
+        if (sink.started()) {
+            finish();
+            sink.abort();
+        } else if (mayHaveRun) {
+            answer(BAD_GATEWAY, EmptyHttpHeaders.INSTANCE);
+        } else {
+            refund();
+            HttpHeaders headers = AnswerSink.headers();
+            RequestHeaders.retryAfter(headers, RETRY_AFTER_MILLIS);
+            answer(UNAVAILABLE, headers);
+        }
+    }
+
+    private void refund() {
+        admitted.team()
+                .filter(TeamLimits::limited)
+                .ifPresent(team -> desk.view()
+                        .bucket(team.name())
+                        .ifPresent(bucket ->
+                                bucket.giveBack(team.charge(admitted.caller().statedTokens()))));
+    }
+
+    private void answer(int status, HttpHeaders headers) {
+        finish();
+        sink.own(status, headers, admitted.caller().id());
+    }
+
+    void finish() {
+        done = true;
+        stopWaiting();
+        if (endTimer != null) {
+            endTimer.cancel(false);
+        }
+        request.release();
+        desk.closed();
+        desk.loop().execute(desk.line()::offer);
+    }
+
+    RequestDesk desk() {
+        return desk;
+    }
+
+    Admitted admitted() {
+        return admitted;
+    }
+
+    AnswerSink sink() {
+        return sink;
+    }
+
+    List<Long> promptKeys() {
+        return promptKeys;
+    }
+
+    Optional<EventStream> stream() {
+        return Optional.ofNullable(stream);
+    }
+
+    void begin(EventStream first, int status, HttpHeaders headers) {
+        stream = first;
+        sink.begin(status, headers);
+    }
+
+    boolean isCurrent(SendAttempt attempt) {
+        return send == attempt;
+    }
+
+    /** Records that the request has run or may have run. */
+    void mayHaveRun() {
+        mayHaveRun = true;
+    }
+
+    /** Ends the present send, whose connection is no longer needed. */
+    void settleSend() {
+        SendAttempt current = send;
+        send = null;
+        cancellation = null;
+        if (current != null) {
+            current.close();
+        }
+    }
+
+    /** Returns whether the kind of the route, its limit of sends and the time that is left allow another send. */
+    boolean mayRepeat(long leastMillis) {
+        return (!mayHaveRun || admitted.route().repeatable())
+                && sends < admitted.route().maximumAttempts()
+                && endMillis - Moment.steadyNow() > leastMillis;
+    }
+
+    /** Allows an instance that declined the request for now to be chosen again. */
+    void mayTryAgain(String instance) {
+        tried.remove(instance);
+    }
+
+    /** Chooses anew after nothing was sent. */
+    void notSent() {
+        sends--;
+        if (endMillis - Moment.steadyNow() > LEAST_REPEAT_MILLIS) {
+            dispatch();
+        } else {
+            giveUp("unreachable");
+        }
+    }
+
+    /** Sends again in place of passing on a failure, or passes it on if the budget for repeats is used up. */
+    void repeatInPlaceOf(RequestHeaders.AnswerHead failure, HttpHeaders headers, ByteBuf body) {
+        settleSend();
+        if (desk.allowance(admitted.service())
+                .tryRepeat(Moment.steadyNow(), desk.view().entryCount())) {
+            body.release();
+            repeat("status_" + failure.status());
+            return;
+        }
+        finish();
+        sink.whole(failure.status(), headers, body);
+    }
+
+    private void repeat(String reason) {
+        desk.log()
+                .decided(
+                        "repeat",
+                        "request={} reason=\"{}\" sends={} after_ms={} tried={}",
+                        admitted.caller().id(),
+                        reason,
+                        sends,
+                        age(),
+                        tried);
+        dispatch();
+    }
+
+    /** Sends again after a failure if that is allowed, or gives up. */
+    void again(String reason) {
+        if (done) {
+            return;
+        }
+        if (mayRepeat(LEAST_REPEAT_MILLIS)
+                && desk.allowance(admitted.service())
+                        .tryRepeat(Moment.steadyNow(), desk.view().entryCount())) {
+            repeat(reason);
+        } else {
+            giveUp(reason);
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
@@ -0,0 +1,134 @@
+package io.oleandermoor.gateway.request;
+
+import io.netty.channel.EventLoop;
+import io.oleandermoor.gateway.upstream.UpstreamPool;
+import io.oleandermoor.gateway.view.FleetView;
+import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.dispatch.RetryAllowance;
+import io.oleandermoor.state.residency.DemandBoard;
+import java.util.HashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/** What all requests of this entry share. Used on the event loop only. */
+@SuppressWarnings("FutureReturnValueIgnored") // Failures reach the handlers of the channel; tasks run on the loop.
+public final class RequestDesk {
+
+    /** Waiting requests are offered a place at least this often; releases of places offer it at once. */
+    private static final long OFFER_MILLIS = 25;
+
+    private final EventLoop loop;
+    private final FleetView view;
+    private final UpstreamPool pool;
+    private final Rules rules;
+    private final WaitingLine line = new WaitingLine();
+    private final DecisionLog log = new DecisionLog();
+    private final Map<String, RetryAllowance> allowances = new HashMap<>();
+    private final Map<ModelTarget, Integer> running = new HashMap<>();
+    private Runnable shortageListener = () -> {};
+    private long nextNumber;
+    private int open;
+
+    /**
+     * Figures of the deployment that bind every request.
+     *
+     * @param keyLimitMillis the age of the confirmed configuration from which keys are no longer accepted
+     * @param retryRatio the repeated sends that one request permits
+     * @param retryFixed the repeated sends that all entries may make in a window besides
+     * @param retryWindowMillis the length of that window
+     */
+    public record Rules(long keyLimitMillis, double retryRatio, double retryFixed, long retryWindowMillis) {}
+
+    /**
+     * Creates a desk without requests.
+     *
+     * @param loop the event loop
+     * @param view what is believed of the deployment
+     * @param pool the connections to instances
+     * @param rules the figures of the deployment
+     */
+    public RequestDesk(EventLoop loop, FleetView view, UpstreamPool pool, Rules rules) {
+        this.loop = loop;
+        this.view = view;
+        this.pool = pool;
+        this.rules = rules;
+    }
+
+    /** Starts to offer places to waiting requests. */
+    public void start() {
+        view.onChange(line::offer);
+        loop.scheduleAtFixedRate(this::tick, OFFER_MILLIS, OFFER_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void tick() {
+        line.offer();
+        log.tick();
+    }
+
+    /** Sets the action that runs when a request waits for something that no instance holds. */
+    public void onShortage(Runnable listener) {
+        shortageListener = listener;
+    }
+
+    /** Returns what this entry has for each model and adapter. */
+    public Map<ModelTarget, DemandBoard.Wanted> demand() {
+        Map<ModelTarget, Integer> waiting = line.byTarget();
+        Map<ModelTarget, DemandBoard.Wanted> wanted = new HashMap<>();
+        running.forEach(
+                (target, count) -> wanted.put(target, new DemandBoard.Wanted(count, waiting.getOrDefault(target, 0))));
+        waiting.forEach((target, count) -> wanted.putIfAbsent(target, new DemandBoard.Wanted(0, count)));
+        return wanted;
+    }
+
+    /** Returns the requests that have no answer yet. */
+    public int open() {
+        return open;
+    }
+
+    EventLoop loop() {
+        return loop;
+    }
+
+    FleetView view() {
+        return view;
+    }
+
+    UpstreamPool pool() {
+        return pool;
+    }
+
+    Rules rules() {
+        return rules;
+    }
+
+    WaitingLine line() {
+        return line;
+    }
+
+    DecisionLog log() {
+        return log;
+    }
+
+    RetryAllowance allowance(String service) {
+        return allowances.computeIfAbsent(
+                service, name -> new RetryAllowance(rules.retryRatio(), rules.retryFixed(), rules.retryWindowMillis()));
+    }
+
+    void shortage() {
+        shortageListener.run();
+    }
+
+    long nextNumber() {
+        open++;
+        return nextNumber++;
+    }
+
+    void closed() {
+        open--;
+    }
+
+    void runs(ModelTarget target, int change) {
+        running.merge(target, change, Integer::sum);
+        running.remove(target, 0);
+    }
+}
--- /dev/null
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -0,0 +1,215 @@
+package io.oleandermoor.gateway.request;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpResponse;
+import io.oleandermoor.gateway.upstream.Attempt;
+import io.oleandermoor.gateway.view.Moment;
+import io.oleandermoor.platform.RequestHeaders;
+import io.oleandermoor.platform.RequestHeaders.AnswerHead;
+import io.oleandermoor.state.dispatch.InstanceState;
+import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.fleet.RequestKind;
+import io.oleandermoor.state.fleet.UpstreamInstance;
+import java.util.Optional;
+import org.jspecify.annotations.Nullable;
+
+/** One send of a request to an instance and what comes of it. Used on the event loop only. */
+final class SendAttempt implements Attempt {
+
+    private static final int LARGEST_PLAIN_ANSWER_BYTES = 16 << 20;
+    private static final int FIRST_FAILURE_STATUS = 500;
+
+    private final Exchange exchange;
+    private final UpstreamInstance instance;
+    private @Nullable AnswerHead head;
+    private @Nullable HttpHeaders headers;
+    private @Nullable ByteBuf body;
+    private boolean counted;
+
+    SendAttempt(Exchange exchange, UpstreamInstance instance) {
+        this.exchange = exchange;
+        this.instance = instance;
+    }
+
+    /** Counts the request at the instance. */
+    void begin() {
+        counted = true;
+        state().ifPresent(InstanceState::sent);
+        target().ifPresent(target -> exchange.desk().runs(target, 1));
+    }
+
+    /** Ends the count and releases what was kept of the answer. */
+    void close() {
+        if (counted) {
+            counted = false;
+            state().ifPresent(InstanceState::ended);
+            target().ifPresent(target -> exchange.desk().runs(target, -1));
+        }
+        if (body != null) {
+            body.release();
+            body = null;
+        }
+    }
+
+    private Optional<InstanceState> state() {
+        return exchange.desk().view().instances().state(instance.id());
+    }
+
+    private Optional<ModelTarget> target() {
+        return exchange.target();
+    }
+
+    @Override
+    public void head(AnswerHead answerHead, HttpResponse response) {
+        if (!exchange.isCurrent(this)) {
+            return;
+        }
+        head = answerHead;
+        HttpHeaders passedOn = RequestHeaders.answer(response.headers());
+        headers = passedOn;
+        if (!answerHead.notRun()) {
+            exchange.mayHaveRun();
+        }
+        if (answerHead.success() && (!answerHead.signed() || answerHead.encoded())) {
+            fail("unsigned_answer");
+        } else if (answerHead.success() && exchange.admitted().route().kind() == RequestKind.STREAMING) {
+            beginStream(answerHead.status(), passedOn);
+        } else if (exchange.sink().started() && !answerHead.notRun()) {
+            // A stream that has begun cannot turn into another answer.
+            fail("status_" + answerHead.status());
+        } else {
+            body = Unpooled.buffer();
+        }
+    }
+
+    private void beginStream(int status, HttpHeaders streamHeaders) {
+        state().ifPresent(state -> state.keeps(exchange.promptKeys()));
+        exchange.stream()
+                .ifPresentOrElse(
+                        EventStream::resume,
+                        () -> exchange.begin(
+                                new EventStream(exchange.admitted()
+                                        .caller()
+                                        .lastEventId()
+                                        .orElse(-1)),
+                                status,
+                                streamHeaders));
+    }
+
+    private void fail(String reason) {
+        exchange.abandonSend();
+        state().ifPresent(state -> state.lost(Moment.steadyNow()));
+        exchange.again(reason + " of " + instance.id());
+    }
+
+    @Override
+    public void content(ByteBuf content) {
+        if (!exchange.isCurrent(this)) {
+            return;
+        }
+        if (body != null) {
+            body.writeBytes(content);
+            if (body.readableBytes() > LARGEST_PLAIN_ANSWER_BYTES) {
+                fail("answer_too_large");
+            }
+            return;
+        }
+        exchange.stream().ifPresent(events -> {
+            ByteBuf whole = events.take(content);
+            if (whole.isReadable()) {
+                exchange.sink().part(whole);
+            } else {
+                whole.release();
+            }
+            if (events.overflown()) {
+                fail("event_too_large");
+            }
+        });
+    }
+
+    @Override
+    public void ended() {
+        if (!exchange.isCurrent(this)) {
+            return;
+        }
+        AnswerHead answer = head;
+        HttpHeaders answerHeaders = headers;
+        if (answer == null || answerHeaders == null) {
+            fail("no_head");
+        } else if (answer.notRun()) {
+            notRun(answer);
+        } else if (body == null && exchange.stream().isPresent()) {
+            endStream(exchange.stream().get());
+        } else {
+            endWhole(answer, answerHeaders);
+        }
+    }
+
+    private void endWhole(AnswerHead answer, HttpHeaders answerHeaders) {
+        boolean failure = answer.status() >= FIRST_FAILURE_STATUS;
+        long now = Moment.steadyNow();
+        state().ifPresent(failure ? state -> state.failed(now) : state -> state.succeeded(now));
+        long half = exchange.admitted().route().latencyTargetMillis() / 2;
+        // A failure is passed on as it came unless there is time for another instance to do better.
+        if (failure && exchange.mayRepeat(half)) {
+            exchange.repeatInPlaceOf(answer, answerHeaders, takeBody());
+            return;
+        }
+        ByteBuf whole = takeBody();
+        exchange.settleSend();
+        exchange.finish();
+        exchange.sink().whole(answer.status(), answerHeaders, whole);
+    }
+
+    private ByteBuf takeBody() {
+        ByteBuf whole = body == null ? Unpooled.EMPTY_BUFFER : body;
+        body = null;
+        return whole;
+    }
+
+    private void endStream(EventStream events) {
+        if (!events.atBoundary()) {
+            fail("ended_within_event");
+            return;
+        }
+        state().ifPresent(state -> state.succeeded(Moment.steadyNow()));
+        exchange.settleSend();
+        exchange.finish();
+        exchange.sink().end();
+    }
+
+    private void notRun(AnswerHead answer) {
+        long now = Moment.steadyNow();
+        state().ifPresent(state -> {
+            if (answer.otherInstance() && target().isPresent()) {
+                state.declined(target().get(), now);
+            } else {
+                state.failed(now);
+            }
+        });
+        exchange.settleSend();
+        if (answer.otherInstance()) {
+            exchange.mayTryAgain(instance.id());
+        }
+        exchange.again("not_run_" + answer.status() + " of " + instance.id());
+    }
+
+    @Override
+    public void broken(Break how, String reason) {
+        if (!exchange.isCurrent(this)) {
+            return;
+        }
+        exchange.settleSend();
+        long now = Moment.steadyNow();
+        if (how == Break.NOT_SENT) {
+            state().ifPresent(state -> state.unreachable(now));
+            exchange.notSent();
+            return;
+        }
+        exchange.mayHaveRun();
+        state().ifPresent(state -> state.lost(now));
+        exchange.again(reason + " of " + instance.id());
+    }
+}
--- /dev/null
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
@@ -0,0 +1,84 @@
+package io.oleandermoor.gateway.settings;
+
+import io.oleandermoor.transport.settings.Address;
+import io.oleandermoor.transport.settings.Setting;
+import io.oleandermoor.transport.settings.SettingsSchema;
+import java.time.Duration;
+
+/** Settings of the entry on the platform. */
+public final class GatewaySettings {
+
+    /** Name of the process. */
+    public static final Setting<String> NAME =
+            Setting.identifier("process.name", text -> text, "Name of the machine, unique in the deployment.");
+
+    /** Failure domain of the process. */
+    public static final Setting<String> FAILURE_DOMAIN =
+            Setting.identifier("process.failure-domain", text -> text, "Failure domain that the machine is in.");
+
+    /** Address for callers. */
+    public static final Setting<Address> CALLER_ADDRESS =
+            Setting.listenAddress("listen.caller", "Address on which callers send requests over HTTP.");
+
+    /** Address of the readiness check. */
+    public static final Setting<Address> READY_ADDRESS =
+            Setting.listenAddress("listen.ready", "Address on which the load balancer asks whether to send callers.");
+
+    /** Address for other entries. */
+    public static final Setting<Address> PEER_ADDRESS =
+            Setting.listenAddress("listen.peer", "UDP address for the reports of the other entries.");
+
+    /** Address of the store. */
+    public static final Setting<Address> STORE_ADDRESS =
+            Setting.address("store.address", "Address of the platform's store.");
+
+    /** Time within which a revoked key ends. */
+    public static final Setting<Duration> REVOCATION = Setting.duration(
+            "limits.revocation", "Time after which a revoked key works nowhere, also without a path to the store.");
+
+    /** Time that a stop may take. */
+    public static final Setting<Duration> GRACE =
+            Setting.duration("limits.grace", "Time from a signal to stop to the end of the process by force.");
+
+    /** Window of the retry budget. */
+    public static final Setting<Duration> RETRY_WINDOW =
+            Setting.duration("retries.window", "Length of the window in which repeated sends are counted.");
+
+    /** Ratio of the retry budget. */
+    public static final Setting<Double> RETRY_RATIO = Setting.identifier(
+            "retries.ratio", Double::valueOf, "Repeated sends that one request permits, over all entries.");
+
+    /** Fixed part of the retry budget. */
+    public static final Setting<Integer> RETRY_FIXED = Setting.count(
+            "retries.fixed", 0, 1_000_000, "Repeated sends that are permitted in a window, over all entries.");
+
+    /** Gap between the orders of two holders. */
+    public static final Setting<Duration> HOLDER_GAP =
+            Setting.duration("orders.holder-gap", "Time that passes between the orders of two entries to one engine.");
+
+    /** Window in which loads are counted. */
+    public static final Setting<Duration> LOAD_WINDOW = Setting.duration(
+                    "orders.load-window", "Length of the window in which loads from the weight store are counted.")
+            .defaultingTo("5s");
+
+    /** All settings. */
+    public static final SettingsSchema SCHEMA = SettingsSchema.builder(
+                    "gateway", "Receives requests of callers and sends them to instances of the platform.")
+            .with(
+                    NAME,
+                    FAILURE_DOMAIN,
+                    CALLER_ADDRESS,
+                    READY_ADDRESS,
+                    PEER_ADDRESS,
+                    STORE_ADDRESS,
+                    REVOCATION,
+                    GRACE,
+                    RETRY_WINDOW,
+                    RETRY_RATIO,
+                    RETRY_FIXED,
+                    HOLDER_GAP,
+                    LOAD_WINDOW)
+            .build();
+
+    private GatewaySettings() {}
+}
--- /dev/null
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/FleetView.java
@@ -0,0 +1,177 @@
+package io.oleandermoor.gateway.view;
+
+import io.oleandermoor.state.dispatch.InstanceTable;
+import io.oleandermoor.state.fleet.FleetDocument;
+import io.oleandermoor.state.fleet.TeamLimits;
+import io.oleandermoor.state.share.SharedBucket;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+
+/** What this entry believes about its deployment. Used on the event loop only. */
+public final class FleetView {
+
+    /** Time without a report after which another entry counts as silent: four reports. */
+    private static final long SILENT_MILLIS = 450;
+
+    private final String entry;
+    private final InstanceTable instances;
+    private final Map<String, SharedBucket> buckets = new HashMap<>();
+    private final Map<String, Long> peersHeard = new HashMap<>();
+    private final List<Runnable> changeListeners = new ArrayList<>();
+    private Set<String> peers = Set.of();
+    private @Nullable FleetDocument document;
+    private @Nullable Moment confirmed;
+    private boolean instancesKnown;
+    private boolean member;
+    private boolean stopping;
+
+    /**
+     * Creates a view that knows nothing yet.
+     *
+     * @param entry the name of this entry
+     * @param instances the table of instances
+     */
+    public FleetView(String entry, InstanceTable instances) {
+        this.entry = entry;
+        this.instances = instances;
+    }
+
+    /** Returns the name of this entry. */
+    public String entry() {
+        return entry;
+    }
+
+    /** Returns the instances. */
+    public InstanceTable instances() {
+        return instances;
+    }
+
+    /** Returns the configuration in force. */
+    public Optional<FleetDocument> document() {
+        return Optional.ofNullable(document);
+    }
+
+    /** Adds an action that runs after what is believed has changed. */
+    public void onChange(Runnable listener) {
+        changeListeners.add(listener);
+    }
+
+    /** Runs the actions that wait for a change. */
+    public void changed() {
+        changeListeners.forEach(Runnable::run);
+    }
+
+    /** Puts a version in force, unless a later one is. */
+    public boolean put(FleetDocument next) {
+        if (document != null && next.version() <= document.version()) {
+            return false;
+        }
+        document = next;
+        long now = Moment.steadyNow();
+        Set<String> limited = new HashSet<>();
+        for (TeamLimits team : next.teams()) {
+            if (team.limited()) {
+                limited.add(team.name());
+                buckets.computeIfAbsent(team.name(), name -> new SharedBucket(team.ratePerSecond(), team.burst(), now))
+                        .configure(team.ratePerSecond(), team.burst());
+            }
+        }
+        buckets.keySet().retainAll(limited);
+        changed();
+        return true;
+    }
+
+    /** Records that the configuration in force was the newest one at a moment. */
+    public void confirm(Moment moment) {
+        confirmed = moment;
+    }
+
+    /** Returns the time since the configuration was last known to be the newest one. */
+    public long confirmationAgeMillis() {
+        return confirmed == null ? Long.MAX_VALUE : confirmed.ageMillis();
+    }
+
+    /** Records that the instances have been read. */
+    public void instancesKnown() {
+        instancesKnown = true;
+    }
+
+    /** Records whether this entry is registered. */
+    public void member(boolean registered) {
+        member = registered;
+    }
+
+    /** Returns whether this entry is registered. */
+    public boolean isMember() {
+        return member;
+    }
+
+    /** Records that the process is about to end. */
+    public void stop() {
+        stopping = true;
+    }
+
+    /** Returns whether the process is about to end. */
+    public boolean isStopping() {
+        return stopping;
+    }
+
+    /** Returns whether requests can be served: everything has been read, and keys are confirmed. */
+    public boolean canServe(long keyLimitMillis) {
+        return document != null && instancesKnown && member && confirmationAgeMillis() < keyLimitMillis;
+    }
+
+    /** Replaces the other registered entries. */
+    public void peers(Set<String> names) {
+        peers = Set.copyOf(names);
+        peersHeard.keySet().retainAll(names);
+        buckets.values().forEach(bucket -> bucket.retain(names));
+        instances.retainPeers(names);
+    }
+
+    /** Records a report of another entry. */
+    public void heard(String peer) {
+        peersHeard.put(peer, Moment.steadyNow());
+    }
+
+    /** Returns the number of entries, this one included. */
+    public int entryCount() {
+        return peers.size() + 1;
+    }
+
+    /** Returns the registered entries that have not been heard lately. */
+    public Set<String> silentPeers() {
+        long now = Moment.steadyNow();
+        Set<String> silent = new HashSet<>();
+        for (String peer : peers) {
+            Long heard = peersHeard.get(peer);
+            if (heard == null || now - heard > SILENT_MILLIS) {
+                silent.add(peer);
+            }
+        }
+        return silent;
+    }
+
+    /** Returns the bucket of a team; empty if the team has no rate. */
+    public Optional<SharedBucket> bucket(String team) {
+        return Optional.ofNullable(buckets.get(team));
+    }
+
+    /** Returns all buckets by team. */
+    public Map<String, SharedBucket> buckets() {
+        return buckets;
+    }
+
+    /** Adds to the buckets what has accrued. */
+    public void refill() {
+        long now = Moment.steadyNow();
+        Set<String> silent = silentPeers();
+        buckets.values().forEach(bucket -> bucket.refill(now, silent, entryCount()));
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/FleetDocument.java
@@ -0,0 +1,96 @@
+package io.oleandermoor.state.fleet;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+
+/** One version of the operators' configuration, with look-ups. Immutable and safe for use by several threads. */
+public final class FleetDocument {
+
+    private final long version;
+    private final Map<String, List<HostRoute>> routesByHost = new HashMap<>();
+    private final Map<String, UpstreamService> services = new HashMap<>();
+    private final Map<String, TeamLimits> teams = new HashMap<>();
+    private final Map<String, TeamLimits> teamsByKey = new HashMap<>();
+    private final CallerLimits limits;
+
+    /**
+     * Creates a version.
+     *
+     * @param version the number of the version; later versions have larger ones
+     * @param routes the routes
+     * @param services the services
+     * @param teams the teams
+     * @param limits the limits of callers
+     */
+    public FleetDocument(
+            long version,
+            List<HostRoute> routes,
+            List<UpstreamService> services,
+            List<TeamLimits> teams,
+            CallerLimits limits) {
+        this.version = version;
+        this.limits = limits;
+        for (HostRoute route : routes) {
+            routesByHost
+                    .computeIfAbsent(route.host(), host -> new ArrayList<>())
+                    .add(route);
+        }
+        Comparator<HostRoute> longestFirst =
+                Comparator.comparingInt(route -> -route.pathPrefix().length());
+        routesByHost.values().forEach(list -> list.sort(longestFirst));
+        services.forEach(service -> this.services.put(service.name(), service));
+        for (TeamLimits team : teams) {
+            this.teams.put(team.name(), team);
+            team.keys().forEach(key -> teamsByKey.put(key, team));
+        }
+    }
+
+    /** Returns the number of the version. */
+    public long version() {
+        return version;
+    }
+
+    /** Returns the limits of callers. */
+    public CallerLimits limits() {
+        return limits;
+    }
+
+    /**
+     * Returns the route of a request, the one with the longest prefix.
+     *
+     * @param host the host name without a port
+     * @param path the path without a query
+     */
+    public Optional<HostRoute> route(String host, String path) {
+        for (HostRoute route : routesByHost.getOrDefault(host, List.of())) {
+            if (path.startsWith(route.pathPrefix())) {
+                return Optional.of(route);
+            }
+        }
+        return Optional.empty();
+    }
+
+    /** Returns the team that holds a key. */
+    public Optional<TeamLimits> teamOfKey(String key) {
+        return Optional.ofNullable(teamsByKey.get(key));
+    }
+
+    /** Returns a service by its name. */
+    public Optional<UpstreamService> service(String name) {
+        return Optional.ofNullable(services.get(name));
+    }
+
+    /** Returns all services. */
+    public List<UpstreamService> services() {
+        return List.copyOf(services.values());
+    }
+
+    /** Returns all teams. */
+    public List<TeamLimits> teams() {
+        return List.copyOf(teams.values());
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/share/package-info.java
@@ -0,0 +1,5 @@
+/** A team's rate and burst, shared by all entries through exchanged counts. */
+@NullMarked
+package io.oleandermoor.state.share;
+
+import org.jspecify.annotations.NullMarked;
