Count orders by reports only and refuse only what has not run

Cause: heartbeats carry a field of the same name as the count of orders in reports, but it counts heartbeats, so a third of all orders was declined; and a request in flight without an answer was refused as not run at its time-out.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -149,6 +149,7 @@
         LOG.info("event=stop entry={} open={}", view.entry(), desk.open());
         view.stop();
         lease.stop();
+        desk.stopping();
         long grace = settings.get(GatewaySettings.GRACE).toMillis();
         long end = Moment.steadyNow() + (long) (grace * STOP_SHARE);
         loop.schedule(() -> finish(end), LOAD_BALANCER_MILLIS, TimeUnit.MILLISECONDS);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrders.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrders.java
@@ -46,19 +46,20 @@
     private final Map<String, Set<String>> models = new HashMap<>();
     private UpstreamInstance instance;
     private long sequence;
-    private long knownSequence;
     private boolean waitingForAnswer;
     private boolean busy;
     private String incoming = "";
     private long busyUntilMillis;
-    private boolean doubtful;
+    /** Whether only a report can tell what holds; so it is at first, as the number of orders is unknown. */
+    private boolean doubtful = true;
+
     private long reportDueMillis;
 
     /** Tells others what the engine holds. */
     @FunctionalInterface
     interface Told {
 
-        void tell(Map<String, Set<String>> models, long sequence);
+        void tell(Map<String, Set<String>> models);
     }
 
     /** The holder's name and fencing token. */
@@ -69,8 +70,6 @@
         this.client = client;
         this.told = told;
         this.instance = state.instance();
-        this.sequence = state.modelsSequence();
-        this.knownSequence = sequence;
         state.models().forEach((model, adapters) -> models.put(model, new HashSet<>(adapters)));
         loadedBefore.addAll(models.keySet());
     }
@@ -86,12 +85,11 @@
     /** Takes over what the engine says of itself. */
     void refresh(InstanceState state, long now) {
         UpstreamInstance next = state.instance();
-        boolean changed = !next.equals(instance);
+        // An engine describes itself anew when an order is done, which is told earlier than the next look is due.
+        boolean done = busy && !next.models().equals(instance.models());
         instance = next;
-        if (changed && !waitingForAnswer && next.orderSequence() >= sequence) {
-            adopt(next.models(), next.orderSequence());
-        }
-        if ((doubtful || (busy && now >= busyUntilMillis)) && !waitingForAnswer && now >= reportDueMillis) {
+        state.ordered(copy(), now);
+        if ((doubtful || done || (busy && now >= busyUntilMillis)) && !waitingForAnswer && now >= reportDueMillis) {
             reportDueMillis = now + REPORT_GAP_MILLIS;
             client.report(instance).subscribe(this::reported, cause -> {
                 doubtful = true;
@@ -104,23 +102,26 @@
         if (waitingForAnswer) {
             return;
         }
-        if (report.orderSequence() >= sequence || doubtful) {
-            busy = report.busy();
-            doubtful = false;
-            adopt(report.models(), report.orderSequence());
+        if (report.orderSequence() < sequence && !doubtful) {
+            return;
+        }
+        doubtful = false;
+        sequence = report.orderSequence();
+        if (report.busy()) {
+            busy = true;
+            return;
         }
+        busy = false;
+        adopt(report.models());
     }
 
-    private void adopt(Map<String, Set<String>> held, long heldSequence) {
-        boolean settled = heldSequence > knownSequence || !held.equals(models);
-        sequence = heldSequence;
-        knownSequence = heldSequence;
+    private void adopt(Map<String, Set<String>> held) {
+        boolean changed = !held.equals(models);
         models.clear();
         held.forEach((model, adapters) -> models.put(model, new HashSet<>(adapters)));
         loadedBefore.addAll(held.keySet());
-        if (settled) {
-            busy = false;
-            told.tell(copy(), sequence);
+        if (changed) {
+            told.tell(copy());
         }
     }
 
@@ -149,7 +150,7 @@
         if (order.unload()) {
             // Requests for what is dropped go elsewhere from now on.
             remove(target);
-            told.tell(copy(), sequence);
+            told.tell(copy());
         }
         EngineOrder wire = new EngineOrder(
                 order.unload(), target.model(), target.adapter(), sequence, term.holder(), term.token());
@@ -194,14 +195,14 @@
 
     private void adapterDone(PlannedOrder order, EngineClient.OrderAnswer answer) {
         if (order.unload()) {
-            told.tell(copy(), sequence);
+            told.tell(copy());
             return;
         }
         long delay = answer == EngineClient.OrderAnswer.HOLDS ? 0 : ADAPTER_MILLIS;
         // The slot is taken from the start of the load.
         models.computeIfAbsent(order.target().model(), key -> new HashSet<>())
                 .add(order.target().adapter());
-        loop.schedule(() -> told.tell(copy(), sequence), delay, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> told.tell(copy()), delay, TimeUnit.MILLISECONDS);
     }
 
     private void remove(ModelTarget target) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderGiver.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderGiver.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -111,8 +112,7 @@
             if (instance.service().equals(service) && !instance.draining()) {
                 EngineOrders each = orders.computeIfAbsent(
                         instance.id() + "@" + instance.startedMillis(),
-                        key -> new EngineOrders(
-                                loop, engines, state, (models, sequence) -> told(state, models, sequence)));
+                        key -> new EngineOrders(loop, engines, state, models -> told(instance.id(), models)));
                 each.refresh(state, now);
                 views.add(each.view(view.instances().load(instance.id()), now));
             }
@@ -133,9 +133,9 @@
         }
     }
 
-    private void told(InstanceState state, Map<String, java.util.Set<String>> models, long sequence) {
-        state.ordered(models, sequence, Moment.steadyNow());
-        exchange.tellResidents(state.instance().id(), models, sequence);
+    private void told(String id, Map<String, Set<String>> models) {
+        view.instances().state(id).ifPresent(state -> state.ordered(models, Moment.steadyNow()));
+        exchange.tellResidents(id, models);
         view.changed();
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -44,6 +44,9 @@
     /** Least time between two reports that are sent early. */
     private static final long EARLY_MILLIS = 20;
 
+    /** What engines hold is repeated at this interval, so that a lost datagram is made good. */
+    private static final long RESIDENTS_MILLIS = 400;
+
     private static final int LARGEST_DATAGRAM_BYTES = 32 << 10;
 
     private final EventLoop loop;
@@ -56,6 +59,8 @@
     private final Map<String, Long> incarnations = new HashMap<>();
     private final Map<String, EngineResidents> residents = new HashMap<>();
     private boolean holder;
+    private boolean residentsChanged;
+    private long residentsMillis;
     private long sentMillis;
     private boolean early;
     private @Nullable Channel channel;
@@ -112,13 +117,13 @@
     }
 
     /** Tells what an engine holds after an order of this entry. */
-    public void tellResidents(String instance, Map<String, Set<String>> models, long orderSequence) {
+    public void tellResidents(String instance, Map<String, Set<String>> models) {
         holder = true;
-        EngineResidents.Builder builder =
-                EngineResidents.newBuilder().setInstance(instance).setOrderSequence(orderSequence);
+        EngineResidents.Builder builder = EngineResidents.newBuilder().setInstance(instance);
         models.forEach((model, adapters) ->
                 builder.addModels(ResidentModel.newBuilder().setModel(model).addAllAdapters(adapters)));
         residents.put(instance, builder.build());
+        residentsChanged = true;
         reportSoon();
     }
 
@@ -152,7 +157,10 @@
                 .setTarget(target.toString())
                 .setRunning(wanted.running())
                 .setWaiting(wanted.waiting())));
-        if (holder) {
+        boolean residentsDue = residentsChanged || sentMillis - residentsMillis >= RESIDENTS_MILLIS;
+        if (holder && residentsDue) {
+            residentsChanged = false;
+            residentsMillis = sentMillis;
             residents.keySet().removeIf(id -> view.instances().state(id).isEmpty());
             report.addAllResidents(residents.values());
         }
@@ -192,7 +200,7 @@
                     .forEach(model -> models.put(model.getModel(), new HashSet<>(model.getAdaptersList())));
             changed |= view.instances()
                     .state(engine.getInstance())
-                    .map(state -> state.ordered(models, engine.getOrderSequence(), Moment.steadyNow()))
+                    .map(state -> state.ordered(models, Moment.steadyNow()))
                     .orElse(false);
         }
         if (changed) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -137,6 +137,10 @@
     }
 
     private void waitForPlace() {
+        if (desk.view().isStopping()) {
+            giveUp("stopping");
+            return;
+        }
         waiting = true;
         desk.line().add(this);
         desk.shortage();
@@ -169,6 +173,14 @@
         return true;
     }
 
+    /** Refuses the request if it still waits, as this process is about to end. */
+    void stopping() {
+        if (waiting && !done) {
+            stopWaiting();
+            giveUp("stopping");
+        }
+    }
+
     private void waitedTooLong() {
         if (!waiting || done) {
             return;
@@ -217,8 +229,8 @@
         if (done) {
             return;
         }
-        if (sends == 0 || !mayHaveRun) {
-            abandonSend();
+        abandonSend();
+        if (!mayHaveRun) {
             giveUp("timeout");
             return;
         }
@@ -229,7 +241,6 @@
                         admitted.caller().id(),
                         age(),
                         sends);
-        abandonSend();
         if (sink.started()) {
             finish();
             sink.abort();
@@ -258,7 +269,7 @@
             current.close();
         }
         if (cancellation != null) {
-            cancellation.cancel();
+            mayHaveRun |= cancellation.cancel();
             cancellation = null;
         }
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
@@ -80,6 +80,11 @@
         return wanted;
     }
 
+    /** Refuses what waits, so that callers go to other entries. */
+    public void stopping() {
+        line.stopping();
+    }
+
     /** Returns the requests that have no answer yet. */
     public int open() {
         return open;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/WaitingLine.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/WaitingLine.java
@@ -39,6 +39,11 @@
         }
     }
 
+    /** Refuses all waiting requests, as this process is about to end. */
+    void stopping() {
+        new ArrayList<>(waiting).forEach(Exchange::stopping);
+    }
+
     Map<ModelTarget, Integer> byTarget() {
         Map<ModelTarget, Integer> counts = new HashMap<>();
         for (Exchange exchange : waiting) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -77,9 +77,11 @@
     }
 
     /** Gives up the request; closing the connection cancels it at the instance. */
-    void cancel() {
+    boolean cancel() {
+        boolean sent = attempt != null;
         attempt = null;
         close();
+        return sent;
     }
 
     void close() {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
@@ -42,8 +42,12 @@
     @FunctionalInterface
     public interface Cancellation {
 
-        /** Cancels the request at the instance; its attempt hears nothing more. */
-        void cancel();
+        /**
+         * Cancels the request at the instance; its attempt hears nothing more.
+         *
+         * @return whether any of the request may have reached the instance
+         */
+        boolean cancel();
     }
 
     /**
@@ -148,9 +152,9 @@
         }
 
         @Override
-        public void cancel() {
+        public boolean cancel() {
             cancelled = true;
-            connection.cancel();
+            return connection.cancel();
         }
     }
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
@@ -29,7 +29,6 @@
 
     private UpstreamInstance instance;
     private Map<String, Set<String>> models;
-    private long modelsSequence;
     private long orderedMillis = Long.MIN_VALUE / 2;
     private int ownLoad;
     private int failuresInRow;
@@ -49,7 +48,6 @@
     InstanceState(UpstreamInstance instance, int ownLoad) {
         this.instance = instance;
         this.models = instance.models();
-        this.modelsSequence = instance.orderSequence();
         this.ownLoad = ownLoad;
     }
 
@@ -61,9 +59,8 @@
     /** What an instance says of itself is older than what the giver of orders tells, as long as that one is heard. */
     private void described(UpstreamInstance next, long nowMillis) {
         boolean toldLately = nowMillis - orderedMillis < ORDERED_PRECEDENCE_MILLIS;
-        if (next.orderSequence() > modelsSequence || !toldLately) {
+        if (!toldLately) {
             models = next.models();
-            modelsSequence = next.orderSequence();
         }
     }
 
@@ -71,16 +68,11 @@
      * Takes over what the entry that gives orders tells.
      *
      * @param held the adapters of each model
-     * @param sequence the number of orders that the instance had accepted
      * @param nowMillis the time
      * @return whether anything changed
      */
-    public boolean ordered(Map<String, Set<String>> held, long sequence, long nowMillis) {
-        if (sequence < instance.orderSequence()) {
-            return false;
-        }
+    public boolean ordered(Map<String, Set<String>> held, long nowMillis) {
         orderedMillis = nowMillis;
-        modelsSequence = sequence;
         if (models.equals(held)) {
             return false;
         }
@@ -99,11 +91,6 @@
         return models;
     }
 
-    /** Returns the number of accepted orders to which the models belong. */
-    public long modelsSequence() {
-        return modelsSequence;
-    }
-
     /** Returns the requests that this entry has at the instance. */
     public int ownLoad() {
         return ownLoad;
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/UpstreamInstance.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/UpstreamInstance.java
@@ -16,7 +16,6 @@
  * @param draining whether it is leaving
  * @param remainingMillis the time until it is gone, if it leaves at short notice
  * @param models the adapters that it holds for each model that it holds
- * @param orderSequence the number of orders that it has accepted since its start
  * @param startedMillis its start in milliseconds since the epoch; tells two starts under one identifier apart
  */
 public record UpstreamInstance(
@@ -29,7 +28,6 @@
         boolean draining,
         OptionalLong remainingMillis,
         Map<String, Set<String>> models,
-        long orderSequence,
         long startedMillis) {
 
     /** Copies the models. */
