--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrders.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrders.java
@@ -33,6 +33,9 @@
     /** An adapter takes up to ten milliseconds while the store is not crowded. */
     private static final long ADAPTER_MILLIS = 15;
 
+    /** Time after which a load that was intended is decided anew; longer than an unload waits for its runs. */
+    private static final long INTENT_MILLIS = 9_000;
+
     private static final long REPORT_GAP_MILLIS = 300;
     /** A report describes the engine as it was some hundred milliseconds earlier. */
     private static final long REPORT_LAG_MILLIS = 450;
@@ -49,6 +52,8 @@
     private boolean waitingForAnswer;
     private boolean busy;
     private String incoming = "";
+    private boolean roomMade;
+    private long incomingUntilMillis;
     private long busyUntilMillis;
     /** Whether only a report can tell what holds; so it is at first, as the number of orders is unknown. */
     private boolean doubtful = true;
@@ -86,6 +91,10 @@
     void refresh(InstanceState state, long now) {
         UpstreamInstance next = state.instance();
         // An engine describes itself anew when an order is done, which is told earlier than the next look is due.
+        if (now > incomingUntilMillis || models.containsKey(incoming)) {
+            incoming = "";
+            roomMade = false;
+        }
         boolean done = busy && !next.models().equals(instance.models());
         instance = next;
         state.ordered(copy(), now);
@@ -133,7 +142,8 @@
                 orderable,
                 copy(),
                 load,
-                busy || waitingForAnswer ? incoming : "",
+                incoming,
+                roomMade,
                 Set.copyOf(loadedBefore));
     }
 
@@ -145,7 +155,11 @@
 
     void send(PlannedOrder order, Term term, EngineProfile profile, long now) {
         waitingForAnswer = true;
-        incoming = order.incoming();
+        if (!order.incoming().isEmpty()) {
+            incoming = order.incoming();
+            incomingUntilMillis = now + INTENT_MILLIS;
+            roomMade = order.unload();
+        }
         ModelTarget target = order.target();
         if (order.unload()) {
             // Requests for what is dropped go elsewhere from now on.
@@ -182,6 +196,7 @@
                 }
             }
             default -> {
+                incomingUntilMillis = 0;
                 LOG.warn(
                         "event=order_declined instance={} target={} answer={} sequence={}",
                         id(),
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -15,6 +15,7 @@
 import io.oleandermoor.state.dispatch.InstanceTable.Selection;
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.dispatch.WaitPolicy;
 import io.oleandermoor.state.fleet.HostRoute;
 import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.fleet.UpstreamInstance;
@@ -31,8 +32,10 @@
 @SuppressWarnings("FutureReturnValueIgnored") // Failures reach the handlers of the channel; tasks run on the loop.
 final class Exchange {
 
-    /** The share of a caller's time within which a request must have begun to run. */
-    private static final double WAIT_SHARE = 0.6;
+    /** Sends in all, with those that an instance declined and that do not count as runs. */
+    private static final int LARGEST_SENDS = 5;
+    /** Bits of the number that spreads returning callers. */
+    private static final int DRAW_MASK = 0xFFFF;
     /** Time that the answer to the caller takes. */
     private static final long ANSWER_MARGIN_MILLIS = 30;
 
@@ -64,6 +67,9 @@
     private boolean done;
     private boolean mayHaveRun;
     private int sends;
+    private int runs;
+    private long retryMillis = RETRY_AFTER_MILLIS;
+    private Shortage shortage = Shortage.FULL;
 
     /**
      * A request that may be sent.
@@ -114,6 +120,10 @@
         return done;
     }
 
+    String service() {
+        return admitted.service();
+    }
+
     Optional<ModelTarget> target() {
         return admitted.caller().target();
     }
@@ -132,21 +142,29 @@
 
     private void dispatch() {
         if (!offerPlace()) {
-            waitForPlace();
+            waitForPlace(shortage);
         }
     }
 
-    private void waitForPlace() {
+    private void waitForPlace(Shortage shortage) {
         if (desk.view().isStopping()) {
             giveUp("stopping");
             return;
         }
+        WaitPolicy.Decision decision = WaitPolicy.decide(
+                admitted.route(), endMillis - arrivedMillis, age(), desk.expectedPlaceMillis(this, shortage), draw());
+        retryMillis = decision.retryMillis();
+        if (decision.waitMillis() <= 0) {
+            giveUp("no_place_" + shortage);
+            return;
+        }
         waiting = true;
         desk.line().add(this);
-        desk.shortage();
-        long latest = arrivedMillis + (long) ((endMillis - arrivedMillis) * WAIT_SHARE);
-        long delay = Math.max(1, latest - Moment.steadyNow());
-        waitTimer = desk.loop().schedule(this::waitedTooLong, delay, TimeUnit.MILLISECONDS);
+        waitTimer = desk.loop().schedule(this::waitedTooLong, decision.waitMillis(), TimeUnit.MILLISECONDS);
+    }
+
+    private double draw() {
+        return (admitted.caller().id().hashCode() & DRAW_MASK) / (DRAW_MASK + 1.0);
     }
 
     private void stopWaiting() {
@@ -166,6 +184,8 @@
         InstanceTable.Query query = new InstanceTable.Query(admitted.service(), target(), promptKeys, tried);
         Selection selection = desk.view().instances().choose(query, Moment.steadyNow());
         if (selection.instance().isEmpty()) {
+            shortage = selection.shortage().orElse(Shortage.FULL);
+            desk.shortage(this, shortage);
             return false;
         }
         stopWaiting();
@@ -185,12 +205,6 @@
         if (!waiting || done) {
             return;
         }
-        InstanceTable.Query query = new InstanceTable.Query(admitted.service(), target(), promptKeys, tried);
-        Shortage shortage = desk.view()
-                .instances()
-                .choose(query, Moment.steadyNow())
-                .shortage()
-                .orElse(Shortage.FULL);
         stopWaiting();
         giveUp("waited_" + shortage);
     }
@@ -300,7 +314,7 @@
         } else {
             refund();
             HttpHeaders headers = AnswerSink.headers();
-            RequestHeaders.retryAfter(headers, RETRY_AFTER_MILLIS);
+            RequestHeaders.retryAfter(headers, retryMillis);
             answer(UNAVAILABLE, headers);
         }
     }
@@ -361,6 +375,7 @@
 
     /** Records that the request has run or may have run. */
     void mayHaveRun() {
+        runs++;
         mayHaveRun = true;
     }
 
@@ -377,7 +392,8 @@
     /** Returns whether the kind of the route, its limit of sends and the time that is left allow another send. */
     boolean mayRepeat(long leastMillis) {
         return (!mayHaveRun || admitted.route().repeatable())
-                && sends < admitted.route().maximumAttempts()
+                && runs < admitted.route().maximumAttempts()
+                && sends < LARGEST_SENDS
                 && endMillis - Moment.steadyNow() > leastMillis;
     }
 
--- /dev/null
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargets.java
@@ -0,0 +1,63 @@
+package io.oleandermoor.gateway.request;
+
+import io.oleandermoor.gateway.view.FleetView;
+import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.dispatch.WaitPolicy;
+import java.util.HashMap;
+import java.util.Map;
+
+/** Since when models and adapters have been missing at all instances. Used on the event loop only. */
+final class MissingTargets {
+
+    /** Time after which a target that was not asked for in vain again counts as missing anew. */
+    private static final long FORGET_MILLIS = 3_000;
+    /** An adapter is there within some tens of milliseconds if its model is. */
+    private static final long ADAPTER_MILLIS = 250;
+
+    private static final double MILLIS_PER_SECOND = 1_000;
+    /** Load time to expect of a model that the configuration does not name. */
+    private static final long UNKNOWN_LOAD_MILLIS = 6_000;
+
+    private final FleetView view;
+    private final Map<ModelTarget, Span> spans = new HashMap<>();
+
+    MissingTargets(FleetView view) {
+        this.view = view;
+    }
+
+    private record Span(long firstMillis, long lastMillis) {}
+
+    boolean isMissing(ModelTarget target) {
+        return spans.containsKey(target);
+    }
+
+    void missing(ModelTarget target, long now) {
+        spans.values().removeIf(span -> now - span.lastMillis() > FORGET_MILLIS);
+        spans.merge(target, new Span(now, now), (old, fresh) -> new Span(old.firstMillis(), now));
+    }
+
+    long expectedMillis(String service, ModelTarget target, long now) {
+        if (target.isAdapter() && modelHeld(service, target.model())) {
+            return ADAPTER_MILLIS;
+        }
+        Span span = spans.get(target);
+        long missing = span == null ? 0 : now - span.firstMillis();
+        return WaitPolicy.expectedLoadMillis(loadMillis(service, target.model()), missing);
+    }
+
+    private boolean modelHeld(String service, String model) {
+        return view.instances().all().stream()
+                .anyMatch(state -> state.instance().service().equals(service)
+                        && !state.instance().draining()
+                        && state.models().containsKey(model));
+    }
+
+    private long loadMillis(String service, String model) {
+        return view.document()
+                .flatMap(document -> document.service(service))
+                .flatMap(known -> known.engine())
+                .map(engine -> engine.models().get(model))
+                .map(profile -> (long) (profile.loadSeconds() * MILLIS_PER_SECOND))
+                .orElse(UNKNOWN_LOAD_MILLIS);
+    }
+}
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
@@ -3,6 +3,8 @@
 import io.netty.channel.EventLoop;
 import io.oleandermoor.gateway.upstream.UpstreamPool;
 import io.oleandermoor.gateway.view.FleetView;
+import io.oleandermoor.gateway.view.Moment;
+import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.dispatch.RetryAllowance;
 import io.oleandermoor.state.residency.DemandBoard;
@@ -17,6 +19,9 @@
     /** Waiting requests are offered a place at least this often; releases of places offer it at once. */
     private static final long OFFER_MILLIS = 25;
 
+    /** Expected wait for a place at a full or a paused instance. */
+    private static final long SHORT_WAIT_MILLIS = 250;
+
     private final EventLoop loop;
     private final FleetView view;
     private final UpstreamPool pool;
@@ -25,6 +30,7 @@
     private final DecisionLog log = new DecisionLog();
     private final Map<String, RetryAllowance> allowances = new HashMap<>();
     private final Map<ModelTarget, Integer> running = new HashMap<>();
+    private final MissingTargets residency;
     private Runnable shortageListener = () -> {};
     private long nextNumber;
     private int open;
@@ -52,6 +58,7 @@
         this.view = view;
         this.pool = pool;
         this.rules = rules;
+        this.residency = new MissingTargets(view);
     }
 
     /** Starts to offer places to waiting requests. */
@@ -119,8 +126,24 @@
                 service, name -> new RetryAllowance(rules.retryRatio(), rules.retryFixed(), rules.retryWindowMillis()));
     }
 
-    void shortage() {
-        shortageListener.run();
+    /** Notes that no instance could take a request. */
+    void shortage(Exchange exchange, Shortage shortage) {
+        if (shortage == Shortage.NOT_RESIDENT) {
+            exchange.target().ifPresent(target -> {
+                if (!residency.isMissing(target)) {
+                    shortageListener.run();
+                }
+                residency.missing(target, Moment.steadyNow());
+            });
+        }
+    }
+
+    /** Returns the expected time until a place for a request is there. */
+    long expectedPlaceMillis(Exchange exchange, Shortage shortage) {
+        return exchange.target()
+                .filter(target -> shortage == Shortage.NOT_RESIDENT)
+                .map(target -> residency.expectedMillis(exchange.service(), target, Moment.steadyNow()))
+                .orElse(SHORT_WAIT_MILLIS);
     }
 
     long nextNumber() {
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/WaitPolicy.java
@@ -0,0 +1,73 @@
+package io.oleandermoor.state.dispatch;
+
+import io.oleandermoor.state.fleet.HostRoute;
+
+/**
+ * Decides whether a request that no instance can take now waits at the entry or is refused at once. Answers bursts and
+ * demand for models that nobody holds: a request whose place cannot come in time is refused at once with the time at
+ * which it should come back, so that its caller keeps the rest of its own time for that.
+ */
+public final class WaitPolicy {
+
+    /** Callers leave a stream that is silent for longer than this, or than the multiples below. */
+    private static final long LEAST_PATIENCE_MILLIS = 2_000;
+
+    private static final long PATIENCE_TARGETS = 4;
+    private static final long PATIENCE_PAUSES = 8;
+    /** Share of a caller's patience within which a request must have been sent; the instance needs the rest. */
+    private static final double WAIT_SHARE = 0.6;
+    /** Time from the first request for a model that nobody holds until its load begins, and for the load to be seen. */
+    private static final long LOAD_OVERHEAD_MILLIS = 1_200;
+
+    private static final long LEAST_RETRY_MILLIS = 200;
+    /** The largest part of a pause by which callers are spread, so that they do not return together. */
+    private static final double SPREAD = 0.3;
+
+    private WaitPolicy() {}
+
+    /**
+     * What to do with a request that has no place.
+     *
+     * @param waitMillis the time for which it waits; 0 if it is refused now
+     * @param retryMillis when its caller should come back if it is refused, now or after the wait
+     */
+    public record Decision(long waitMillis, long retryMillis) {}
+
+    /** Returns how long a caller waits for the first byte of an answer. */
+    public static long patienceMillis(HostRoute route, long allowedMillis) {
+        if (!route.streaming()) {
+            return allowedMillis;
+        }
+        long patience = Math.max(
+                LEAST_PATIENCE_MILLIS,
+                Math.max(PATIENCE_TARGETS * route.latencyTargetMillis(), PATIENCE_PAUSES * route.pauseTargetMillis()));
+        return Math.min(allowedMillis, patience);
+    }
+
+    /**
+     * Decides.
+     *
+     * @param route the route
+     * @param allowedMillis the time that the caller gave and the route allows
+     * @param waitedMillis the time since the request came
+     * @param expectedMillis the expected time until there is a place
+     * @param draw a number from 0 to below 1 that belongs to the request
+     */
+    public static Decision decide(
+            HostRoute route, long allowedMillis, long waitedMillis, long expectedMillis, double draw) {
+        long latest = (long) (patienceMillis(route, allowedMillis) * WAIT_SHARE);
+        long left = latest - waitedMillis;
+        long retry = (long) (Math.max(LEAST_RETRY_MILLIS, expectedMillis) * (1 + SPREAD * draw));
+        return new Decision(expectedMillis > left ? 0 : left, retry);
+    }
+
+    /**
+     * Returns the expected time until a model is there that nobody holds.
+     *
+     * @param loadMillis the time of its load
+     * @param missingMillis the time since it was first asked for in vain
+     */
+    public static long expectedLoadMillis(long loadMillis, long missingMillis) {
+        return Math.max(LEAST_RETRY_MILLIS, loadMillis + LOAD_OVERHEAD_MILLIS - missingMillis);
+    }
+}
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/HostRoute.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/HostRoute.java
@@ -57,6 +57,11 @@
      */
     public record WeightedService(String service, double weight) {}
 
+    /** Returns whether answers are streams of events. */
+    public boolean streaming() {
+        return kind == RequestKind.STREAMING;
+    }
+
     /** Returns whether a request may run again after it ran or may have run. */
     public boolean repeatable() {
         return kind == RequestKind.SAFE || (kind == RequestKind.STREAMING && traits.resumable());
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/EngineView.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/EngineView.java
@@ -12,6 +12,7 @@
  * @param models the adapters of each model that it holds
  * @param load the requests that it has
  * @param incoming the model that it loads or makes room for, empty if none
+ * @param roomMade whether the room for the incoming model has been made, so that its load is due
  * @param loadedBefore the models whose weights it has at hand, so that a load does not need the weight store
  */
 public record EngineView(
@@ -21,6 +22,7 @@
         Map<String, Set<String>> models,
         int load,
         String incoming,
+        boolean roomMade,
         Set<String> loadedBefore) {
 
     int adapterCount() {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ResidencyPlanner.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ResidencyPlanner.java
@@ -23,10 +23,14 @@
 
     /** Time without a request after which a model or adapter counts as idle. */
     private static final long IDLE_MILLIS = 1_500;
-    /** Demand of a copy, relative to the mean over all copies, from which a model gets another copy. */
-    private static final double COPY_RATIO = 1.6;
     /** Share of an engine's slots that a copy must exceed before another one is made. */
-    private static final double BUSY_SHARE = 0.35;
+    private static final double BUSY_SHARE = 0.3;
+    /**
+     * Copies that a model with lasting demand has at least, while nothing else is missing; one may be lost any time.
+     */
+    private static final int SAFE_COPIES = 2;
+    /** Requests that run or wait, on average, from which the demand for a model counts as lasting. */
+    private static final double LASTING_DEMAND = 4;
     /** A last copy yields only if the demand for it is below this part of the new model's. */
     private static final double YIELD_RATIO = 0.5;
     /** Requests for one adapter per engine from which a further copy of it is made, as a share of the slots. */
@@ -63,6 +67,7 @@
             int storeLoads,
             long nowMillis) {
         Round round = new Round(engines, demands, storeLoads, nowMillis);
+        round.dueLoads();
         round.models();
         round.adapters();
         return round.orders;
@@ -141,20 +146,33 @@
             }
         }
 
+        /** Loads the models for which room was made. */
+        void dueLoads() {
+            for (EngineView engine : engines) {
+                String model = engine.incoming();
+                if (engine.orderable()
+                        && engine.roomMade()
+                        && !engine.models().containsKey(model)
+                        && fits(engine, model)) {
+                    ordered.add(engine.id());
+                    orders.add(new PlannedOrder(
+                            engine.id(), false, new ModelTarget(model, ""), false, "room was made", model));
+                }
+            }
+        }
+
         void models() {
             List<String> wanted = new ArrayList<>(modelDemand.keySet());
             wanted.removeIf(model -> !profile.models().containsKey(model) || idle(model));
             wanted.sort(Comparator.comparingDouble(this::pressure).reversed());
-            double total = wanted.stream().mapToDouble(this::demandOf).sum();
-            int held = copies.values().stream().mapToInt(Integer::intValue).sum();
-            double mean = held == 0 ? 0 : total / held;
             for (String model : wanted) {
                 int present = copies.getOrDefault(model, 0);
                 double perCopy = demandOf(model) / Math.max(1, present);
                 boolean missing = present == 0;
-                boolean crowded = perCopy > COPY_RATIO * mean && perCopy > BUSY_SHARE * profile.slots();
-                if (missing || crowded) {
-                    placeCopy(model, missing ? "held by nobody" : "copies are crowded");
+                boolean crowded = perCopy > BUSY_SHARE * profile.slots();
+                boolean single = present < SAFE_COPIES && demandOf(model) > LASTING_DEMAND;
+                if (missing || crowded || single) {
+                    placeCopy(model, missing ? "held by nobody" : crowded ? "copies are crowded" : "single copy");
                 }
             }
         }
@@ -185,10 +203,15 @@
             if (best.get().yielding().isPresent()) {
                 String victim = best.get().yielding().get();
                 copies.merge(victim, -1, Integer::sum);
+                copies.merge(model, 1, Integer::sum);
+                // The load that follows is counted now, so that room is never made in vain.
+                boolean fetch = !engine.loadedBefore().contains(model);
+                storeLoads -= fetch ? 1 : 0;
                 orders.add(new PlannedOrder(
-                        engine.id(), true, new ModelTarget(victim, ""), false, YIELDS + model + ", " + reason, model));
+                        engine.id(), true, new ModelTarget(victim, ""), fetch, YIELDS + model + ", " + reason, model));
                 return;
             }
+            copies.merge(model, 1, Integer::sum);
             boolean store = !engine.loadedBefore().contains(model);
             storeLoads -= store ? 1 : 0;
             orders.add(new PlannedOrder(engine.id(), false, new ModelTarget(model, ""), store, reason, model));
@@ -211,16 +234,19 @@
             if (victim.equals(model)) {
                 return false;
             }
+            boolean missing = copies.getOrDefault(model, 0) == 0;
             if (idle(victim)) {
                 return true;
             }
-            double gain = demandOf(model) / (copies.getOrDefault(model, 0) + 1);
             int present = copies.getOrDefault(victim, 1);
             double demand = demandOf(victim);
             if (present <= 1) {
-                return copies.getOrDefault(model, 0) > 0 ? false : demand < YIELD_RATIO * gain;
+                return missing && demand < YIELD_RATIO * demandOf(model);
             }
-            return copies.getOrDefault(model, 0) == 0 || demand / (present - 1) < gain;
+            double left = demand / (present - 1);
+            double gained = demandOf(model) / (copies.getOrDefault(model, 0) + 1);
+            // Another copy must leave both models better off, or the two would take turns.
+            return missing ? left < BUSY_SHARE * profile.slots() || left < demandOf(model) : left < gained;
         }
 
         /** The demand that each other copy of a model gets if one yields. */
