--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrders.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrders.java
@@ -45,7 +45,6 @@
     private final EventLoop loop;
     private final EngineClient client;
     private final Told told;
-    private final Set<String> loadedBefore = new HashSet<>();
     private final Map<String, Set<String>> models = new HashMap<>();
     private UpstreamInstance instance;
     private long sequence;
@@ -76,7 +75,6 @@
         this.told = told;
         this.instance = state.instance();
         state.models().forEach((model, adapters) -> models.put(model, new HashSet<>(adapters)));
-        loadedBefore.addAll(models.keySet());
     }
 
     String id() {
@@ -128,7 +126,6 @@
         boolean changed = !held.equals(models);
         models.clear();
         held.forEach((model, adapters) -> models.put(model, new HashSet<>(adapters)));
-        loadedBefore.addAll(held.keySet());
         if (changed) {
             told.tell(copy());
         }
@@ -144,7 +141,7 @@
                 load,
                 incoming,
                 roomMade,
-                Set.copyOf(loadedBefore));
+                instance.weightsAtHand());
     }
 
     private Map<String, Set<String>> copy() {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -313,6 +313,9 @@
             answer(BAD_GATEWAY, EmptyHttpHeaders.INSTANCE);
         } else {
             refund();
+            if (shortage == Shortage.NOT_RESIDENT) {
+                target().ifPresent(desk::refused);
+            }
             HttpHeaders headers = AnswerSink.headers();
             RequestHeaders.retryAfter(headers, retryMillis);
             answer(UNAVAILABLE, headers);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargets.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargets.java
@@ -3,6 +3,8 @@
 import io.oleandermoor.gateway.view.FleetView;
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.dispatch.WaitPolicy;
+import java.util.ArrayDeque;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -14,17 +16,39 @@
     /** An adapter is there within some tens of milliseconds if its model is. */
     private static final long ADAPTER_MILLIS = 250;
 
+    /** Time for which a refused request counts as demand, about the time that it would have run. */
+    private static final long REFUSAL_MILLIS = 1_500;
+
     private static final double MILLIS_PER_SECOND = 1_000;
     /** Load time to expect of a model that the configuration does not name. */
     private static final long UNKNOWN_LOAD_MILLIS = 6_000;
 
     private final FleetView view;
+    private final Map<ModelTarget, Deque<Long>> refusals = new HashMap<>();
     private final Map<ModelTarget, Span> spans = new HashMap<>();
 
     MissingTargets(FleetView view) {
         this.view = view;
     }
 
+    /** Notes a refusal. */
+    void refused(ModelTarget target, long now) {
+        refusals.computeIfAbsent(target, key -> new ArrayDeque<>()).addLast(now);
+    }
+
+    /** Returns the refusals of the last seconds; callers that come back are then counted by themselves. */
+    Map<ModelTarget, Integer> refusedLately(long now) {
+        Map<ModelTarget, Integer> counts = new HashMap<>();
+        refusals.values().removeIf(times -> {
+            while (!times.isEmpty() && now - times.peekFirst() > REFUSAL_MILLIS) {
+                times.removeFirst();
+            }
+            return times.isEmpty();
+        });
+        refusals.forEach((target, times) -> counts.put(target, times.size()));
+        return counts;
+    }
+
     private record Span(long firstMillis, long lastMillis) {}
 
     boolean isMissing(ModelTarget target) {
@@ -53,11 +77,15 @@
     }
 
     private long loadMillis(String service, String model) {
+        boolean atHand = view.instances().all().stream()
+                .anyMatch(state -> state.instance().service().equals(service)
+                        && !state.instance().draining()
+                        && state.instance().weightsAtHand().contains(model));
         return view.document()
                 .flatMap(document -> document.service(service))
                 .flatMap(known -> known.engine())
                 .map(engine -> engine.models().get(model))
-                .map(profile -> (long) (profile.loadSeconds() * MILLIS_PER_SECOND))
+                .map(profile -> (long) ((atHand ? profile.diskSeconds() : profile.loadSeconds()) * MILLIS_PER_SECOND))
                 .orElse(UNKNOWN_LOAD_MILLIS);
     }
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
@@ -80,6 +80,9 @@
     /** Returns what this entry has for each model and adapter. */
     public Map<ModelTarget, DemandBoard.Wanted> demand() {
         Map<ModelTarget, Integer> waiting = line.byTarget();
+        residency
+                .refusedLately(Moment.steadyNow())
+                .forEach((target, count) -> waiting.merge(target, count, Integer::sum));
         Map<ModelTarget, DemandBoard.Wanted> wanted = new HashMap<>();
         running.forEach(
                 (target, count) -> wanted.put(target, new DemandBoard.Wanted(count, waiting.getOrDefault(target, 0))));
@@ -138,6 +141,11 @@
         }
     }
 
+    /** Notes that a request was refused for want of its model; it counts as demand for a while. */
+    void refused(ModelTarget target) {
+        residency.refused(target, Moment.steadyNow());
+    }
+
     /** Returns the expected time until a place for a request is there. */
     long expectedPlaceMillis(Exchange exchange, Shortage shortage) {
         return exchange.target()
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/EngineView.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/EngineView.java
@@ -13,7 +13,7 @@
  * @param load the requests that it has
  * @param incoming the model that it loads or makes room for, empty if none
  * @param roomMade whether the room for the incoming model has been made, so that its load is due
- * @param loadedBefore the models whose weights it has at hand, so that a load does not need the weight store
+ * @param weightsAtHand the models whose weights it has at hand, so that a load does not need the weight store
  */
 public record EngineView(
         String id,
@@ -23,7 +23,7 @@
         int load,
         String incoming,
         boolean roomMade,
-        Set<String> loadedBefore) {
+        Set<String> weightsAtHand) {
 
     int adapterCount() {
         return models.values().stream().mapToInt(Set::size).sum();
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ResidencyPlanner.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ResidencyPlanner.java
@@ -38,6 +38,15 @@
     /** Time for which a newly loaded adapter does not yield. */
     private static final long ADAPTER_REST_MILLIS = 300;
 
+    /** Loss by a load from the weight store in place of one from the engine's own disk, in requests. */
+    private static final double FETCH_LOSS = 16;
+    /** Loss by each request of the engine, whose model has to wait for it before it yields. */
+    private static final double LOAD_LOSS = 0.2;
+    /** Loss of the last copy of a model that is no longer asked for, in requests; a load makes it good in seconds. */
+    private static final double LAST_COPY_LOSS = 6;
+    /** Loss of the last copy of a model that has not been asked for yet. */
+    private static final double UNTRIED_LOSS = 9;
+
     private static final String YIELDS = "yields to ";
 
     private final EngineProfile profile;
@@ -192,7 +201,7 @@
             Optional<Placement> best = engines.stream()
                     .filter(engine -> engine.orderable() && !ordered.contains(engine.id()))
                     .filter(engine -> !engine.models().containsKey(model))
-                    .filter(engine -> storeLoads > 0 || engine.loadedBefore().contains(model))
+                    .filter(engine -> storeLoads > 0 || engine.weightsAtHand().contains(model))
                     .flatMap(engine -> placement(engine, model).stream())
                     .min(Comparator.comparingDouble(Placement::cost));
             if (best.isEmpty()) {
@@ -205,21 +214,21 @@
                 copies.merge(victim, -1, Integer::sum);
                 copies.merge(model, 1, Integer::sum);
                 // The load that follows is counted now, so that room is never made in vain.
-                boolean fetch = !engine.loadedBefore().contains(model);
+                boolean fetch = !engine.weightsAtHand().contains(model);
                 storeLoads -= fetch ? 1 : 0;
                 orders.add(new PlannedOrder(
                         engine.id(), true, new ModelTarget(victim, ""), fetch, YIELDS + model + ", " + reason, model));
                 return;
             }
             copies.merge(model, 1, Integer::sum);
-            boolean store = !engine.loadedBefore().contains(model);
+            boolean store = !engine.weightsAtHand().contains(model);
             storeLoads -= store ? 1 : 0;
             orders.add(new PlannedOrder(engine.id(), false, new ModelTarget(model, ""), store, reason, model));
         }
 
         private Optional<Placement> placement(EngineView engine, String model) {
-            double slow = engine.loadedBefore().contains(model) ? 0 : profile.slots() * 0.25;
-            double load = engine.load() * 0.2;
+            double slow = engine.weightsAtHand().contains(model) ? 0 : FETCH_LOSS;
+            double load = engine.load() * LOAD_LOSS;
             if (fits(engine, model)) {
                 return Optional.of(new Placement(engine, Optional.empty(), slow + load));
             }
@@ -235,11 +244,8 @@
                 return false;
             }
             boolean missing = copies.getOrDefault(model, 0) == 0;
-            if (idle(victim)) {
-                return true;
-            }
             int present = copies.getOrDefault(victim, 1);
-            double demand = demandOf(victim);
+            double demand = idle(victim) ? 0 : demandOf(victim);
             if (present <= 1) {
                 return missing && demand < YIELD_RATIO * demandOf(model);
             }
@@ -249,10 +255,18 @@
             return missing ? left < BUSY_SHARE * profile.slots() || left < demandOf(model) : left < gained;
         }
 
-        /** The demand that each other copy of a model gets if one yields. */
+        /**
+         * Returns what is lost if a copy yields: spare copies go first, then models that were asked for and no longer
+         * are, then those that were never asked for, which may be the next ones, and last those in demand.
+         */
         private double loss(String victim) {
+            int present = copies.getOrDefault(victim, 1);
             double demand = idle(victim) ? 0 : demandOf(victim);
-            return demand / Math.max(0.5, copies.getOrDefault(victim, 1) - 1.0);
+            if (present > 1) {
+                return demand / (present - 1);
+            }
+            double last = modelWanted.containsKey(victim) ? LAST_COPY_LOSS : UNTRIED_LOSS;
+            return idle(victim) ? last : UNTRIED_LOSS + demand;
         }
 
         void adapters() {
