--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ResidencyPlanner.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ResidencyPlanner.java
@@ -109,6 +109,11 @@
     }
 
     private boolean fits(EngineView engine, String model) {
+        return fitsWithout(engine, "", model);
+    }
+
+    /** Returns whether a model fits once another one, if any, has yielded with its adapters. */
+    private boolean fitsWithout(EngineView engine, String yielding, String model) {
         double adapters = 0;
         for (Map.Entry<String, Set<String>> held : engine.models().entrySet()) {
             ModelProfile known = profile.models().get(held.getKey());
@@ -116,7 +121,8 @@
                     ? 0
                     : known.adapterMegabytes() * held.getValue().size();
         }
-        return used(engine) - adapters + adapterReserve() + size(model) <= profile.weightMegabytes();
+        double models = used(engine) - adapters - size(yielding);
+        return models + adapterReserve() + size(model) <= profile.weightMegabytes();
     }
 
     /** One decision over all engines. */
@@ -233,7 +239,7 @@
                 return Optional.of(new Placement(engine, Optional.empty(), slow + load));
             }
             return engine.models().keySet().stream()
-                    .filter(victim -> mayYield(victim, model))
+                    .filter(victim -> fitsWithout(engine, victim, model) && mayYield(victim, model))
                     .min(Comparator.comparingDouble(this::loss))
                     .map(victim -> new Placement(engine, Optional.of(victim), slow + load + loss(victim) + 1));
         }
