--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
@@ -0,0 +1,112 @@
+package io.oleandermoor.state.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.oleandermoor.state.dispatch.InstanceTable.Query;
+import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
+import io.oleandermoor.state.fleet.UpstreamInstance;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.OptionalLong;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class InstanceTableTest {
+
+    private final InstanceTable table = new InstanceTable("a", 1);
+
+    private static UpstreamInstance instance(String id, boolean draining, long started) {
+        return new UpstreamInstance(
+                id,
+                "words",
+                "10.0.0.1",
+                80,
+                "a",
+                4,
+                draining,
+                OptionalLong.empty(),
+                Map.of("m", Set.of("a1")),
+                Set.of("m"),
+                started);
+    }
+
+    private static Query query(String target, String... excluded) {
+        return new Query("words", Optional.of(ModelTarget.parse(target)), List.of(), Set.of(excluded));
+    }
+
+    private Optional<String> chosen(Query query) {
+        return table.choose(query, 0).instance().map(UpstreamInstance::id);
+    }
+
+    @Nested
+    class Choosing {
+
+        @Test
+        void takesTheLessLoadedInstance() {
+            table.put(instance("one", false, 1), 0);
+            table.put(instance("two", false, 1), 0);
+            table.peerLoad("other-entry", Map.of("one", 3));
+            assertThat(chosen(query("m"))).contains("two");
+        }
+
+        @Test
+        void passesOverLeavingAndExcludedInstances() {
+            table.put(instance("one", true, 1), 0);
+            table.put(instance("two", false, 1), 0);
+            assertThat(chosen(query("m"))).contains("two");
+            assertThat(table.choose(query("m", "two"), 0).shortage()).contains(Shortage.NO_INSTANCE);
+        }
+
+        @Test
+        void tellsWhatIsMissing() {
+            table.put(instance("one", false, 1), 0);
+            assertThat(table.choose(query("other"), 0).shortage()).contains(Shortage.NOT_RESIDENT);
+            assertThat(table.choose(query("m/a2"), 0).shortage()).contains(Shortage.NOT_RESIDENT);
+            assertThat(chosen(query("m/a1"))).contains("one");
+            table.peerLoad("other-entry", Map.of("one", 4));
+            assertThat(table.choose(query("m"), 0).shortage()).contains(Shortage.FULL);
+        }
+
+        @Test
+        void leavesAnUnreachableInstanceAloneForAWhile() {
+            table.put(instance("one", false, 1), 0);
+            table.state("one").orElseThrow().unreachable(0);
+            assertThat(chosen(query("m"))).isEmpty();
+            assertThat(table.choose(query("m"), 5_000).instance()).isPresent();
+        }
+
+        @Test
+        void leavesOutATargetThatTheInstanceDeclined() {
+            table.put(instance("one", false, 1), 0);
+            table.state("one").orElseThrow().declined(ModelTarget.parse("m/a1"), 0);
+            assertThat(chosen(query("m/a1"))).isEmpty();
+            assertThat(chosen(query("m"))).contains("one");
+        }
+    }
+
+    @Nested
+    class Residents {
+
+        /** Guards against heartbeats, which come late, that undo what an order has just changed. */
+        @Test
+        void whatTheGiverOfOrdersTellsGoesBeforeAnOlderHeartbeat() {
+            table.put(instance("one", false, 1), 0);
+            table.state("one").orElseThrow().ordered(Map.of("n", Set.of()), 100);
+            table.put(instance("one", false, 1), 200);
+            assertThat(table.choose(query("n"), 200).instance()).isPresent();
+            table.put(instance("one", false, 1), 5_000);
+            assertThat(table.choose(query("m"), 5_000).instance()).isPresent();
+        }
+
+        @Test
+        void aNewStartUnderTheSameIdentifierForgetsThePast() {
+            table.put(instance("one", false, 1), 0);
+            table.state("one").orElseThrow().ordered(Map.of("n", Set.of()), 100);
+            table.put(instance("one", false, 2), 200);
+            assertThat(table.choose(query("n"), 200).instance()).isEmpty();
+            assertThat(table.choose(query("m"), 200).instance()).isPresent();
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/WaitPolicyTest.java
@@ -0,0 +1,54 @@
+package io.oleandermoor.state.dispatch;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.oleandermoor.state.fleet.HostRoute;
+import io.oleandermoor.state.fleet.RequestKind;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+class WaitPolicyTest {
+
+    private static HostRoute route(RequestKind kind, long target) {
+        return new HostRoute(
+                "r",
+                "h",
+                "/",
+                kind,
+                12_000,
+                target,
+                150,
+                1,
+                List.of(new HostRoute.WeightedService("s", 1)),
+                2,
+                new HostRoute.Traits(false, true, true));
+    }
+
+    /** Guards against holding a stream until its caller has left, two seconds before the first event. */
+    @Test
+    void refusesAtOnceWhatCannotBeginWithinTheCallersPatience() {
+        WaitPolicy.Decision decision = WaitPolicy.decide(route(RequestKind.STREAMING, 500), 12_000, 0, 5_800, 0);
+        assertThat(decision.waitMillis()).isZero();
+        assertThat(decision.retryMillis()).isEqualTo(5_800);
+    }
+
+    @Test
+    void waitsForAPlaceThatIsExpectedSoon() {
+        WaitPolicy.Decision decision = WaitPolicy.decide(route(RequestKind.STREAMING, 500), 12_000, 100, 250, 0);
+        assertThat(decision.waitMillis()).isBetween(500L, 1_200L);
+    }
+
+    @Test
+    void waitsLongerWhereTheTargetIsLonger() {
+        assertThat(WaitPolicy.decide(route(RequestKind.STREAMING, 5_000), 12_000, 0, 5_800, 0)
+                        .waitMillis())
+                .isPositive();
+    }
+
+    @Test
+    void spreadsReturningCallers() {
+        HostRoute route = route(RequestKind.UNSAFE, 300);
+        assertThat(WaitPolicy.decide(route, 2_000, 0, 5_000, 0.9).retryMillis())
+                .isGreaterThan(WaitPolicy.decide(route, 2_000, 0, 5_000, 0).retryMillis());
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/ResidencyPlannerTest.java
@@ -0,0 +1,155 @@
+package io.oleandermoor.state.residency;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.fleet.EngineProfile;
+import io.oleandermoor.state.fleet.ModelProfile;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class ResidencyPlannerTest {
+
+    private static final EngineProfile PROFILE = new EngineProfile(
+            64,
+            100_000,
+            200_000,
+            2,
+            1.4,
+            Map.of(
+                    "big", model("big", 72_000, 3),
+                    "other", model("other", 72_000, 0),
+                    "third", model("third", 72_000, 0),
+                    "fourth", model("fourth", 72_000, 0),
+                    "small", model("small", 42_000, 0)));
+
+    private final ResidencyPlanner planner = new ResidencyPlanner(PROFILE);
+    private final DemandBoard board = new DemandBoard();
+
+    private static ModelProfile model(String name, double megabytes, int adapters) {
+        return new ModelProfile(name, megabytes, 5.8, 1.2, adapters, 66);
+    }
+
+    private static EngineView engine(String id, Map<String, Set<String>> models, String... atHand) {
+        return new EngineView(id, "a", true, models, 0, "", false, Set.of(atHand));
+    }
+
+    private void demand(Map<String, Integer> waiting) {
+        Map<ModelTarget, DemandBoard.Wanted> wanted = new HashMap<>();
+        waiting.forEach((target, count) -> wanted.put(ModelTarget.parse(target), new DemandBoard.Wanted(0, count)));
+        board.report("entry", wanted);
+        board.update(100_000);
+    }
+
+    private List<PlannedOrder> plan(int loads, EngineView... engines) {
+        return planner.plan(List.of(engines), board.demands(), loads, 100_000);
+    }
+
+    @Nested
+    class Models {
+
+        @Test
+        void loadsWhatNobodyHoldsWhereThereIsRoom() {
+            demand(Map.of("big", 3));
+            List<PlannedOrder> orders = plan(1, engine("one", Map.of("small", Set.of())));
+            assertThat(orders).singleElement().satisfies(order -> {
+                assertThat(order.unload()).isFalse();
+                assertThat(order.target()).isEqualTo(new ModelTarget("big", ""));
+                assertThat(order.fromWeightStore()).isTrue();
+            });
+        }
+
+        /** Guards against a small model that yields to a large one, which then still does not fit. */
+        @Test
+        void letsYieldOnlyWhatMakesEnoughRoom() {
+            demand(Map.of("third", 3));
+            List<PlannedOrder> orders =
+                    plan(1, engine("one", Map.of("big", Set.of(), "small", Set.of(), "other", Set.of())));
+            assertThat(orders)
+                    .allSatisfy(order -> assertThat(order.target().model()).isNotEqualTo("small"));
+        }
+
+        @Test
+        void prefersAnEngineThatHasTheWeightsAtHand() {
+            demand(Map.of("big", 3));
+            List<PlannedOrder> orders =
+                    plan(1, engine("one", Map.of("other", Set.of())), engine("two", Map.of("other", Set.of()), "big"));
+            assertThat(orders).singleElement().satisfies(order -> {
+                assertThat(order.engine()).isEqualTo("two");
+                assertThat(order.fromWeightStore()).isFalse();
+            });
+        }
+
+        @Test
+        void waitsForTheWeightStore() {
+            demand(Map.of("big", 3));
+            assertThat(plan(0, engine("one", Map.of()))).isEmpty();
+        }
+
+        /** Guards against unloading the only copy of a silent model while another model has spare copies. */
+        @Test
+        void spareCopiesYieldBeforeLastOnes() {
+            demand(Map.of("third", 3));
+            List<PlannedOrder> orders = plan(
+                    1,
+                    engine("one", Map.of("big", Set.of(), "other", Set.of())),
+                    engine("two", Map.of("big", Set.of(), "fourth", Set.of())));
+            assertThat(orders).singleElement().satisfies(order -> {
+                assertThat(order.unload()).isTrue();
+                assertThat(order.target().model()).isEqualTo("big");
+                assertThat(order.incoming()).isEqualTo("third");
+            });
+        }
+
+        /** Guards against room that is made and then filled with something else. */
+        @Test
+        void loadsTheModelForWhichRoomWasMade() {
+            demand(Map.of());
+            EngineView engine = new EngineView("one", "a", true, Map.of("other", Set.of()), 0, "third", true, Set.of());
+            assertThat(plan(0, engine))
+                    .singleElement()
+                    .satisfies(order -> assertThat(order.target()).isEqualTo(new ModelTarget("third", "")));
+        }
+
+        @Test
+        void addsACopyWhereCopiesAreCrowded() {
+            for (int step = 0; step < 20; step++) {
+                board.report("entry", Map.of(new ModelTarget("big", ""), new DemandBoard.Wanted(60, 0)));
+                board.update(90_000 + step * 500L);
+            }
+            List<PlannedOrder> orders =
+                    plan(1, engine("one", Map.of("big", Set.of())), engine("two", Map.of("other", Set.of())));
+            assertThat(orders).singleElement().satisfies(order -> {
+                assertThat(order.engine()).isEqualTo("two");
+                assertThat(order.target().model()).isEqualTo("big");
+            });
+        }
+    }
+
+    @Nested
+    class Adapters {
+
+        @Test
+        void loadsAnAdapterThatRequestsWaitFor() {
+            demand(Map.of("big/a1", 1));
+            assertThat(plan(0, engine("one", Map.of("big", Set.of()))))
+                    .singleElement()
+                    .satisfies(order -> assertThat(order.target()).isEqualTo(new ModelTarget("big", "a1")));
+        }
+
+        @Test
+        void unloadsAnIdleAdapterWhenAllPlacesAreTaken() {
+            demand(Map.of("big/a3", 1));
+            assertThat(plan(0, engine("one", Map.of("big", Set.of("a1", "a2")))))
+                    .singleElement()
+                    .satisfies(order -> {
+                        assertThat(order.unload()).isTrue();
+                        assertThat(order.target().isAdapter()).isTrue();
+                    });
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/share/SharedBucketTest.java
@@ -0,0 +1,125 @@
+package io.oleandermoor.state.share;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class SharedBucketTest {
+
+    private static final double RATE = 1_000;
+    private static final double BURST = 1_000;
+
+    private static SharedBucket bucket() {
+        return new SharedBucket(RATE, BURST, 0);
+    }
+
+    @Nested
+    class Alone {
+
+        /** Guards against a second burst after a kill of all entries. */
+        @Test
+        void startsEmptyAndFillsAtTheRate() {
+            SharedBucket bucket = bucket();
+            assertThat(bucket.tryTake(1)).isFalse();
+            bucket.refill(500, List.of(), 1);
+            assertThat(bucket.level()).isEqualTo(500);
+            bucket.refill(60_000, List.of(), 1);
+            assertThat(bucket.level()).isEqualTo(BURST);
+        }
+
+        @Test
+        void givesBackWhatDidNotRun() {
+            SharedBucket bucket = bucket();
+            bucket.refill(1_000, List.of(), 1);
+            assertThat(bucket.tryTake(700)).isTrue();
+            bucket.giveBack(700);
+            assertThat(bucket.level()).isEqualTo(BURST);
+            assertThat(bucket.granted()).isZero();
+        }
+
+        @Test
+        void lowerBurstTakesEffectAtOnce() {
+            SharedBucket bucket = bucket();
+            bucket.refill(1_000, List.of(), 1);
+            bucket.configure(100, 50);
+            assertThat(bucket.level()).isEqualTo(50);
+        }
+    }
+
+    @Nested
+    class WithOthers {
+
+        @Test
+        void takesOverWhatAnotherEntryGranted() {
+            SharedBucket bucket = bucket();
+            bucket.refill(1_000, List.of(), 2);
+            bucket.peerGranted("b", 300, true, false);
+            bucket.peerGranted("b", 450, false, false);
+            assertThat(bucket.level()).isEqualTo(550);
+        }
+
+        /** Guards against a restarted entry that charges itself the whole past of the others. */
+        @Test
+        void doesNotChargeWhatAnOlderEntryGrantedBefore() {
+            SharedBucket bucket = bucket();
+            bucket.refill(1_000, List.of(), 2);
+            bucket.peerGranted("b", 1_000_000, true, true);
+            assertThat(bucket.level()).isEqualTo(BURST);
+        }
+
+        @Test
+        void countsARestartedEntryFromZero() {
+            SharedBucket bucket = bucket();
+            bucket.peerGranted("b", 5_000, true, true);
+            bucket.refill(1_000, List.of(), 2);
+            bucket.peerGranted("b", 200, true, false);
+            assertThat(bucket.level()).isEqualTo(800);
+        }
+
+        @Test
+        void setsAsideThePartOfASilentEntry() {
+            SharedBucket bucket = bucket();
+            bucket.refill(1_000, Set.of("b"), 2);
+            assertThat(bucket.level()).isEqualTo(500);
+        }
+
+        @Test
+        void chargesOnlyWhatExceedsThePartThatWasSetAside() {
+            SharedBucket bucket = bucket();
+            bucket.peerGranted("b", 0, true, false);
+            bucket.refill(1_000, Set.of("b"), 2);
+            bucket.peerGranted("b", 600, false, false);
+            assertThat(bucket.level()).isEqualTo(400);
+        }
+    }
+
+    /** Guards against two entries that cannot hear each other and both spend the whole rate. */
+    @Property(tries = 50)
+    void entriesThatLoseEachOtherStayWithinRateAndTwoBursts(
+            @ForAll @IntRange(min = 1, max = 400) int request, @ForAll @IntRange(min = 0, max = 3_000) int cutMillis) {
+        SharedBucket left = bucket();
+        SharedBucket right = bucket();
+        long granted = 0;
+        int seconds = 8;
+        for (int now = 10; now <= seconds * 1_000; now += 10) {
+            boolean cut = now >= cutMillis;
+            left.refill(now, cut ? Set.of("right") : Set.of(), 2);
+            right.refill(now, cut ? Set.of("left") : Set.of(), 2);
+            granted += left.tryTake(request) ? request : 0;
+            if (!cut) {
+                right.peerGranted("left", left.granted(), false, false);
+            }
+            granted += right.tryTake(request) ? request : 0;
+            if (!cut) {
+                left.peerGranted("right", right.granted(), false, false);
+            }
+        }
+        assertThat(granted).isLessThanOrEqualTo((long) (RATE * seconds + 2 * BURST));
+    }
+}
