Count one run for each send, and let plain services ignore the model

Found by the tests with stand-ins, which failed first: a stream that broke off counted two runs (head and break), so it never went on elsewhere at two attempts; and a request with a model on a plain service waited for a model that no such instance holds.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
@@ -5,9 +5,11 @@
 import io.oleandermoor.platform.DecodeException;
 import io.oleandermoor.platform.RequestHeaders;
 import io.oleandermoor.state.dispatch.CallerRequest;
+import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.fleet.FleetDocument;
 import io.oleandermoor.state.fleet.HostRoute;
 import io.oleandermoor.state.fleet.TeamLimits;
+import io.oleandermoor.state.fleet.UpstreamService;
 import io.oleandermoor.state.share.SharedBucket;
 import java.util.Optional;
 
@@ -74,8 +76,11 @@
             return overRate(request, sink, caller, team.get());
         }
         String service = route.get().serviceFor(draw(caller.id()));
+        boolean engine =
+                document.get().service(service).flatMap(UpstreamService::engine).isPresent();
+        Optional<ModelTarget> target = engine ? caller.target() : Optional.empty();
         Exchange exchange =
-                new Exchange(desk, sink, request, new Exchange.Admitted(caller, route.get(), team, service));
+                new Exchange(desk, sink, request, new Exchange.Admitted(caller, route.get(), team, service, target));
         exchange.start();
         return Optional.of(exchange);
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -78,8 +78,14 @@
      * @param route its route
      * @param team the team whose key came with it
      * @param service the service that runs it
+     * @param target the model or adapter that it needs; empty for a plain service, whatever the caller states
      */
-    record Admitted(CallerRequest caller, HostRoute route, Optional<TeamLimits> team, String service) {}
+    record Admitted(
+            CallerRequest caller,
+            HostRoute route,
+            Optional<TeamLimits> team,
+            String service,
+            Optional<ModelTarget> target) {}
 
     Exchange(RequestDesk desk, AnswerSink sink, FullHttpRequest request, Admitted admitted) {
         this.desk = desk;
@@ -125,7 +131,7 @@
     }
 
     Optional<ModelTarget> target() {
-        return admitted.caller().target();
+        return admitted.target();
     }
 
     /** Returns what the request waits for; requests with the same need are blocked together. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -27,6 +27,7 @@
     private @Nullable HttpHeaders headers;
     private @Nullable ByteBuf body;
     private boolean counted;
+    private boolean ran;
 
     SendAttempt(Exchange exchange, UpstreamInstance instance) {
         this.exchange = exchange;
@@ -53,6 +54,14 @@
         }
     }
 
+    /** Counts the run once, though both the head and the end of an answer may tell of it. */
+    private void mayHaveRun() {
+        if (!ran) {
+            ran = true;
+            exchange.mayHaveRun();
+        }
+    }
+
     private Optional<InstanceState> state() {
         return exchange.desk().view().instances().state(instance.id());
     }
@@ -70,7 +79,7 @@
         HttpHeaders passedOn = RequestHeaders.answer(response.headers());
         headers = passedOn;
         if (!answerHead.notRun()) {
-            exchange.mayHaveRun();
+            mayHaveRun();
         }
         if (answerHead.success() && (!answerHead.signed() || answerHead.encoded())) {
             fail("unsigned_answer");
@@ -208,7 +217,7 @@
             exchange.notSent();
             return;
         }
-        exchange.mayHaveRun();
+        mayHaveRun();
         state().ifPresent(state -> state.lost(now));
         exchange.again(reason + " of " + instance.id());
     }
--- /dev/null
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
@@ -0,0 +1,157 @@
+package io.oleandermoor.gateway.standin;
+
+import com.fasterxml.jackson.jr.ob.JSON;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.URLDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Base64;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** The platform's store in memory: items, watches, conditional writes and leases without expiry. */
+public final class StoreStandIn implements AutoCloseable {
+
+    private static final long WATCH_STEP_MILLIS = 10;
+
+    private final HttpServer server;
+    private final ExecutorService workers = Executors.newCachedThreadPool();
+    private final TreeMap<String, Map<String, Object>> items = new TreeMap<>();
+    private final List<Map<String, Object>> history = new ArrayList<>();
+    private long revision = 1;
+    private long leases;
+    private volatile boolean down;
+
+    /** Starts the store on a free port of the loopback. */
+    public StoreStandIn() throws IOException {
+        server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+        server.setExecutor(workers);
+        server.createContext("/", this::handle);
+        server.start();
+    }
+
+    /** Returns HOST:PORT. */
+    public String address() {
+        return "127.0.0.1:" + server.getAddress().getPort();
+    }
+
+    /** Lets every call fail with status 503, or serves again. */
+    public void down(boolean isDown) {
+        down = isDown;
+    }
+
+    /** Writes an item as the operator or an instance does. */
+    public synchronized void put(String key, String value) {
+        revision++;
+        Map<String, Object> item = new HashMap<>();
+        item.put("key", key);
+        item.put("value", Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
+        item.put("revision", revision);
+        items.put(key, item);
+        history.add(item);
+    }
+
+    private void handle(HttpExchange exchange) throws IOException {
+        String path = exchange.getRequestURI().getPath();
+        Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
+        byte[] body = exchange.getRequestBody().readAllBytes();
+        Answer answer;
+        if (down) {
+            answer = new Answer(503, Map.of());
+        } else if (path.equals("/api/kv-range")) {
+            answer = range(query.get("path-prefix"));
+        } else if (path.equals("/api/kv-watch")) {
+            answer = watch(
+                    query.get("path-prefix"), Long.parseLong(query.get("after")), Long.parseLong(query.get("wait-ms")));
+        } else if (path.equals("/api/kv-key")) {
+            answer = key(query.get("key"));
+        } else if (path.equals("/api/kv-txn")) {
+            answer = write(JSON.std.mapFrom(body));
+        } else if (path.equals("/api/kv-lease")) {
+            answer = new Answer(200, Map.of("lease", ++leases, "ttl-ms", 1_000));
+        } else {
+            answer = new Answer(200, Map.of("ttl-ms", 1_000));
+        }
+        byte[] bytes = JSON.std.asBytes(answer.body());
+        exchange.sendResponseHeaders(answer.status(), bytes.length);
+        exchange.getResponseBody().write(bytes);
+        exchange.close();
+    }
+
+    private record Answer(int status, Map<String, Object> body) {}
+
+    private static Map<String, String> query(String raw) {
+        Map<String, String> values = new HashMap<>();
+        for (String pair : raw == null ? new String[0] : raw.split("&")) {
+            int equals = pair.indexOf('=');
+            values.put(
+                    pair.substring(0, equals), URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
+        }
+        return values;
+    }
+
+    private synchronized Answer range(String prefix) {
+        List<Object> found = new ArrayList<>();
+        items.forEach((key, item) -> {
+            if (key.startsWith(prefix)) {
+                found.add(item);
+            }
+        });
+        return new Answer(200, Map.of("items", found, "truncated", false, "current-rev", revision));
+    }
+
+    private Answer watch(String prefix, long after, long waitMillis) {
+        long end = System.nanoTime() + waitMillis * 1_000_000;
+        while (true) {
+            synchronized (this) {
+                List<Object> events = new ArrayList<>();
+                for (Map<String, Object> item : history) {
+                    if (((Number) item.get("revision")).longValue() > after
+                            && String.valueOf(item.get("key")).startsWith(prefix)) {
+                        events.add(item);
+                    }
+                }
+                if (!events.isEmpty() || System.nanoTime() >= end || down) {
+                    return new Answer(200, Map.of("events", events, "current-rev", revision));
+                }
+            }
+            java.util.concurrent.locks.LockSupport.parkNanos(WATCH_STEP_MILLIS * 1_000_000);
+        }
+    }
+
+    private synchronized Answer key(String key) {
+        Map<String, Object> item = items.get(key);
+        return item == null ? new Answer(404, Map.of()) : new Answer(200, item);
+    }
+
+    private synchronized Answer write(Map<String, Object> transaction) {
+        for (Object each : (List<?>) transaction.get("expected")) {
+            Map<?, ?> row = (Map<?, ?>) each;
+            Map<String, Object> item = items.get(String.valueOf(row.get("key")));
+            long present = item == null ? 0 : ((Number) item.get("revision")).longValue();
+            if (present != ((Number) row.get("revision")).longValue()) {
+                return new Answer(412, Map.of("items", List.of()));
+            }
+        }
+        for (Object each : (List<?>) transaction.get("writes")) {
+            Map<?, ?> row = (Map<?, ?>) each;
+            byte[] value = Base64.getDecoder().decode(String.valueOf(row.get("value")));
+            put(String.valueOf(row.get("key")), new String(value, StandardCharsets.UTF_8));
+        }
+        return new Answer(200, Map.of("revision", revision));
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+        workers.shutdownNow();
+    }
+}
