--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/GatewayMain.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/GatewayMain.java
@@ -14,14 +14,21 @@
     private static final String SETTINGS_VARIABLE = "OLEANDERMOOR_SETTINGS";
     private static final int INVALID_SETTINGS = 2;
 
+    private static final String DRY_RUN = "--dry-run";
+
     private GatewayMain() {}
 
     /**
      * Reads the settings and starts.
      *
-     * @param arguments none, or the path of the settings file in place of the one in the environment
+     * @param arguments none, or the path of the settings file in place of the one in the environment, or
+     *     {@code --dry-run} to start once without a platform and end
      */
     public static void main(String[] arguments) {
+        if (arguments.length == 1 && arguments[0].equals(DRY_RUN)) {
+            dryRun();
+            return;
+        }
         String path = arguments.length > 0 ? arguments[0] : System.getenv(SETTINGS_VARIABLE);
         if (path == null) {
             System.err.println("oleandermoor: " + SETTINGS_VARIABLE + " must hold the path of the settings file");
@@ -42,4 +49,17 @@
             System.exit(INVALID_SETTINGS);
         }
     }
+
+    private static void dryRun() {
+        try {
+            DryRun.run();
+            System.exit(0);
+        } catch (InvalidInputException exception) {
+            exception.findings().forEach(System.err::println);
+            System.exit(INVALID_SETTINGS);
+        } catch (IOException exception) {
+            System.err.println("oleandermoor: " + exception);
+            System.exit(INVALID_SETTINGS);
+        }
+    }
 }
