Move streams away from silent instances, and end kept connections at a stop

Ruled out: new connections (the listener was closed). Instances that go dark without a reset are found by the silence of all their streams; counted in ticks, so that a frozen entry blames nobody.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -406,6 +406,14 @@
                 && endMillis - Moment.steadyNow() > leastMillis;
     }
 
+    /** Returns whether the request may go on at another instance though this one may still run it. */
+    boolean mayMove() {
+        return admitted.route().repeatable()
+                && runs <= 1
+                && admitted.route().maximumAttempts() > 1
+                && endMillis - Moment.steadyNow() > LEAST_REPEAT_MILLIS;
+    }
+
     /** Allows an instance that declined the request for now to be chosen again. */
     void mayTryAgain(String instance) {
         tried.remove(instance);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/FrontConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/FrontConnection.java
@@ -224,7 +224,8 @@
         if (open == null) {
             return;
         }
-        if (!keepAlive) {
+        // A stream that began before the stop has not told its caller that the connection ends with it.
+        if (!keepAlive || closing) {
             closing = true;
             open.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         } else {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
@@ -31,6 +31,7 @@
     private final Map<String, RetryAllowance> allowances = new HashMap<>();
     private final Map<ModelTarget, Integer> running = new HashMap<>();
     private final MissingTargets residency;
+    private final SilenceWatch silence;
     private Runnable shortageListener = () -> {};
     private long nextNumber;
     private int open;
@@ -59,11 +60,15 @@
         this.pool = pool;
         this.rules = rules;
         this.residency = new MissingTargets(view);
+        this.silence = new SilenceWatch(view);
     }
 
     /** Starts to offer places to waiting requests. */
     public void start() {
         view.onChange(line::offer);
+        // A late tick is not made up for, or a pause of this process would count as silence of others.
+        loop.scheduleWithFixedDelay(
+                silence::tick, SilenceWatch.TICK_MILLIS, SilenceWatch.TICK_MILLIS, TimeUnit.MILLISECONDS);
         loop.scheduleAtFixedRate(this::tick, OFFER_MILLIS, OFFER_MILLIS, TimeUnit.MILLISECONDS);
     }
 
@@ -120,6 +125,10 @@
         return line;
     }
 
+    SilenceWatch silence() {
+        return silence;
+    }
+
     DecisionLog log() {
         return log;
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -37,6 +37,7 @@
     /** Counts the request at the instance. */
     void begin() {
         counted = true;
+        exchange.desk().silence().begin(instance.id(), this);
         state().ifPresent(InstanceState::sent);
         target().ifPresent(target -> exchange.desk().runs(target, 1));
     }
@@ -45,6 +46,7 @@
     void close() {
         if (counted) {
             counted = false;
+            exchange.desk().silence().end(instance.id(), this);
             state().ifPresent(InstanceState::ended);
             target().ifPresent(target -> exchange.desk().runs(target, -1));
         }
@@ -66,6 +68,21 @@
         return exchange.desk().view().instances().state(instance.id());
     }
 
+    /** Returns whether events of a stream are due from the instance. */
+    boolean streams() {
+        return head != null && body == null;
+    }
+
+    /**
+     * The instance has gone silent; the request goes on elsewhere if it may be repeated and another send is allowed.
+     */
+    void silent() {
+        if (exchange.isCurrent(this) && exchange.mayMove()) {
+            mayHaveRun();
+            fail("silence");
+        }
+    }
+
     private Optional<ModelTarget> target() {
         return exchange.target();
     }
@@ -75,6 +92,7 @@
         if (!exchange.isCurrent(this)) {
             return;
         }
+        exchange.desk().silence().heard(instance.id());
         head = answerHead;
         HttpHeaders passedOn = RequestHeaders.answer(response.headers());
         headers = passedOn;
@@ -118,6 +136,7 @@
         if (!exchange.isCurrent(this)) {
             return;
         }
+        exchange.desk().silence().heard(instance.id());
         if (body != null) {
             body.writeBytes(content);
             if (body.readableBytes() > LARGEST_PLAIN_ANSWER_BYTES) {
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.locks.LockSupport;
 
 /** An instance that behaves as told: it answers, breaks off, stays silent, or sends what nobody asked for. */
 public final class InstanceStandIn implements AutoCloseable {
@@ -25,16 +26,21 @@
         STREAM,
         /** Streams two events and a part of the third, and resets the connection. */
         TEAR_STREAM,
+        /** Streams two events and then stays silent with its connection open. */
+        STALL_STREAM,
         /** Reads the request and never answers. */
         SILENT,
         /** Reads the request and resets the connection. */
         RESET,
         /** Answers, and sends a second answer with another identifier. */
         EXTRA,
+        /** Answers after four seconds. */
+        SLOW,
         /** States that it did not run the request. */
         DECLINE
     }
 
+    private static final long SLOW_NANOS = 4_000_000_000L;
     private static final int EVENTS = 5;
     private static final int TORN_AFTER = 2;
 
@@ -137,6 +143,10 @@
         OutputStream output = socket.getOutputStream();
         switch (behaviour) {
             case ANSWER -> write(output, whole(requestId, "200 OK", "Response-Stamp: s\r\n", "done by " + id));
+            case SLOW -> {
+                LockSupport.parkNanos(SLOW_NANOS);
+                write(output, whole(requestId, "200 OK", "Response-Stamp: s\r\n", "done by " + id));
+            }
             case EXTRA -> {
                 write(output, whole(requestId, "200 OK", "Response-Stamp: s\r\n", "done by " + id));
                 write(output, whole("somebody-else", "200 OK", "Response-Stamp: s\r\n", "not yours"));
@@ -147,6 +157,7 @@
                 stream(output, requestId, first(request), TORN_AFTER);
                 return reset(socket);
             }
+            case STALL_STREAM -> stream(output, requestId, first(request), TORN_AFTER);
             case RESET -> {
                 return reset(socket);
             }
