--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -157,8 +157,10 @@
             giveUp("stopping");
             return;
         }
+        // The caller of a stream that has begun is as patient as before after its last event.
+        long waited = sink.started() ? 0 : age();
         WaitPolicy.Decision decision = WaitPolicy.decide(
-                admitted.route(), endMillis - arrivedMillis, age(), desk.expectedPlaceMillis(this, shortage), draw());
+                admitted.route(), endMillis - arrivedMillis, waited, desk.expectedPlaceMillis(this, shortage), draw());
         retryMillis = decision.retryMillis();
         if (decision.waitMillis() <= 0) {
             giveUp("no_place_" + shortage);
