Report start errors of the entry in one place and remove unused methods

GatewayMain handled the same two errors twice; busy() of the front server and its connections had no caller.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/GatewayMain.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/GatewayMain.java
@@ -26,7 +26,7 @@
      */
     public static void main(String[] arguments) {
         if (arguments.length == 1 && arguments[0].equals(DRY_RUN)) {
-            dryRun();
+            reportingErrors(GatewayMain::dryRun);
             return;
         }
         String path = arguments.length > 0 ? arguments[0] : System.getenv(SETTINGS_VARIABLE);
@@ -35,25 +35,19 @@
             System.exit(INVALID_SETTINGS);
             return;
         }
-        try {
-            Settings settings = new SettingsReader(GatewaySettings.SCHEMA).read(Path.of(path), List.of());
-            Gateway gateway = new Gateway(settings);
-            Runtime.getRuntime().addShutdownHook(new Thread(gateway::stop, "stop"));
-            gateway.start();
-            gateway.listen();
-        } catch (InvalidInputException exception) {
-            exception.findings().forEach(System.err::println);
-            System.exit(INVALID_SETTINGS);
-        } catch (IOException exception) {
-            System.err.println("oleandermoor: " + exception);
-            System.exit(INVALID_SETTINGS);
-        }
+        reportingErrors(() -> serve(path));
     }
 
-    private static void dryRun() {
+    /** Something that ends with findings or an error to report. */
+    @FunctionalInterface
+    private interface Action {
+
+        void run() throws IOException, InvalidInputException;
+    }
+
+    private static void reportingErrors(Action action) {
         try {
-            DryRun.run();
-            System.exit(0);
+            action.run();
         } catch (InvalidInputException exception) {
             exception.findings().forEach(System.err::println);
             System.exit(INVALID_SETTINGS);
@@ -62,4 +56,17 @@
             System.exit(INVALID_SETTINGS);
         }
     }
+
+    private static void serve(String path) throws IOException, InvalidInputException {
+        Settings settings = new SettingsReader(GatewaySettings.SCHEMA).read(Path.of(path), List.of());
+        Gateway gateway = new Gateway(settings);
+        Runtime.getRuntime().addShutdownHook(new Thread(gateway::stop, "stop"));
+        gateway.start();
+        gateway.listen();
+    }
+
+    private static void dryRun() throws IOException, InvalidInputException {
+        DryRun.run();
+        System.exit(0);
+    }
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/FrontConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/FrontConnection.java
@@ -85,10 +85,6 @@
         }
     }
 
-    boolean busy() {
-        return answering;
-    }
-
     void closeNow() {
         if (context != null) {
             context.close();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/FrontServer.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/FrontServer.java
@@ -116,11 +116,6 @@
         new ArrayList<>(connections).forEach(FrontConnection::closeNow);
     }
 
-    /** Returns whether a request is being answered. */
-    public boolean busy() {
-        return connections.stream().anyMatch(FrontConnection::busy);
-    }
-
     boolean stopping() {
         return desk.view().isStopping();
     }
