Pace prompts at engines and route by load before kept prompts

New lines for late streams show pauses of 155 to 265 ms between events on engines with 30 streams: several prompts were read at once, and a kept prompt part weighed as much as 10 requests, which sent everything to the same engine.

An entry now lets an engine read 1,000 prompt tokens at a time; kept prompt counts by tokens. A request that waits for a model that nobody holds counts as demand when a load must begin for it to be in time.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -15,13 +15,12 @@
 import io.oleandermoor.state.dispatch.InstanceTable.Selection;
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.dispatch.Prompt;
 import io.oleandermoor.state.dispatch.WaitPolicy;
 import io.oleandermoor.state.fleet.HostRoute;
 import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.fleet.UpstreamInstance;
-import java.util.ArrayList;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -57,7 +56,8 @@
     private final long arrivedMillis = Moment.steadyNow();
     private final long endMillis;
     private final Set<String> tried = new HashSet<>();
-    private final List<Long> promptKeys;
+    private final Prompt prompt;
+    private final StreamTimes times = new StreamTimes(arrivedMillis);
     private @Nullable ScheduledFuture<?> endTimer;
     private @Nullable ScheduledFuture<?> waitTimer;
     private UpstreamPool.@Nullable Cancellation cancellation;
@@ -97,17 +97,7 @@
                 admitted.route().timeoutMillis(),
                 admitted.caller().deadlineMillis().orElse(Long.MAX_VALUE / 2));
         this.endMillis = arrivedMillis + allowed;
-        this.promptKeys = promptKeys(admitted.caller());
-    }
-
-    private static List<Long> promptKeys(CallerRequest caller) {
-        List<Long> keys = new ArrayList<>();
-        long chain = caller.target().map(Object::hashCode).orElse(0);
-        for (CallerRequest.PromptPart part : caller.parts()) {
-            chain = chain * 1_000_003L + part.id().hashCode();
-            keys.add(chain);
-        }
-        return keys;
+        this.prompt = admitted.target().isPresent() ? Prompt.of(admitted.caller()) : Prompt.NONE;
     }
 
     int urgency() {
@@ -139,6 +129,14 @@
         return admitted.service() + " " + target().map(ModelTarget::toString).orElse("") + " " + tried;
     }
 
+    /**
+     * Returns whether what the request waits for is needed now: a model that nobody holds may be loaded later if the
+     * request still meets its target then, and more requests for it come meanwhile.
+     */
+    boolean presses() {
+        return WaitPolicy.presses(admitted.route(), age(), desk.expectedPlaceMillis(this, shortage));
+    }
+
     void start() {
         desk.allowance(admitted.service()).requested(arrivedMillis);
         long delay = Math.max(1, endMillis - arrivedMillis - ANSWER_MARGIN_MILLIS);
@@ -189,7 +187,7 @@
         if (done) {
             return true;
         }
-        InstanceTable.Query query = new InstanceTable.Query(admitted.service(), target(), promptKeys, tried);
+        InstanceTable.Query query = new InstanceTable.Query(admitted.service(), target(), prompt, tried);
         Selection selection = desk.view().instances().choose(query, Moment.steadyNow());
         if (selection.instance().isEmpty()) {
             shortage = selection.shortage().orElse(Shortage.FULL);
@@ -352,7 +350,7 @@
         }
         request.release();
         desk.closed();
-        desk.loop().execute(desk.line()::offer);
+        desk.offerSoon();
     }
 
     RequestDesk desk() {
@@ -367,8 +365,16 @@
         return sink;
     }
 
-    List<Long> promptKeys() {
-        return promptKeys;
+    Prompt prompt() {
+        return prompt;
+    }
+
+    StreamTimes times() {
+        return times;
+    }
+
+    int sends() {
+        return sends;
     }
 
     Optional<EventStream> stream() {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargets.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargets.java
@@ -16,8 +16,8 @@
     /** An adapter is there within some tens of milliseconds if its model is. */
     private static final long ADAPTER_MILLIS = 250;
 
-    /** Time for which a refused request counts as demand, about the time that it would have run. */
-    private static final long REFUSAL_MILLIS = 1_500;
+    /** Time for which a refused request counts as demand, less than the time that it would have run. */
+    private static final long REFUSAL_MILLIS = 600;
 
     private static final double MILLIS_PER_SECOND = 1_000;
     /** Load time to expect of a model that the configuration does not name. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
@@ -33,6 +33,7 @@
     private final MissingTargets residency;
     private final SilenceWatch silence;
     private Runnable shortageListener = () -> {};
+    private boolean offering;
     private long nextNumber;
     private int open;
 
@@ -163,6 +164,17 @@
                 .orElse(SHORT_WAIT_MILLIS);
     }
 
+    /** Offers the places that have become free, once all events that have come are taken in. */
+    void offerSoon() {
+        if (!offering && line.size() > 0) {
+            offering = true;
+            loop.execute(() -> {
+                offering = false;
+                line.offer();
+            });
+        }
+    }
+
     long nextNumber() {
         open++;
         return nextNumber++;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -9,6 +9,7 @@
 import io.oleandermoor.platform.RequestHeaders;
 import io.oleandermoor.platform.RequestHeaders.AnswerHead;
 import io.oleandermoor.state.dispatch.InstanceState;
+import io.oleandermoor.state.dispatch.InstanceTable;
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.fleet.RequestKind;
 import io.oleandermoor.state.fleet.UpstreamInstance;
@@ -27,25 +28,43 @@
     private @Nullable HttpHeaders headers;
     private @Nullable ByteBuf body;
     private boolean counted;
+    private long unread;
+    private final int loadSent;
     private boolean ran;
 
     SendAttempt(Exchange exchange, UpstreamInstance instance) {
         this.exchange = exchange;
         this.instance = instance;
+        this.loadSent = exchange.desk().view().instances().load(instance.id());
     }
 
     /** Counts the request at the instance. */
     void begin() {
         counted = true;
         exchange.desk().silence().begin(instance.id(), this);
-        state().ifPresent(InstanceState::sent);
+        unread = exchange.prompt().tokens();
+        state().ifPresent(state -> {
+            state.sent();
+            state.promptSent(unread);
+        });
         target().ifPresent(target -> exchange.desk().runs(target, 1));
     }
 
+    /** The instance has answered or the send has ended: the prompt no longer keeps others from being read. */
+    private void promptRead() {
+        if (unread > 0) {
+            long tokens = unread;
+            unread = 0;
+            state().ifPresent(state -> state.promptRead(tokens));
+            exchange.desk().offerSoon();
+        }
+    }
+
     /** Ends the count and releases what was kept of the answer. */
     void close() {
         if (counted) {
             counted = false;
+            promptRead();
             exchange.desk().silence().end(instance.id(), this);
             state().ifPresent(InstanceState::ended);
             target().ifPresent(target -> exchange.desk().runs(target, -1));
@@ -112,7 +131,7 @@
     }
 
     private void beginStream(int status, HttpHeaders streamHeaders) {
-        state().ifPresent(state -> state.keeps(exchange.promptKeys()));
+        state().ifPresent(state -> state.keeps(exchange.prompt()));
         exchange.stream()
                 .ifPresentOrElse(
                         EventStream::resume,
@@ -137,6 +156,7 @@
             return;
         }
         exchange.desk().silence().heard(instance.id());
+        promptRead();
         if (body != null) {
             body.writeBytes(content);
             if (body.readableBytes() > LARGEST_PLAIN_ANSWER_BYTES) {
@@ -147,6 +167,7 @@
         exchange.stream().ifPresent(events -> {
             ByteBuf whole = events.take(content);
             if (whole.isReadable()) {
+                exchange.times().event(Moment.steadyNow());
                 exchange.sink().part(whole);
             } else {
                 whole.release();
@@ -203,11 +224,32 @@
             return;
         }
         state().ifPresent(state -> state.succeeded(Moment.steadyNow()));
+        if (exchange.times().late(exchange.admitted().route())) {
+            logLate();
+        }
         exchange.settleSend();
         exchange.finish();
         exchange.sink().end();
     }
 
+    private void logLate() {
+        InstanceTable instances = exchange.desk().view().instances();
+        exchange.desk()
+                .log()
+                .decided(
+                        "late",
+                        "request={} route={} target={} instance={} first_ms={} pause_ms={} sends={} load_sent={} load={}",
+                        exchange.admitted().caller().id(),
+                        exchange.admitted().route().name(),
+                        target().map(ModelTarget::toString).orElse("-"),
+                        instance.id(),
+                        exchange.times().firstDelayMillis(),
+                        exchange.times().longestPauseMillis(),
+                        exchange.sends(),
+                        loadSent,
+                        instances.load(instance.id()));
+    }
+
     private void notRun(AnswerHead answer) {
         long now = Moment.steadyNow();
         state().ifPresent(state -> {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/WaitingLine.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/WaitingLine.java
@@ -44,9 +44,13 @@
         new ArrayList<>(waiting).forEach(Exchange::stopping);
     }
 
+    /** Returns the requests for each target, without those for which a load may begin later and is still in time. */
     Map<ModelTarget, Integer> byTarget() {
         Map<ModelTarget, Integer> counts = new HashMap<>();
         for (Exchange exchange : waiting) {
+            if (!exchange.presses()) {
+                continue;
+            }
             exchange.target().ifPresent(target -> counts.merge(target, 1, Integer::sum));
         }
         return counts;
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
@@ -3,7 +3,6 @@
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -31,6 +30,7 @@
     private Map<String, Set<String>> models;
     private long orderedMillis = Long.MIN_VALUE / 2;
     private int ownLoad;
+    private long unreadTokens;
     private int failuresInRow;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private double failureRate;
@@ -106,6 +106,21 @@
         ownLoad = Math.max(0, ownLoad - 1);
     }
 
+    /** Counts a prompt that is sent and of whose answer nothing has come yet. */
+    public void promptSent(long tokens) {
+        unreadTokens += tokens;
+    }
+
+    /** Counts a prompt that has been read, or whose request has ended. */
+    public void promptRead(long tokens) {
+        unreadTokens = Math.max(0, unreadTokens - tokens);
+    }
+
+    /** Returns the prompt tokens that this entry has sent and that the instance has not answered yet. */
+    public long unreadTokens() {
+        return unreadTokens;
+    }
+
     /** Returns whether new requests may be sent. */
     public boolean usable(long nowMillis) {
         return !instance.draining() && nowMillis >= pausedUntilMillis;
@@ -169,18 +184,19 @@
     }
 
     /** Records the parts of a prompt that the instance has read. */
-    public void keeps(List<Long> promptKeys) {
-        promptKeys.forEach(key -> keptParts.put(key, true));
+    public void keeps(Prompt prompt) {
+        prompt.keys().forEach(key -> keptParts.put(key, true));
     }
 
-    double keptShare(List<Long> promptKeys) {
-        int kept = 0;
-        for (Long key : promptKeys) {
-            if (!keptParts.containsKey(key)) {
+    /** Returns the tokens at the start of a prompt that the instance has read for an earlier request. */
+    long keptTokens(Prompt prompt) {
+        long kept = 0;
+        for (int part = 0; part < prompt.keys().size(); part++) {
+            if (!keptParts.containsKey(prompt.keys().get(part))) {
                 break;
             }
-            kept++;
+            kept += prompt.partTokens().get(part);
         }
-        return promptKeys.isEmpty() ? 0 : (double) kept / promptKeys.size();
+        return kept;
     }
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -4,7 +4,6 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -17,14 +16,21 @@
  */
 public final class InstanceTable {
 
-    /** Load fraction that an instance in another failure domain must be better by; its bytes cost more. */
-    private static final double OTHER_DOMAIN_PENALTY = 0.08;
+    /** Load fraction that an instance in another failure domain must be better by; a millisecond more is little. */
+    private static final double OTHER_DOMAIN_PENALTY = 0.02;
     /** Load fraction by which choices of several entries with the same view are spread. */
     private static final double NOISE = 0.04;
     /** Load fraction that a failure rate of 1 adds. */
     private static final double FAILURE_PENALTY = 3.0;
-    /** Load fraction that a prompt which is kept in full is worth. */
-    private static final double AFFINITY_BONUS = 0.25;
+    /**
+     * Load fraction that a prompt which is kept in full is worth: the reading of a prompt costs a few streams' steps.
+     */
+    private static final double AFFINITY_BONUS = 0.08;
+    /**
+     * Prompt tokens that one entry lets an engine read at a time. An engine reads prompts between the tokens of its
+     * streams; several prompts of a thousand tokens at once make all of them pause for longer than callers accept.
+     */
+    private static final long UNREAD_TOKENS = 1_000;
     /** Requests beyond its slots that a plain instance is given, relative to its slots; it works them off in turn. */
     private static final double PLAIN_DEPTH = 2.0;
 
@@ -49,10 +55,10 @@
      *
      * @param service the service
      * @param target the model or adapter, empty for a plain service
-     * @param promptKeys keys of the prompt's parts, shared ones first
+     * @param prompt the prompt
      * @param excluded instances that the request was already sent to
      */
-    public record Query(String service, Optional<ModelTarget> target, List<Long> promptKeys, Set<String> excluded) {}
+    public record Query(String service, Optional<ModelTarget> target, Prompt prompt, Set<String> excluded) {}
 
     /** Why no instance can take a request now. */
     public enum Shortage {
@@ -146,7 +152,7 @@
             resident = true;
             int load = load(instance.id());
             double depth = query.target().isPresent() ? 1.0 : PLAIN_DEPTH;
-            if (load >= instance.slots() * depth) {
+            if (load >= instance.slots() * depth || reading(state, query.prompt())) {
                 continue;
             }
             candidates++;
@@ -163,6 +169,10 @@
         return new Selection(Optional.empty(), Optional.of(shortage), 0);
     }
 
+    private static boolean reading(InstanceState state, Prompt prompt) {
+        return state.unreadTokens() > 0 && state.unreadTokens() + prompt.tokens() > UNREAD_TOKENS;
+    }
+
     private double cost(InstanceState state, Query query, int load, long nowMillis) {
         UpstreamInstance instance = state.instance();
         double cost = (double) load / Math.max(1, instance.slots());
@@ -170,7 +180,9 @@
             cost += OTHER_DOMAIN_PENALTY;
         }
         cost += FAILURE_PENALTY * state.failureRate(nowMillis);
-        cost -= AFFINITY_BONUS * state.keptShare(query.promptKeys());
+        cost -= AFFINITY_BONUS
+                * state.keptTokens(query.prompt())
+                / Math.max(1, query.prompt().tokens());
         return cost + random.nextDouble() * NOISE;
     }
 }
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/Prompt.java
@@ -0,0 +1,42 @@
+package io.oleandermoor.state.dispatch;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * The prompt of a request as far as it matters for where it is read.
+ *
+ * @param tokens the length of the whole prompt
+ * @param keys one key for each part that requests may share; a key covers all parts before it and the target
+ * @param partTokens the length of each part
+ */
+public record Prompt(long tokens, List<Long> keys, List<Long> partTokens) {
+
+    /** The prompt of a request that states none. */
+    public static final Prompt NONE = new Prompt(0, List.of(), List.of());
+
+    private static final long KEY_FACTOR = 1_000_003L;
+
+    /** Copies the parts. */
+    public Prompt {
+        keys = List.copyOf(keys);
+        partTokens = List.copyOf(partTokens);
+        if (keys.size() != partTokens.size()) {
+            throw new IllegalArgumentException(
+                    "prompt has " + keys.size() + " keys and " + partTokens.size() + " part lengths");
+        }
+    }
+
+    /** Returns the prompt that a caller states. */
+    public static Prompt of(CallerRequest caller) {
+        List<Long> keys = new ArrayList<>();
+        List<Long> partTokens = new ArrayList<>();
+        long key = caller.target().map(Object::hashCode).orElse(0);
+        for (CallerRequest.PromptPart part : caller.parts()) {
+            key = key * KEY_FACTOR + part.id().hashCode();
+            keys.add(key);
+            partTokens.add(part.tokens());
+        }
+        return new Prompt(caller.tokens().map(CallerRequest.Tokens::prompt).orElse(0L), keys, partTokens);
+    }
+}
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/WaitPolicy.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/WaitPolicy.java
@@ -19,6 +19,9 @@
     /** Time from the first request for a model that nobody holds until its load begins, and for the load to be seen. */
     private static final long LOAD_OVERHEAD_MILLIS = 1_200;
 
+    /** Time for the model that yields to end its runs, and for the prompt to be read. */
+    private static final long PRESS_MARGIN_MILLIS = 1_000;
+
     private static final long LEAST_RETRY_MILLIS = 200;
     /** The largest part of a pause by which callers are spread, so that they do not return together. */
     private static final double SPREAD = 0.3;
@@ -61,6 +64,18 @@
         return new Decision(expectedMillis > left ? 0 : left, retry);
     }
 
+    /**
+     * Returns whether what a request waits for is needed now, or its first event comes too late. Answers batch requests
+     * for models that take turns on few places.
+     *
+     * @param route the route
+     * @param waitedMillis the time since the request came
+     * @param expectedMillis the time that it takes to get what the request waits for
+     */
+    public static boolean presses(HostRoute route, long waitedMillis, long expectedMillis) {
+        return waitedMillis + expectedMillis + PRESS_MARGIN_MILLIS >= route.latencyTargetMillis();
+    }
+
     /**
      * Returns the expected time until a model is there that nobody holds.
      *
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
@@ -33,7 +33,7 @@
     }
 
     private static Query query(String target, String... excluded) {
-        return new Query("words", Optional.of(ModelTarget.parse(target)), List.of(), Set.of(excluded));
+        return new Query("words", Optional.of(ModelTarget.parse(target)), Prompt.NONE, Set.of(excluded));
     }
 
     private Optional<String> chosen(Query query) {
@@ -51,6 +51,41 @@
             assertThat(chosen(query("m"))).contains("two");
         }
 
+        /** Guards against prompts that an engine reads together, for which all of its streams pause. */
+        @Test
+        void letsAnEngineReadOneLongPromptAtATime() {
+            Prompt prompt = new Prompt(700, List.of(), List.of());
+            Query query = new Query("words", Optional.of(ModelTarget.parse("m")), prompt, Set.of());
+            table.put(instance("one", false, 1), 0);
+            InstanceState one = table.state("one").orElseThrow();
+            one.sent();
+            one.promptSent(prompt.tokens());
+            assertThat(table.choose(query, 0).shortage()).contains(Shortage.FULL);
+            one.promptRead(prompt.tokens());
+            assertThat(chosen(query)).contains("one");
+        }
+
+        /** Guards against a prompt that is larger than what an engine may read at a time and never finds a place. */
+        @Test
+        void sendsAPromptOfAnySizeToAnEngineThatReadsNone() {
+            Prompt prompt = new Prompt(1_000_000, List.of(), List.of());
+            table.put(instance("one", false, 1), 0);
+            assertThat(chosen(new Query("words", Optional.of(ModelTarget.parse("m")), prompt, Set.of())))
+                    .contains("one");
+        }
+
+        /** Guards against all requests with a common beginning going to one crowded engine, while others are idle. */
+        @Test
+        void aKeptBeginningDoesNotOutweighACrowdedEngine() {
+            Prompt prompt = new Prompt(700, List.of(1L, 2L), List.of(100L, 600L));
+            table.put(instance("one", false, 1), 0);
+            table.put(instance("two", false, 1), 0);
+            table.state("one").orElseThrow().keeps(new Prompt(700, List.of(1L), List.of(100L)));
+            table.peerLoad("other-entry", Map.of("one", 1));
+            Query query = new Query("words", Optional.of(ModelTarget.parse("m")), prompt, Set.of());
+            assertThat(chosen(query)).contains("two");
+        }
+
         @Test
         void passesOverLeavingAndExcludedInstances() {
             table.put(instance("one", true, 1), 0);
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/WaitPolicyTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/WaitPolicyTest.java
@@ -51,4 +51,15 @@
         assertThat(WaitPolicy.decide(route, 2_000, 0, 5_000, 0.9).retryMillis())
                 .isGreaterThan(WaitPolicy.decide(route, 2_000, 0, 5_000, 0).retryMillis());
     }
+
+    /** Guards against batch requests that have models exchanged one by one, though they could wait and share a load. */
+    @Test
+    void aRequestWithAFarTargetDoesNotPressAtOnce() {
+        assertThat(WaitPolicy.presses(route(RequestKind.STREAMING, 5_000), 0, 1_200))
+                .isFalse();
+        assertThat(WaitPolicy.presses(route(RequestKind.STREAMING, 5_000), 3_000, 1_200))
+                .isTrue();
+        assertThat(WaitPolicy.presses(route(RequestKind.STREAMING, 500), 0, 1_200))
+                .isTrue();
+    }
 }
