Place models by the harm that callers take, not by crowded copies

LEAST_HARM makes the move that lessens most: load squared of engines up to one for each request, missing models, single copies, less what the yielding model's callers lose until the load is done. CROWDED_COPIES stays as the other value of orders.placement. The unused orders.load-window is removed.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -90,7 +90,14 @@
         exchange = new PeerExchange(loop, view, demands, membership::peers, desk::demand);
         lease = new OrderLease(
                 loop, store, name, settings.get(GatewaySettings.HOLDER_GAP).toMillis());
-        orders = new OrderGiver(loop, view, demands, lease, new EngineClient(loop, ORDER_TIMEOUT_MILLIS), exchange);
+        orders = new OrderGiver(
+                loop,
+                view,
+                demands,
+                lease,
+                new EngineClient(loop, ORDER_TIMEOUT_MILLIS),
+                exchange,
+                settings.get(GatewaySettings.PLACEMENT));
     }
 
     private long keyLimitMillis() {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrders.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrders.java
@@ -174,6 +174,9 @@
     private void unclear() {
         waitingForAnswer = false;
         doubtful = true;
+        // Whether the order is carried out is not known, so nothing may count on its model.
+        incoming = "";
+        roomMade = false;
         reportDueMillis = Moment.steadyNow() + REPORT_LAG_MILLIS;
     }
 
@@ -193,7 +196,6 @@
                 }
             }
             default -> {
-                incomingUntilMillis = 0;
                 LOG.warn(
                         "event=order_declined instance={} target={} answer={} sequence={}",
                         id(),
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderGiver.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderGiver.java
@@ -12,6 +12,7 @@
 import io.oleandermoor.state.fleet.UpstreamService;
 import io.oleandermoor.state.residency.DemandBoard;
 import io.oleandermoor.state.residency.EngineView;
+import io.oleandermoor.state.residency.PlacementPolicy;
 import io.oleandermoor.state.residency.PlannedOrder;
 import io.oleandermoor.state.residency.ResidencyPlanner;
 import java.util.ArrayList;
@@ -40,6 +41,7 @@
     private final OrderLease lease;
     private final EngineClient engines;
     private final PeerExchange exchange;
+    private final PlacementPolicy policy;
     private final Map<String, EngineOrders> orders = new HashMap<>();
     private final Map<String, ResidencyPlanner> planners = new HashMap<>();
     private final Map<String, EngineProfile> profiles = new HashMap<>();
@@ -55,6 +57,7 @@
      * @param lease the right to give orders
      * @param engines the client for orders
      * @param exchange tells the other entries what engines hold
+     * @param policy how models are spread over engines
      */
     public OrderGiver(
             EventLoop loop,
@@ -62,13 +65,15 @@
             DemandBoard demands,
             OrderLease lease,
             EngineClient engines,
-            PeerExchange exchange) {
+            PeerExchange exchange,
+            PlacementPolicy policy) {
         this.loop = loop;
         this.view = view;
         this.demands = demands;
         this.lease = lease;
         this.engines = engines;
         this.exchange = exchange;
+        this.policy = policy;
     }
 
     /** Starts to plan. */
@@ -104,7 +109,7 @@
 
     private void plan(String service, EngineProfile profile, long now) {
         if (!profile.equals(profiles.put(service, profile))) {
-            planners.put(service, new ResidencyPlanner(profile));
+            planners.put(service, new ResidencyPlanner(profile, policy));
         }
         List<EngineView> views = new ArrayList<>();
         for (InstanceState state : view.instances().all()) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
@@ -1,5 +1,6 @@
 package io.oleandermoor.gateway.settings;
 
+import io.oleandermoor.state.residency.PlacementPolicy;
 import io.oleandermoor.transport.settings.Address;
 import io.oleandermoor.transport.settings.Setting;
 import io.oleandermoor.transport.settings.SettingsSchema;
@@ -56,10 +57,10 @@
     public static final Setting<Duration> HOLDER_GAP =
             Setting.duration("orders.holder-gap", "Time that passes between the orders of two entries to one engine.");
 
-    /** Window in which loads are counted. */
-    public static final Setting<Duration> LOAD_WINDOW = Setting.duration(
-                    "orders.load-window", "Length of the window in which loads from the weight store are counted.")
-            .defaultingTo("5s");
+    /** How models are spread. */
+    public static final Setting<PlacementPolicy> PLACEMENT = Setting.choice(
+                    "orders.placement", PlacementPolicy.class, "How models are spread over engines.")
+            .defaultingTo("LEAST_HARM");
 
     /** All settings. */
     public static final SettingsSchema SCHEMA = SettingsSchema.builder(
@@ -77,7 +78,7 @@
                     RETRY_RATIO,
                     RETRY_FIXED,
                     HOLDER_GAP,
-                    LOAD_WINDOW)
+                    PLACEMENT)
             .build();
 
     private GatewaySettings() {}
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/DemandBoard.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/DemandBoard.java
@@ -14,6 +14,8 @@
 
     /** Time constant of the smoothed demand; shorter than the seconds within which the demand for a model rises. */
     private static final double SMOOTHING_MILLIS = 2_500;
+    /** Time constant of the demand from which a rise is told early; long enough to pass over single requests. */
+    private static final double QUICK_MILLIS = 800;
 
     private final Map<String, Map<ModelTarget, Wanted>> byEntry = new HashMap<>();
     private final Map<ModelTarget, Demand> demands = new HashMap<>();
@@ -31,6 +33,7 @@
     public static final class Demand {
 
         private double smoothed;
+        private double quick;
         private int waiting;
         private int present;
         private long lastWantedMillis = Long.MIN_VALUE / 2;
@@ -40,6 +43,14 @@
             return smoothed;
         }
 
+        /**
+         * Returns the number of requests that run or wait soon: a demand that rises goes on to rise for as long again
+         * as the two time constants lie apart, one that falls is not expected to fall further.
+         */
+        public double forecast() {
+            return quick + Math.max(0, quick - smoothed);
+        }
+
         /** Returns the requests that wait now. */
         public int waiting() {
             return waiting;
@@ -69,6 +80,7 @@
     /** Adds up the entries and smooths. */
     public void update(long nowMillis) {
         double keep = Math.exp(-Math.max(0, nowMillis - updatedMillis) / SMOOTHING_MILLIS);
+        double keepQuick = Math.exp(-Math.max(0, nowMillis - updatedMillis) / QUICK_MILLIS);
         updatedMillis = nowMillis;
         Map<ModelTarget, Wanted> totals = new HashMap<>();
         for (Map<ModelTarget, Wanted> entry : byEntry.values()) {
@@ -85,6 +97,7 @@
             demand.waiting = total.waiting();
             demand.present = total.running() + total.waiting();
             demand.smoothed = demand.smoothed * keep + demand.present * (1 - keep);
+            demand.quick = demand.quick * keepQuick + demand.present * (1 - keepQuick);
             if (demand.present > 0) {
                 demand.lastWantedMillis = nowMillis;
             }
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/EngineMemory.java
@@ -0,0 +1,43 @@
+package io.oleandermoor.state.residency;
+
+import io.oleandermoor.state.fleet.EngineProfile;
+import io.oleandermoor.state.fleet.ModelProfile;
+import java.util.Map;
+import java.util.Set;
+
+/** What fits into the memory for weights of an engine. */
+final class EngineMemory {
+
+    private final EngineProfile profile;
+    private final double adapterReserve;
+
+    EngineMemory(EngineProfile profile) {
+        this.profile = profile;
+        double largest = profile.models().values().stream()
+                .mapToDouble(ModelProfile::adapterMegabytes)
+                .max()
+                .orElse(0);
+        // The memory that adapters may take later is kept free, so that loading one never needs a model to yield.
+        this.adapterReserve = largest * profile.adapterSlots();
+    }
+
+    boolean fits(EngineView engine, String model) {
+        return fitsWithout(engine, "", model);
+    }
+
+    /** Returns whether a model fits once another one, if any, has yielded with its adapters. */
+    boolean fitsWithout(EngineView engine, String yielding, String model) {
+        double used = 0;
+        for (Map.Entry<String, Set<String>> held : engine.models().entrySet()) {
+            if (!held.getKey().equals(yielding)) {
+                used += size(held.getKey());
+            }
+        }
+        return used + adapterReserve + size(model) <= profile.weightMegabytes();
+    }
+
+    private double size(String model) {
+        ModelProfile known = profile.models().get(model);
+        return known == null ? 0 : known.megabytes();
+    }
+}
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/ResidencyPlannerTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/ResidencyPlannerTest.java
@@ -27,7 +27,7 @@
                     "fourth", model("fourth", 72_000, 0),
                     "small", model("small", 42_000, 0)));
 
-    private final ResidencyPlanner planner = new ResidencyPlanner(PROFILE);
+    private final ResidencyPlanner planner = new ResidencyPlanner(PROFILE, PlacementPolicy.CROWDED_COPIES);
     private final DemandBoard board = new DemandBoard();
 
     private static ModelProfile model(String name, double megabytes, int adapters) {
