Charge entries once, take the order right by the watch, relieve overloaded copies

What an entry has granted is now kept. Entries that started together count what accrued between their start and their first configuration. The harm now grows on, a missing model weighs more. Cause 4: four of five entries read the holder of the order right every 0.7 to 1 s; they now watch it.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/GatewayMain.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/GatewayMain.java
@@ -1,6 +1,7 @@
 package io.oleandermoor.gateway;
 
 import io.oleandermoor.gateway.settings.GatewaySettings;
+import io.oleandermoor.gateway.view.Moment;
 import io.oleandermoor.state.finding.InvalidInputException;
 import io.oleandermoor.transport.settings.Settings;
 import io.oleandermoor.transport.settings.SettingsReader;
@@ -29,6 +30,7 @@
             reportingErrors(GatewayMain::dryRun);
             return;
         }
+        Moment.processStart();
         String path = arguments.length > 0 ? arguments[0] : System.getenv(SETTINGS_VARIABLE);
         if (path == null) {
             System.err.println("oleandermoor: " + SETTINGS_VARIABLE + " must hold the path of the settings file");
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
@@ -1,10 +1,12 @@
 package io.oleandermoor.gateway.order;
 
 import io.netty.channel.EventLoop;
+import io.oleandermoor.gateway.follow.StoreFollower;
 import io.oleandermoor.gateway.view.Moment;
 import io.oleandermoor.platform.StoreClient;
 import io.oleandermoor.platform.StoreException;
 import io.oleandermoor.platform.StoreItem;
+import io.oleandermoor.platform.StoreReading;
 import io.reactivex.rxjava3.core.Single;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -26,17 +28,22 @@
 public final class OrderLease {
 
     private static final Logger LOG = LogManager.getLogger(OrderLease.class);
-    private static final String HOLDER_KEY = "oleandermoor/orders/holder";
+    private static final String PREFIX = "oleandermoor/orders/";
+    private static final String HOLDER_KEY = PREFIX + "holder";
     /** Stays when the lease ends, and tells the next holder whether another entry gave the last orders. */
-    private static final String LAST_KEY = "oleandermoor/orders/last";
+    private static final String LAST_KEY = PREFIX + "last";
+    /** The end of a lease is heard at once by the watch; reading all again makes up for a watch that missed it. */
+    private static final StoreFollower.Pace PACE = new StoreFollower.Pace(8_000, 50, 8_000);
 
     private static final long LEASE_MILLIS = 2_000;
     private static final long RENEW_MILLIS = 500;
     private static final long RETRY_MILLIS = 200;
     /** The right ends this long before the store ends the lease: time for an order that is on its way. */
     private static final long MARGIN_MILLIS = 400;
-    /** Entries without the right look at it this often, spread so that they do not ask together. */
-    private static final long LOOK_MILLIS = 700;
+    /** Entries try to take a free right within this time, spread so that they do not ask together. */
+    private static final long SPREAD_MILLIS = 150;
+    /** Time until the next try after one that failed. */
+    private static final long NEXT_TRY_MILLIS = 700;
 
     private final EventLoop loop;
     private final StoreClient store;
@@ -47,6 +54,8 @@
     private long orderableMillis;
     private boolean holder;
     private boolean stopped;
+    private boolean trying;
+    private Optional<StoreItem> present = Optional.empty();
     private @Nullable Moment renewed;
 
     /**
@@ -66,7 +75,7 @@
 
     /** Starts to ask for the right. */
     public void start() {
-        look();
+        new StoreFollower(loop, store, PREFIX, PACE, new Holder()).start();
     }
 
     /** Returns whether this entry may send an order now. */
@@ -97,30 +106,51 @@
         LOG.warn("event=orders_release_failed entry={} cause=\"{}\"", entry, cause.getMessage());
     }
 
-    private void look() {
-        if (stopped) {
-            return;
+    private final class Holder implements StoreFollower.Listener {
+
+        @Override
+        public void all(StoreReading reading, Moment asked) {
+            present = Optional.empty();
+            changes(reading, asked);
+        }
+
+        @Override
+        public void changes(StoreReading reading, Moment asked) {
+            reading.items().stream()
+                    .filter(item -> item.key().equals(HOLDER_KEY))
+                    .forEach(item -> present = item.removed() ? Optional.empty() : Optional.of(item));
+            tryLater(SPREAD_MILLIS);
         }
-        store.read(HOLDER_KEY).subscribe(this::looked, cause -> lookLater());
     }
 
-    private void lookLater() {
-        long delay = LOOK_MILLIS + ThreadLocalRandom.current().nextLong(LOOK_MILLIS / 2);
-        loop.schedule(this::look, delay, TimeUnit.MILLISECONDS);
+    /** Tries to take the right after a while if it is free then. */
+    private void tryLater(long delayMillis) {
+        if (!trying && isFree()) {
+            trying = true;
+            long delay = ThreadLocalRandom.current().nextLong(delayMillis) + delayMillis / 2;
+            loop.schedule(this::tryToTake, delay, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Returns whether nobody holds the right; a holder of the same name is this entry before its restart. */
+    private boolean isFree() {
+        return !stopped
+                && !holder
+                && present.map(OrderLease::text).orElse(entry).equals(entry);
     }
 
-    private void looked(Optional<StoreItem> item) {
-        // A holder of the same name is this entry before its restart.
-        if (item.isPresent() && !text(item.get()).equals(entry)) {
-            lookLater();
+    private void tryToTake() {
+        if (!isFree()) {
+            trying = false;
             return;
         }
         Moment asked = Moment.now();
         byte[] name = entry.getBytes(StandardCharsets.UTF_8);
+        // The state on which the decision rests, not a later one: another entry may take the right meanwhile.
+        long holderRevision = present.map(StoreItem::revision).orElse(0L);
         Single.zip(store.read(LAST_KEY), store.grantLease(LEASE_MILLIS), Claim::new)
                 .flatMap(claim -> {
                     lease = claim.lease();
-                    long holderRevision = item.map(StoreItem::revision).orElse(0L);
                     long lastRevision = claim.last().map(StoreItem::revision).orElse(0L);
                     boolean other = claim.last().isPresent()
                             && !text(claim.last().get()).equals(entry);
@@ -129,14 +159,21 @@
                                     new StoreClient.ConditionalWrite(LAST_KEY, lastRevision, name, 0)))
                             .map(revision -> new Term(revision, other));
                 })
-                .subscribe(term -> taken(term, asked), cause -> lookLater());
+                .subscribe(term -> taken(term, asked), this::notTaken);
     }
 
     private static String text(StoreItem item) {
         return new String(item.value(), StandardCharsets.UTF_8);
     }
 
+    private void notTaken(Throwable cause) {
+        LOG.info("event=orders_not_taken entry={} cause=\"{}\"", entry, cause.getMessage());
+        trying = false;
+        tryLater(NEXT_TRY_MILLIS);
+    }
+
     private void taken(Term term, Moment asked) {
+        trying = false;
         holder = true;
         token = term.token();
         renewed = asked;
@@ -164,7 +201,7 @@
         if (over) {
             LOG.warn("event=orders_lost entry={} token={} cause=\"{}\"", entry, token, cause.getMessage());
             holder = false;
-            lookLater();
+            tryLater(NEXT_TRY_MILLIS);
         } else {
             loop.schedule(this::renew, RETRY_MILLIS, TimeUnit.MILLISECONDS);
         }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -47,6 +47,9 @@
     /** What engines hold is repeated at this interval, so that a lost datagram is made good. */
     private static final long RESIDENTS_MILLIS = 400;
 
+    /** Entries that started within this time of each other were down together. */
+    private static final long TOGETHER_MILLIS = 1_500;
+
     private static final int LARGEST_DATAGRAM_BYTES = 32 << 10;
 
     private final EventLoop loop;
@@ -58,6 +61,7 @@
     private final long startedMillis = Moment.steadyNow();
     private final Map<String, Long> incarnations = new HashMap<>();
     private final Map<String, EngineResidents> residents = new HashMap<>();
+    private boolean olderPeer;
     private boolean holder;
     private boolean residentsChanged;
     private long residentsMillis;
@@ -140,6 +144,7 @@
         }
         sentMillis = Moment.steadyNow();
         view.silentPeers().forEach(view.instances()::forgetPeer);
+        view.settleStart(olderPeer);
         view.refill();
         Map<ModelTarget, DemandBoard.Wanted> own = ownDemand.get();
         demands.report(view.entry(), own);
@@ -181,6 +186,7 @@
         Long before = incarnations.put(peer, report.getIncarnation());
         boolean restarted = before == null || before != report.getIncarnation();
         boolean older = report.getUptimeMillis() > Moment.steadyNow() - startedMillis;
+        olderPeer |= report.getUptimeMillis() > Moment.steadyNow() - startedMillis + TOGETHER_MILLIS;
         report.getGrantedTokensMap()
                 .forEach((team, granted) ->
                         view.bucket(team).ifPresent(bucket -> bucket.peerGranted(peer, granted, restarted, older)));
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/FleetView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/FleetView.java
@@ -11,11 +11,14 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 
 /** What this entry believes about its deployment. Used on the event loop only. */
 public final class FleetView {
 
+    private static final Logger LOG = LogManager.getLogger(FleetView.class);
     /** Time without a report after which another entry counts as silent: four reports. */
     private static final long SILENT_MILLIS = 450;
 
@@ -27,6 +30,9 @@
     private Set<String> peers = Set.of();
     private @Nullable FleetDocument document;
     private @Nullable Moment confirmed;
+    private boolean peersKnown;
+    private boolean startSettled;
+    private long documentMillis;
     private boolean instancesKnown;
     private boolean member;
     private boolean stopping;
@@ -72,8 +78,11 @@
         if (document != null && next.version() <= document.version()) {
             return false;
         }
-        document = next;
         long now = Moment.steadyNow();
+        if (document == null) {
+            documentMillis = now;
+        }
+        document = next;
         Set<String> limited = new HashSet<>();
         for (TeamLimits team : next.teams()) {
             if (team.limited()) {
@@ -130,6 +139,7 @@
     /** Replaces the other registered entries. */
     public void peers(Set<String> names) {
         peers = Set.copyOf(names);
+        peersKnown = true;
         peersHeard.keySet().retainAll(names);
         buckets.values().forEach(bucket -> bucket.retain(names));
         instances.retainPeers(names);
@@ -140,6 +150,27 @@
         peersHeard.put(peer, Moment.steadyNow());
     }
 
+    /**
+     * Settles what the buckets hold at the start. If all entries started together, nobody granted anything while they
+     * were down, so what accrued between the start of this process and its first configuration is there; with an older
+     * entry among them that one may have granted it.
+     *
+     * @param olderPeer whether an entry has been heard that started before this one
+     */
+    public void settleStart(boolean olderPeer) {
+        if (startSettled || document == null || !member || !peersKnown) {
+            return;
+        }
+        if (olderPeer) {
+            startSettled = true;
+        } else if (silentPeers().isEmpty()) {
+            startSettled = true;
+            long down = documentMillis - Moment.processStart().steadyMillis();
+            buckets.values().forEach(bucket -> bucket.accruedWhileDown(down));
+            LOG.info("event=started_together entries={} accrued_ms={}", entryCount(), down);
+        }
+    }
+
     /** Returns the number of entries, this one included. */
     public int entryCount() {
         return peers.size() + 1;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/Moment.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/Moment.java
@@ -12,6 +12,14 @@
 
     private static final long NANOS_PER_MILLI = 1_000_000;
 
+    /** When this class was loaded, which a process does first. */
+    private static final Moment PROCESS_START = now();
+
+    /** Returns the moment at which the process started. */
+    public static Moment processStart() {
+        return PROCESS_START;
+    }
+
     /** Returns the present moment. */
     public static Moment now() {
         return new Moment(steadyNow(), System.currentTimeMillis());
--- /dev/null
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderLeaseTest.java
@@ -0,0 +1,69 @@
+package io.oleandermoor.gateway.order;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import io.netty.channel.EventLoop;
+import io.netty.channel.nio.NioEventLoopGroup;
+import io.oleandermoor.gateway.standin.StoreStandIn;
+import io.oleandermoor.platform.StoreClient;
+import io.oleandermoor.transport.settings.Address;
+import java.time.Duration;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+
+class OrderLeaseTest {
+
+    private static final String HOLDER = "oleandermoor/orders/holder";
+    private static final long GAP_MILLIS = 300;
+    private static final long TIMEOUT_MILLIS = 5_000;
+
+    private final NioEventLoopGroup group = new NioEventLoopGroup(1);
+    private final EventLoop loop = group.next();
+    private StoreStandIn store;
+
+    @BeforeEach
+    void start() throws Exception {
+        store = new StoreStandIn();
+    }
+
+    @AfterEach
+    void stop() {
+        group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
+        store.close();
+    }
+
+    private OrderLease lease(String entry) {
+        StoreClient client =
+                new StoreClient(loop, Address.parse(store.address()).toSocketAddress(), TIMEOUT_MILLIS);
+        return new OrderLease(loop, client, entry, GAP_MILLIS);
+    }
+
+    private boolean holds(OrderLease lease) throws Exception {
+        return loop.submit(lease::holdsLease).get();
+    }
+
+    @Test
+    void takesAFreeRight() throws Exception {
+        OrderLease lease = lease("one");
+        loop.submit(lease::start).sync();
+        await().atMost(Duration.ofSeconds(10)).until(() -> holds(lease));
+        assertThat(store.value(HOLDER)).isEqualTo("one");
+    }
+
+    /** Guards against two holders: a claim must not rest on what the watch told while the claim was under way. */
+    @Test
+    void aClaimDoesNotOverwriteAHolderThatCameFirst() throws Exception {
+        store.leaseDelay(800);
+        OrderLease lease = lease("one");
+        loop.submit(lease::start).sync();
+        await().atMost(Duration.ofSeconds(10)).until(() -> store.leaseCalls() > 0);
+        store.put(HOLDER, "two");
+        await().during(Duration.ofSeconds(2)).atMost(Duration.ofSeconds(4)).untilAsserted(() -> {
+            assertThat(store.value(HOLDER)).isEqualTo("two");
+            assertThat(holds(lease)).isFalse();
+        });
+    }
+}
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
@@ -16,6 +16,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.locks.LockSupport;
 
 /** The platform's store in memory: items, watches, conditional writes and leases without expiry. */
 public final class StoreStandIn implements AutoCloseable {
@@ -29,6 +30,8 @@
     private long revision = 1;
     private long leases;
     private volatile boolean down;
+    private volatile long leaseDelayMillis;
+    private volatile int leaseCalls;
 
     /** Starts the store on a free port of the loopback. */
     public StoreStandIn() throws IOException {
@@ -48,6 +51,24 @@
         down = isDown;
     }
 
+    /** Lets each call for a lease take a while. */
+    public void leaseDelay(long millis) {
+        leaseDelayMillis = millis;
+    }
+
+    /** Returns the number of calls for a lease that have come. */
+    public int leaseCalls() {
+        return leaseCalls;
+    }
+
+    /** Returns the value of an item, or an empty text. */
+    public synchronized String value(String key) {
+        Map<String, Object> item = items.get(key);
+        return item == null
+                ? ""
+                : new String(Base64.getDecoder().decode(String.valueOf(item.get("value"))), StandardCharsets.UTF_8);
+    }
+
     /** Writes an item as the operator or an instance does. */
     public synchronized void put(String key, String value) {
         revision++;
@@ -76,7 +97,7 @@
         } else if (path.equals("/api/kv-txn")) {
             answer = write(JSON.std.mapFrom(body));
         } else if (path.equals("/api/kv-lease")) {
-            answer = new Answer(200, Map.of("lease", ++leases, "ttl-ms", 1_000));
+            answer = lease();
         } else {
             answer = new Answer(200, Map.of("ttl-ms", 1_000));
         }
@@ -86,6 +107,16 @@
         exchange.close();
     }
 
+    private Answer lease() {
+        long number;
+        synchronized (this) {
+            leaseCalls++;
+            number = ++leases;
+        }
+        LockSupport.parkNanos(leaseDelayMillis * 1_000_000);
+        return new Answer(200, Map.of("lease", number, "ttl-ms", 1_000));
+    }
+
     private record Answer(int status, Map<String, Object> body) {}
 
     private static Map<String, String> query(String raw) {
@@ -123,7 +154,7 @@
                     return new Answer(200, Map.of("events", events, "current-rev", revision));
                 }
             }
-            java.util.concurrent.locks.LockSupport.parkNanos(WATCH_STEP_MILLIS * 1_000_000);
+            LockSupport.parkNanos(WATCH_STEP_MILLIS * 1_000_000);
         }
     }
 
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/LeastHarm.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/LeastHarm.java
@@ -13,9 +13,9 @@
 
 /**
  * Makes the moves that take most harm from callers, counted in requests: an engine harms its callers by the square of
- * its load, because streams of a crowded engine pause for each other's prompts, up to one for each request; a model
- * without a copy harms those who ask for it, or would; a single copy may be lost at any time. A move counts for the
- * time that is left of a horizon after its load, less what it takes from others and the disturbance of the engine.
+ * its load, because streams of a crowded engine pause for each other's prompts; a model without a copy harms those who
+ * ask for it, or would; a single copy may be lost at any time. A move counts for the time that is left of a horizon
+ * after its load, less what it takes from others and the disturbance of the engine.
  *
  * <p>Answers demand that moves between models, rare models that are asked for at once, engines that come back empty,
  * and batch models that take turns on the places that live models leave. Engines that are seen for the first time tell
@@ -28,7 +28,7 @@
     /** Share of an engine's slots at which a request is harmed by one: about half of its streams are late then. */
     private static final double FULL_SHARE = 0.5;
     /** Harm of a model without a copy for each request that runs or waits for it: it is refused and comes back. */
-    private static final double MISSING_HARM = 3;
+    private static final double MISSING_HARM = 5;
     /** Harm of a model without a copy that anybody asks for, so that rare ones get their turn. */
     private static final double MISSING_ANY_HARM = 2;
     /** Harm of a single copy for each request: the chance that it is lost within the horizon. */
@@ -147,6 +147,8 @@
                 place.models.forEach(model ->
                         holders.computeIfAbsent(model, key -> new ArrayList<>()).add(place));
             }
+            // Where copies are crowded, requests that wait and come back count more than once.
+            demands.replaceAll((model, demand) -> Math.min(demand, (copies(model) + 1.0) * profile.slots()));
             for (Place place : places) {
                 place.models.forEach(model -> place.load += share(model, copies(model)));
                 place.engine
@@ -307,9 +309,14 @@
             return change;
         }
 
-        /** Returns the harm by an engine's load; a request on a crowded engine is late, which is less than refused. */
+        /**
+         * Returns the harm by an engine's load: late requests up to its slots, refused ones beyond. It goes on to grow,
+         * so that a crowded engine always gains by a copy on one that is less crowded.
+         */
         private double harm(double load) {
-            return load * Math.min(1, load / (FULL_SHARE * profile.slots()));
+            double full = FULL_SHARE * profile.slots();
+            double most = profile.slots();
+            return load <= most ? load * load / full : (most * most + 2 * most * (load - most)) / full;
         }
 
         private void make(Move move) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/share/SharedBucket.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/share/SharedBucket.java
@@ -105,12 +105,23 @@
         setAside.remove(peer);
     }
 
-    /** Forgets the entries that are no longer members. */
+    /**
+     * Ceases to set tokens aside for entries that are no longer members. What they have granted is kept: an entry that
+     * loses its registration may still be heard, and comes back with the count that it had.
+     */
     public void retain(Collection<String> members) {
-        peerGrants.keySet().retainAll(members);
         setAside.keySet().retainAll(members);
     }
 
+    /**
+     * Adds what accrued before this bucket was created, in which no entry can have granted anything.
+     *
+     * @param millis the time for which all entries were down
+     */
+    public void accruedWhileDown(long millis) {
+        level = Math.min(burst, level + ratePerMilli * Math.max(0, millis));
+    }
+
     /** Returns the tokens that this entry has granted since its start, less those given back. */
     public long granted() {
         return granted;
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/LeastHarmTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/LeastHarmTest.java
@@ -105,6 +105,18 @@
             });
         }
 
+        /**
+         * Guards against a single copy with far more requests than slots, whose engine is as crowded with half of them.
+         */
+        @Test
+        void anOverloadedCopyGetsAnotherOne() {
+            assertThat(plan(
+                            Map.of("first", 210, "second", 10),
+                            engine("one", "first"),
+                            engine("two", "second", "third")))
+                    .anySatisfy(order -> assertThat(order.incoming()).isEqualTo("first"));
+        }
+
         /** Guards against a busy model whose last ready copy yields because other copies of it are being loaded. */
         @Test
         void aCopyThatLoadsDoesNotStandInForOneThatYields() {
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/share/SharedBucketTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/share/SharedBucketTest.java
@@ -33,6 +33,16 @@
             assertThat(bucket.level()).isEqualTo(BURST);
         }
 
+        /** Guards against refusals after a kill of all entries, during which the rate went on. */
+        @Test
+        void takesWhatAccruedWhileAllEntriesWereDownUpToTheBurst() {
+            SharedBucket bucket = bucket();
+            bucket.accruedWhileDown(400);
+            assertThat(bucket.level()).isEqualTo(400);
+            bucket.accruedWhileDown(60_000);
+            assertThat(bucket.level()).isEqualTo(BURST);
+        }
+
         @Test
         void givesBackWhatDidNotRun() {
             SharedBucket bucket = bucket();
@@ -73,6 +83,19 @@
             assertThat(bucket.level()).isEqualTo(BURST);
         }
 
+        /**
+         * Guards against an entry whose registration ended while it was heard, and whose whole past is charged again.
+         */
+        @Test
+        void chargesAnEntryThatIsNoLongerAMemberForNewGrantsOnly() {
+            SharedBucket bucket = bucket();
+            bucket.refill(1_000, List.of(), 2);
+            bucket.peerGranted("b", 400, true, false);
+            bucket.retain(Set.of());
+            bucket.peerGranted("b", 450, false, false);
+            assertThat(bucket.level()).isEqualTo(BURST - 450);
+        }
+
         @Test
         void countsARestartedEntryFromZero() {
             SharedBucket bucket = bucket();
