--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -24,9 +24,17 @@
     private static final String CONFIGURATION_KEY = "op/config";
     private static final String INSTANCE_PREFIX = "servers/";
     /** A watch confirms the configuration when it ends, so its wait is a fraction of the time for a revocation. */
-    private static final StoreFollower.Pace CONFIGURATION_PACE = new StoreFollower.Pace(1_000, 0, 3_000);
-    /** Instances write every heartbeat; a gap gathers their changes into one call. */
-    private static final StoreFollower.Pace INSTANCE_PACE = new StoreFollower.Pace(2_000, 250, 5_000);
+    private static final StoreFollower.Pace CONFIGURATION_PACE = new StoreFollower.Pace(1_000, () -> 0, 3_000);
+
+    private static final long INSTANCE_WAIT_MILLIS = 2_000;
+    private static final long INSTANCE_LIST_MILLIS = 5_000;
+    /**
+     * Instances write every heartbeat; a gap gathers their changes into one call. The entry that gives orders waits for
+     * the end of loads, the others have a third of the time after which a leaving instance gets nothing new.
+     */
+    private static final long GIVER_GAP_MILLIS = 250;
+
+    private static final long INSTANCE_GAP_MILLIS = 700;
 
     private final FleetView view;
 
@@ -38,7 +46,11 @@
     public static void start(EventLoop loop, StoreClient store, FleetView view) {
         FleetFollower follower = new FleetFollower(view);
         new StoreFollower(loop, store, CONFIGURATION_PREFIX, CONFIGURATION_PACE, follower.new Configuration()).start();
-        new StoreFollower(loop, store, INSTANCE_PREFIX, INSTANCE_PACE, follower.new Instances()).start();
+        StoreFollower.Pace instances = new StoreFollower.Pace(
+                INSTANCE_WAIT_MILLIS,
+                () -> view.givesOrders() ? GIVER_GAP_MILLIS : INSTANCE_GAP_MILLIS,
+                INSTANCE_LIST_MILLIS);
+        new StoreFollower(loop, store, INSTANCE_PREFIX, instances, follower.new Instances()).start();
     }
 
     private final class Configuration implements StoreFollower.Listener {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/Membership.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/Membership.java
@@ -32,7 +32,8 @@
 
     private static final long RENEW_MILLIS = 1_500;
     private static final long RETRY_MILLIS = 300;
-    private static final StoreFollower.Pace PACE = new StoreFollower.Pace(8_000, 50, 8_000);
+    private static final long GAP_MILLIS = 50;
+    private static final StoreFollower.Pace PACE = new StoreFollower.Pace(8_000, () -> GAP_MILLIS, 8_000);
 
     private final EventLoop loop;
     private final StoreClient store;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
@@ -7,6 +7,7 @@
 import io.oleandermoor.platform.StoreItem;
 import io.oleandermoor.platform.StoreReading;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -38,7 +39,7 @@
      * @param gapMillis the time between an answer and the next watch, in which changes gather
      * @param listMillis the time after which everything is read again; changes may be missed while history is dropped
      */
-    public record Pace(long waitMillis, long gapMillis, long listMillis) {}
+    public record Pace(long waitMillis, LongSupplier gapMillis, long listMillis) {}
 
     /** Receives the items. */
     public interface Listener {
@@ -94,7 +95,7 @@
             revision = Math.max(revision, item.revision());
         }
         listener.changes(reading, asked);
-        next(pace.gapMillis());
+        next(pace.gapMillis().getAsLong());
     }
 
     private void regained() {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderGiver.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderGiver.java
@@ -91,6 +91,7 @@
     }
 
     private void plan() {
+        view.givesOrders(lease.holdsLease());
         if (!lease.holdsLease()) {
             if (!orders.isEmpty()) {
                 orders.clear();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -124,6 +124,11 @@
         return admitted.target();
     }
 
+    /** Returns the places that can take the request: those of a model, with all of its adapters, or of a service. */
+    String places() {
+        return admitted.service() + " " + target().map(ModelTarget::model).orElse("");
+    }
+
     /** Returns what the request waits for; requests with the same need are blocked together. */
     String need() {
         return admitted.service() + " " + target().map(ModelTarget::toString).orElse("") + " " + tried;
@@ -145,12 +150,16 @@
     }
 
     private void dispatch() {
-        if (!offerPlace()) {
+        // Those that wait for the same places go first, or a request could wait while new ones pass it.
+        if (desk.line().ahead(this) > 0) {
+            waitForPlace(Shortage.FULL);
+        } else if (!offerPlace()) {
             waitForPlace(shortage);
         }
     }
 
-    private void waitForPlace(Shortage shortage) {
+    private void waitForPlace(Shortage reason) {
+        shortage = reason;
         if (desk.view().isStopping()) {
             giveUp("stopping");
             return;
@@ -158,10 +167,10 @@
         // The caller of a stream that has begun is as patient as before after its last event.
         long waited = sink.started() ? 0 : age();
         WaitPolicy.Decision decision = WaitPolicy.decide(
-                admitted.route(), endMillis - arrivedMillis, waited, desk.expectedPlaceMillis(this, shortage), draw());
+                admitted.route(), endMillis - arrivedMillis, waited, desk.expectedPlaceMillis(this, reason), draw());
         retryMillis = decision.retryMillis();
         if (decision.waitMillis() <= 0) {
-            giveUp("no_place_" + shortage);
+            giveUp("no_place_" + reason);
             return;
         }
         waiting = true;
@@ -195,6 +204,7 @@
             return false;
         }
         stopWaiting();
+        desk.placed(places());
         send(selection.instance().get());
         return true;
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
@@ -6,6 +6,7 @@
 import io.oleandermoor.gateway.view.Moment;
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.dispatch.PlaceForecast;
 import io.oleandermoor.state.dispatch.RetryAllowance;
 import io.oleandermoor.state.residency.DemandBoard;
 import java.util.HashMap;
@@ -19,14 +20,12 @@
     /** Waiting requests are offered a place at least this often; releases of places offer it at once. */
     private static final long OFFER_MILLIS = 25;
 
-    /** Expected wait for a place at a full or a paused instance. */
-    private static final long SHORT_WAIT_MILLIS = 250;
-
     private final EventLoop loop;
     private final FleetView view;
     private final UpstreamPool pool;
     private final Rules rules;
     private final WaitingLine line = new WaitingLine();
+    private final PlaceForecast places = new PlaceForecast();
     private final DecisionLog log = new DecisionLog();
     private final Map<String, RetryAllowance> allowances = new HashMap<>();
     private final Map<ModelTarget, Integer> running = new HashMap<>();
@@ -151,6 +150,11 @@
         }
     }
 
+    /** Notes that a request got a place. */
+    void placed(String need) {
+        places.placed(need, Moment.steadyNow());
+    }
+
     /** Notes that a request was refused for want of its model; it counts as demand for a while. */
     void refused(ModelTarget target) {
         residency.refused(target, Moment.steadyNow());
@@ -161,7 +165,7 @@
         return exchange.target()
                 .filter(target -> shortage == Shortage.NOT_RESIDENT)
                 .map(target -> residency.expectedMillis(exchange.service(), target, Moment.steadyNow()))
-                .orElse(SHORT_WAIT_MILLIS);
+                .orElseGet(() -> places.expectedMillis(exchange.places(), line.ahead(exchange), Moment.steadyNow()));
     }
 
     /** Offers the places that have become free, once all events that have come are taken in. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/WaitingLine.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/WaitingLine.java
@@ -44,6 +44,17 @@
         new ArrayList<>(waiting).forEach(Exchange::stopping);
     }
 
+    /** Returns the waiting requests that wait for the same places and come before a request. */
+    int ahead(Exchange exchange) {
+        int ahead = 0;
+        for (Exchange each : waiting.headSet(exchange)) {
+            if (each.places().equals(exchange.places())) {
+                ahead++;
+            }
+        }
+        return ahead;
+    }
+
     /** Returns the requests for each target, without those for which a load may begin later and is still in time. */
     Map<ModelTarget, Integer> byTarget() {
         Map<ModelTarget, Integer> counts = new HashMap<>();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/FleetView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/FleetView.java
@@ -36,6 +36,7 @@
     private boolean instancesKnown;
     private boolean member;
     private boolean stopping;
+    private boolean givesOrders;
 
     /**
      * Creates a view that knows nothing yet.
@@ -121,6 +122,16 @@
         return member;
     }
 
+    /** Records whether this entry gives orders to engines. */
+    public void givesOrders(boolean holder) {
+        givesOrders = holder;
+    }
+
+    /** Returns whether this entry gives orders to engines. */
+    public boolean givesOrders() {
+        return givesOrders;
+    }
+
     /** Records that the process is about to end. */
     public void stop() {
         stopping = true;
