Tell a missing model as missing whoever waits; explain a request from logs

Cause: a request that found others waiting for the same model was told that its copies are full. Ruled out: the placement (its order lines show a demand near zero) and processor time.

--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/CommandLine.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/CommandLine.java
@@ -36,6 +36,7 @@
                 DocumentCommands.Apply.class,
                 StatusCommand.class,
                 LoadCommand.class,
+                ExplainCommand.class,
                 ProcessCommands.CheckSettings.class,
                 ProcessCommands.Run.class));
         addGroup(
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
@@ -79,8 +79,7 @@
         boolean engine =
                 document.get().service(service).flatMap(UpstreamService::engine).isPresent();
         Optional<ModelTarget> target = engine ? caller.target() : Optional.empty();
-        Exchange exchange =
-                new Exchange(desk, sink, request, new Exchange.Admitted(caller, route.get(), team, service, target));
+        Exchange exchange = new Exchange(desk, sink, request, new Admitted(caller, route.get(), team, service, target));
         exchange.start();
         return Optional.of(exchange);
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -10,14 +10,12 @@
 import io.oleandermoor.gateway.upstream.UpstreamPool;
 import io.oleandermoor.gateway.view.Moment;
 import io.oleandermoor.platform.RequestHeaders;
-import io.oleandermoor.state.dispatch.CallerRequest;
 import io.oleandermoor.state.dispatch.InstanceTable;
 import io.oleandermoor.state.dispatch.InstanceTable.Selection;
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.dispatch.Prompt;
 import io.oleandermoor.state.dispatch.WaitPolicy;
-import io.oleandermoor.state.fleet.HostRoute;
 import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import java.util.HashSet;
@@ -41,7 +39,6 @@
     /** Time that must be left for another send. */
     private static final long LEAST_REPEAT_MILLIS = 60;
 
-    private static final int TEAM_RANK_WEIGHT = 3;
     private static final long RETRY_AFTER_MILLIS = 1_000;
 
     private static final int BAD_GATEWAY = 502;
@@ -71,22 +68,6 @@
     private long retryMillis = RETRY_AFTER_MILLIS;
     private Shortage shortage = Shortage.FULL;
 
-    /**
-     * A request that may be sent.
-     *
-     * @param caller what the caller states
-     * @param route its route
-     * @param team the team whose key came with it
-     * @param service the service that runs it
-     * @param target the model or adapter that it needs; empty for a plain service, whatever the caller states
-     */
-    record Admitted(
-            CallerRequest caller,
-            HostRoute route,
-            Optional<TeamLimits> team,
-            String service,
-            Optional<ModelTarget> target) {}
-
     Exchange(RequestDesk desk, AnswerSink sink, FullHttpRequest request, Admitted admitted) {
         this.desk = desk;
         this.sink = sink;
@@ -101,11 +82,7 @@
     }
 
     int urgency() {
-        int route = admitted.route().priority();
-        return admitted.team()
-                .filter(team -> team.priority().isPresent())
-                .map(team -> team.priority().getAsInt() * TEAM_RANK_WEIGHT + Math.min(route, TEAM_RANK_WEIGHT - 1))
-                .orElse(route);
+        return admitted.urgency();
     }
 
     long number() {
@@ -129,6 +106,11 @@
         return admitted.service() + " " + target().map(ModelTarget::model).orElse("");
     }
 
+    /** Returns whether the request waits for a place, and not for its model or adapter. */
+    boolean waitsForPlace() {
+        return waiting && shortage == Shortage.FULL;
+    }
+
     /** Returns what the request waits for; requests with the same need are blocked together. */
     String need() {
         return admitted.service() + " " + target().map(ModelTarget::toString).orElse("") + " " + tried;
@@ -150,14 +132,27 @@
     }
 
     private void dispatch() {
-        // Those that wait for the same places go first, or a request could wait while new ones pass it.
-        if (desk.line().ahead(this) > 0) {
-            waitForPlace(Shortage.FULL);
-        } else if (!offerPlace()) {
-            waitForPlace(shortage);
+        Selection selection = select();
+        Optional<Shortage> reason =
+                WaitPolicy.reasonToWait(selection.shortage(), desk.line().ahead(this));
+        if (reason.isPresent()) {
+            desk.shortage(this, reason.get());
+            waitForPlace(reason.get());
+        } else {
+            selection.instance().ifPresent(this::take);
         }
     }
 
+    private Selection select() {
+        InstanceTable.Query query = new InstanceTable.Query(admitted.service(), target(), prompt, tried);
+        return desk.view().instances().choose(query, Moment.steadyNow());
+    }
+
+    private void take(UpstreamInstance instance) {
+        desk.placed(places());
+        send(instance);
+    }
+
     private void waitForPlace(Shortage reason) {
         shortage = reason;
         if (desk.view().isStopping()) {
@@ -191,21 +186,19 @@
         }
     }
 
-    /** Sends the request if an instance can take it now; returns whether it was sent. */
+    /** Sends a waiting request if an instance can take it now; returns whether it was sent. */
     boolean offerPlace() {
         if (done) {
             return true;
         }
-        InstanceTable.Query query = new InstanceTable.Query(admitted.service(), target(), prompt, tried);
-        Selection selection = desk.view().instances().choose(query, Moment.steadyNow());
+        Selection selection = select();
         if (selection.instance().isEmpty()) {
             shortage = selection.shortage().orElse(Shortage.FULL);
             desk.shortage(this, shortage);
             return false;
         }
         stopWaiting();
-        desk.placed(places());
-        send(selection.instance().get());
+        take(selection.instance().get());
         return true;
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/WaitingLine.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/WaitingLine.java
@@ -48,7 +48,7 @@
     int ahead(Exchange exchange) {
         int ahead = 0;
         for (Exchange each : waiting.headSet(exchange)) {
-            if (each.places().equals(exchange.places())) {
+            if (each.waitsForPlace() && each.places().equals(exchange.places())) {
                 ahead++;
             }
         }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/WaitPolicy.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/WaitPolicy.java
@@ -1,6 +1,8 @@
 package io.oleandermoor.state.dispatch;
 
+import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.fleet.HostRoute;
+import java.util.Optional;
 
 /**
  * Decides whether a request that no instance can take now waits at the entry or is refused at once. Answers bursts and
@@ -64,6 +66,17 @@
         return new Decision(expectedMillis > left ? 0 : left, retry);
     }
 
+    /**
+     * Returns why a request has to wait; empty if it may take its place. A model that nobody holds is told as that,
+     * whoever waits, as it counts as demand for its model; a place that is free belongs to those who came first.
+     *
+     * @param shortage why no instance can take the request, empty if one can
+     * @param ahead the requests that wait for the same places and come first
+     */
+    public static Optional<Shortage> reasonToWait(Optional<Shortage> shortage, int ahead) {
+        return shortage.isPresent() || ahead == 0 ? shortage : Optional.of(Shortage.FULL);
+    }
+
     /**
      * Returns whether what a request waits for is needed now, or its first event comes too late. Answers batch requests
      * for models that take turns on few places.
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/WaitPolicyTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/WaitPolicyTest.java
@@ -2,9 +2,11 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.fleet.HostRoute;
 import io.oleandermoor.state.fleet.RequestKind;
 import java.util.List;
+import java.util.Optional;
 import org.junit.jupiter.api.Test;
 
 class WaitPolicyTest {
@@ -62,4 +64,17 @@
         assertThat(WaitPolicy.presses(route(RequestKind.STREAMING, 500), 0, 1_200))
                 .isTrue();
     }
+
+    /** Guards against a missing model that is told as full because others wait, and so is not counted as demand. */
+    @Test
+    void aMissingModelIsMissingWhoeverWaits() {
+        assertThat(WaitPolicy.reasonToWait(Optional.of(Shortage.NOT_RESIDENT), 3))
+                .contains(Shortage.NOT_RESIDENT);
+    }
+
+    @Test
+    void aFreePlaceBelongsToThoseWhoCameFirst() {
+        assertThat(WaitPolicy.reasonToWait(Optional.empty(), 1)).contains(Shortage.FULL);
+        assertThat(WaitPolicy.reasonToWait(Optional.empty(), 0)).isEmpty();
+    }
 }
