Survive a hangup

Cause: SIGHUP, which tells that the settings have changed, was not handled; the Java runtime then runs its shutdown hooks and ends with status 129.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/GatewayMain.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/GatewayMain.java
@@ -8,6 +8,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.List;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+import sun.misc.Signal;
 
 /** Runs an entry on the platform until a signal asks it to stop. */
 public final class GatewayMain {
@@ -15,6 +18,8 @@
     private static final String SETTINGS_VARIABLE = "OLEANDERMOOR_SETTINGS";
     private static final int INVALID_SETTINGS = 2;
 
+    private static final Logger LOG = LogManager.getLogger(GatewayMain.class);
+    private static final String HANGUP = "HUP";
     private static final String DRY_RUN = "--dry-run";
 
     private GatewayMain() {}
@@ -60,6 +65,7 @@
     }
 
     private static void serve(String path) throws IOException, InvalidInputException {
+        ignoreHangups();
         Settings settings = new SettingsReader(GatewaySettings.SCHEMA).read(Path.of(path), List.of());
         Gateway gateway = new Gateway(settings);
         Runtime.getRuntime().addShutdownHook(new Thread(gateway::stop, "stop"));
@@ -67,6 +73,12 @@
         gateway.listen();
     }
 
+    /** A hangup tells that the settings have changed; unhandled, it would end the process with all of its requests. */
+    private static void ignoreHangups() {
+        Signal.handle(
+                new Signal(HANGUP), signal -> LOG.warn("event=hangup settings=\"changes take effect at a restart\""));
+    }
+
     private static void dryRun() throws IOException, InvalidInputException {
         DryRun.run();
         System.exit(0);
