Read bounds of the settings as fractions

Ruled out: rounding in the settings template, which has no arithmetic. Parts below the smallest unit are dropped, so that a bound is never exceeded. Before: GatewaySettingsTest.mayBeFractions fails with five findings. After: passes, with SettingsTest.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
@@ -46,12 +46,12 @@
             Setting.duration("retries.window", "Length of the window in which repeated sends are counted.");
 
     /** Ratio of the retry budget. */
-    public static final Setting<Double> RETRY_RATIO = Setting.identifier(
-            "retries.ratio", Double::valueOf, "Repeated sends that one request permits, over all entries.");
+    public static final Setting<Double> RETRY_RATIO =
+            Setting.decimal("retries.ratio", "Repeated sends that one request permits, over all entries.");
 
     /** Fixed part of the retry budget. */
-    public static final Setting<Integer> RETRY_FIXED = Setting.count(
-            "retries.fixed", 0, 1_000_000, "Repeated sends that are permitted in a window, over all entries.");
+    public static final Setting<Double> RETRY_FIXED =
+            Setting.decimal("retries.fixed", "Repeated sends that are permitted in a window, over all entries.");
 
     /** Gap between the orders of two holders. */
     public static final Setting<Duration> HOLDER_GAP =
--- /dev/null
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/settings/GatewaySettingsTest.java
@@ -0,0 +1,49 @@
+package io.oleandermoor.gateway.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import io.oleandermoor.state.finding.InvalidInputException;
+import io.oleandermoor.transport.settings.Settings;
+import io.oleandermoor.transport.settings.SettingsReader;
+import java.time.Duration;
+import java.util.List;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class GatewaySettingsTest {
+
+    private static Settings read(String limits) throws InvalidInputException {
+        String text = "[process]\nname = e\nfailure-domain = a\n[listen]\ncaller = 127.0.0.1:1\nready = 127.0.0.1:2\n"
+                + "peer = 127.0.0.1:3\n[store]\naddress = 127.0.0.1:4\n" + limits;
+        return new SettingsReader(GatewaySettings.SCHEMA).read("gateway.ini", text, List.of());
+    }
+
+    @Nested
+    class Bounds {
+
+        /** Guards against an entry that does not start because the platform states a bound as a fraction. */
+        @Test
+        void mayBeFractions() throws InvalidInputException {
+            Settings settings = read("[limits]\nrevocation = 4999.75ms\ngrace = 8.5s\n[retries]\nwindow = 9.5s\n"
+                    + "ratio = 0.25\nfixed = 44.16666666666667\n[orders]\nholder-gap = 2999.5ms\n");
+            assertThat(settings.get(GatewaySettings.REVOCATION)).isEqualTo(Duration.ofMillis(4_999));
+            assertThat(settings.get(GatewaySettings.GRACE)).isEqualTo(Duration.ofMillis(8_500));
+            assertThat(settings.get(GatewaySettings.RETRY_WINDOW)).isEqualTo(Duration.ofMillis(9_500));
+            assertThat(settings.get(GatewaySettings.RETRY_RATIO)).isEqualTo(0.25);
+            assertThat(settings.get(GatewaySettings.RETRY_FIXED)).isEqualTo(44.16666666666667);
+            assertThat(settings.get(GatewaySettings.HOLDER_GAP)).isEqualTo(Duration.ofMillis(2_999));
+        }
+
+        /** Guards against a bound that is read as something else than a number that is not negative. */
+        @Test
+        void areRejectedWhereTheyAreNoNumbers() {
+            for (String wrong : List.of("-1", "NaN", "1e3", "1.", ".5", "Infinity", "")) {
+                assertThatThrownBy(() -> read("[limits]\nrevocation = 5s\ngrace = 8s\n[retries]\nwindow = 10s\n"
+                                + "ratio = 0.25\nfixed = " + wrong + "\n[orders]\nholder-gap = 3s\n"))
+                        .as(wrong)
+                        .isInstanceOf(InvalidInputException.class);
+            }
+        }
+    }
+}
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/Setting.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/Setting.java
@@ -117,6 +117,17 @@
         return of(name, SettingTypes.count(minimum, maximum), description);
     }
 
+    /**
+     * Returns a required setting whose value is a number that is not negative, with or without a fraction.
+     *
+     * @param name {@code section.key}
+     * @param description one sentence
+     * @return the setting
+     */
+    public static Setting<Double> decimal(String name, String description) {
+        return of(name, SettingTypes.decimal(), description);
+    }
+
     /**
      * Returns a required setting whose value is the name of a constant.
      *
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/SettingTypes.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/SettingTypes.java
@@ -1,6 +1,8 @@
 package io.oleandermoor.transport.settings;
 
 import io.oleandermoor.state.identity.KeyHash;
+import java.math.BigDecimal;
+import java.math.RoundingMode;
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Collections;
@@ -14,7 +16,8 @@
 /** The forms of values in settings files. */
 final class SettingTypes {
 
-    private static final Pattern QUANTITY = Pattern.compile("([0-9]{1,15})([A-Za-z]*)");
+    private static final String DECIMAL = "[0-9]{1,15}(?:\\.[0-9]{1,18})?";
+    private static final Pattern QUANTITY = Pattern.compile("(" + DECIMAL + ")([A-Za-z]*)");
     private static final Map<String, Long> MILLISECONDS =
             Map.of("ms", 1L, "s", 1_000L, "min", 60_000L, "h", 3_600_000L);
     private static final Map<String, Long> BYTES = Map.of("B", 1L, "KB", 1L << 10, "MB", 1L << 20, "GB", 1L << 30);
@@ -54,6 +57,15 @@
         });
     }
 
+    static SettingType<Double> decimal() {
+        return new SimpleType<>("number, not negative", text -> {
+            if (!text.matches(DECIMAL)) {
+                throw new IllegalArgumentException("'" + text + "' must be a number such as 50 or 0.2");
+            }
+            return Double.valueOf(text);
+        });
+    }
+
     static <E extends Enum<E>> SettingType<E> choice(Class<E> type) {
         List<E> constants = List.of(type.getEnumConstants());
         String names = constants.stream().map(Enum::name).collect(Collectors.joining(", "));
@@ -76,7 +88,11 @@
             throw new IllegalArgumentException("'" + text + "' must be " + expected);
         }
         try {
-            return Math.multiplyExact(Long.parseLong(matcher.group(1)), factor);
+            // What is less than the smallest unit is dropped, so that a bound is never exceeded.
+            return new BigDecimal(matcher.group(1))
+                    .multiply(BigDecimal.valueOf(factor))
+                    .setScale(0, RoundingMode.DOWN)
+                    .longValueExact();
         } catch (ArithmeticException exception) {
             throw new IllegalArgumentException("'" + text + "' is too large", exception);
         }
