--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -111,7 +111,8 @@
 
     private void startOnLoop() {
         LOG.info("event=start entry={}", view.entry());
-        FleetFollower.start(loop, store, view);
+        FleetFollower.start(
+                loop, store, view, settings.get(GatewaySettings.DRAIN).toMillis());
         membership.start();
         desk.start();
         desk.onShortage(exchange::reportSoon);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -23,18 +23,25 @@
     private static final String CONFIGURATION_PREFIX = "op/";
     private static final String CONFIGURATION_KEY = "op/config";
     private static final String INSTANCE_PREFIX = "servers/";
-    /** A watch confirms the configuration when it ends, so its wait is a fraction of the time for a revocation. */
-    private static final StoreFollower.Pace CONFIGURATION_PACE = new StoreFollower.Pace(1_000, () -> 0, 3_000);
+    /**
+     * Time after which everything is read again although no loss of history was told; a second line behind the answer
+     * that tells such a loss.
+     */
+    private static final long LIST_MILLIS = 15_000;
+    /**
+     * A watch confirms the configuration when it ends, so its wait, with the time until a silent connection to the
+     * store is given up, stays below the age at which this entry leaves the load balancer.
+     */
+    private static final StoreFollower.Pace CONFIGURATION_PACE = new StoreFollower.Pace(1_500, () -> 0, LIST_MILLIS);
 
     private static final long INSTANCE_WAIT_MILLIS = 2_000;
-    private static final long INSTANCE_LIST_MILLIS = 5_000;
+    /** The entry that gives orders waits for the end of loads. */
+    private static final long GIVER_GAP_MILLIS = 250;
     /**
-     * Instances write every heartbeat; a gap gathers their changes into one call. The entry that gives orders waits for
-     * the end of loads, the others have a third of the time after which a leaving instance gets nothing new.
+     * Part of the time after which a leaving instance gets nothing new, for which the changes of instances gather into
+     * one call.
      */
-    private static final long GIVER_GAP_MILLIS = 250;
-
-    private static final long INSTANCE_GAP_MILLIS = 700;
+    private static final double GAP_SHARE = 0.35;
 
     private final FleetView view;
 
@@ -42,14 +49,20 @@
         this.view = view;
     }
 
-    /** Starts to follow both. */
-    public static void start(EventLoop loop, StoreClient store, FleetView view) {
+    /**
+     * Starts to follow both.
+     *
+     * @param loop the event loop
+     * @param store the store
+     * @param view where both are noted
+     * @param drainMillis the time after which a leaving instance must not get anything new
+     */
+    public static void start(EventLoop loop, StoreClient store, FleetView view, long drainMillis) {
+        long gap = (long) (drainMillis * GAP_SHARE);
         FleetFollower follower = new FleetFollower(view);
         new StoreFollower(loop, store, CONFIGURATION_PREFIX, CONFIGURATION_PACE, follower.new Configuration()).start();
         StoreFollower.Pace instances = new StoreFollower.Pace(
-                INSTANCE_WAIT_MILLIS,
-                () -> view.givesOrders() ? GIVER_GAP_MILLIS : INSTANCE_GAP_MILLIS,
-                INSTANCE_LIST_MILLIS);
+                INSTANCE_WAIT_MILLIS, () -> view.givesOrders() ? Math.min(GIVER_GAP_MILLIS, gap) : gap, LIST_MILLIS);
         new StoreFollower(loop, store, INSTANCE_PREFIX, instances, follower.new Instances()).start();
     }
 
@@ -58,18 +71,18 @@
         private boolean readable;
 
         @Override
-        public void all(StoreReading reading, Moment asked) {
-            changes(reading, asked);
+        public void all(StoreReading reading, Moment current) {
+            changes(reading, current);
         }
 
         @Override
-        public void changes(StoreReading reading, Moment asked) {
+        public void changes(StoreReading reading, Moment current) {
             reading.items().stream()
                     .filter(item -> item.key().equals(CONFIGURATION_KEY) && !item.removed())
                     .forEach(this::put);
             // A version that cannot be read may revoke a key, so nothing is confirmed until one can be read again.
             if (readable) {
-                view.confirm(asked);
+                view.confirm(current);
             }
         }
 
@@ -93,7 +106,7 @@
     private final class Instances implements StoreFollower.Listener {
 
         @Override
-        public void all(StoreReading reading, Moment asked) {
+        public void all(StoreReading reading, Moment current) {
             Set<String> listed = new HashSet<>();
             for (StoreItem item : reading.items()) {
                 put(item);
@@ -108,7 +121,7 @@
         }
 
         @Override
-        public void changes(StoreReading reading, Moment asked) {
+        public void changes(StoreReading reading, Moment current) {
             for (StoreItem item : reading.items()) {
                 if (item.removed()) {
                     remove(id(item));
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/Membership.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/Membership.java
@@ -32,8 +32,10 @@
 
     private static final long RENEW_MILLIS = 1_500;
     private static final long RETRY_MILLIS = 300;
-    private static final long GAP_MILLIS = 50;
-    private static final StoreFollower.Pace PACE = new StoreFollower.Pace(8_000, () -> GAP_MILLIS, 8_000);
+    /** Entries that start together register within a second; their changes gather into few calls. */
+    private static final long GAP_MILLIS = 400;
+
+    private static final StoreFollower.Pace PACE = new StoreFollower.Pace(8_000, () -> GAP_MILLIS, 15_000);
 
     private final EventLoop loop;
     private final StoreClient store;
@@ -117,13 +119,13 @@
     private final class Entries implements StoreFollower.Listener {
 
         @Override
-        public void all(StoreReading reading, Moment asked) {
+        public void all(StoreReading reading, Moment current) {
             peers.clear();
-            changes(reading, asked);
+            changes(reading, current);
         }
 
         @Override
-        public void changes(StoreReading reading, Moment asked) {
+        public void changes(StoreReading reading, Moment current) {
             for (StoreItem item : reading.items()) {
                 String name = item.key().substring(Math.min(item.key().length(), PREFIX.length()));
                 if (name.equals(view.entry())) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
@@ -44,11 +44,21 @@
     /** Receives the items. */
     public interface Listener {
 
-        /** Everything under the prefix has been read; items that are not listed are gone. */
-        void all(StoreReading reading, Moment asked);
+        /**
+         * Everything under the prefix has been read; items that are not listed are gone.
+         *
+         * @param reading the items
+         * @param current a moment at which they were the newest ones
+         */
+        void all(StoreReading reading, Moment current);
 
-        /** Changes have come, or none within the wait. */
-        void changes(StoreReading reading, Moment asked);
+        /**
+         * Changes have come, or none within the wait.
+         *
+         * @param reading the changes
+         * @param current a moment at which nothing newer was there
+         */
+        void changes(StoreReading reading, Moment current);
     }
 
     /**
@@ -90,14 +100,22 @@
 
     private void changed(StoreReading reading, Moment asked) {
         regained();
-        revision = Math.max(revision, reading.storeRevision());
+        // Only what was received counts as seen: a store that loses its history answers a watch from before the loss
+        // with 410, while a watch that went on from its present revision would miss what it did not report.
         for (StoreItem item : reading.items()) {
             revision = Math.max(revision, item.revision());
         }
-        listener.changes(reading, asked);
+        listener.changes(reading, current(reading, asked));
         next(pace.gapMillis().getAsLong());
     }
 
+    /** A watch that waited its whole time without a change tells that none came in that time. */
+    private Moment current(StoreReading reading, Moment asked) {
+        long elapsed = Moment.steadyNow() - asked.steadyMillis();
+        boolean waited = reading.items().isEmpty() && elapsed >= pace.waitMillis();
+        return waited ? asked.plus(pace.waitMillis()) : asked;
+    }
+
     private void regained() {
         if (failures > 0) {
             LOG.info("event=store_regained prefix={} failures={}", prefix, failures);
@@ -106,11 +124,14 @@
     }
 
     private void failed(Throwable cause) {
-        if (failures == 0) {
-            LOG.warn("event=store_lost prefix={} revision={} cause=\"{}\"", prefix, revision, cause.getMessage());
-        }
         if (cause instanceof StoreException answer && answer.historyGone()) {
+            LOG.info("event=history_gone prefix={} revision={}", prefix, revision);
             revision = -1;
+            next(FIRST_PAUSE_MILLIS);
+            return;
+        }
+        if (failures == 0) {
+            LOG.warn("event=store_lost prefix={} revision={} cause=\"{}\"", prefix, revision, cause.getMessage());
         }
         long pause = Math.min(LONGEST_PAUSE_MILLIS, FIRST_PAUSE_MILLIS << Math.min(failures, 3));
         failures++;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
@@ -37,6 +37,11 @@
     public static final Setting<Duration> REVOCATION = Setting.duration(
             "limits.revocation", "Time after which a revoked key works nowhere, also without a path to the store.");
 
+    /** Time within which a leaving instance is left alone. */
+    public static final Setting<Duration> DRAIN = Setting.duration(
+                    "limits.drain", "Time after which an instance that leaves must not get anything new.")
+            .defaultingTo("2s");
+
     /** Time that a stop may take. */
     public static final Setting<Duration> GRACE =
             Setting.duration("limits.grace", "Time from a signal to stop to the end of the process by force.");
@@ -73,6 +78,7 @@
                     PEER_ADDRESS,
                     STORE_ADDRESS,
                     REVOCATION,
+                    DRAIN,
                     GRACE,
                     RETRY_WINDOW,
                     RETRY_RATIO,
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/Moment.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/Moment.java
@@ -30,6 +30,11 @@
         return System.nanoTime() / NANOS_PER_MILLI;
     }
 
+    /** Returns the moment that lies a time after this one. */
+    public Moment plus(long millis) {
+        return new Moment(steadyMillis + millis, dayMillis + millis);
+    }
+
     /** Returns the time since this moment, also counting time during which the machine was suspended. */
     public long ageMillis() {
         Moment now = now();
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
@@ -30,6 +30,8 @@
     private long revision = 1;
     private long leases;
     private volatile boolean down;
+    private volatile boolean deaf;
+    private long forgottenRevision;
     private volatile long leaseDelayMillis;
     private volatile int leaseCalls;
 
@@ -51,6 +53,17 @@
         down = isDown;
     }
 
+    /** Lets watches report no change, or all of them again. */
+    public void deaf(boolean isDeaf) {
+        deaf = isDeaf;
+    }
+
+    /** Forgets the history: watches that go on from before now are told so. */
+    public synchronized void forgetHistory() {
+        history.clear();
+        forgottenRevision = revision;
+    }
+
     /** Lets each call for a lease take a while. */
     public void leaseDelay(long millis) {
         leaseDelayMillis = millis;
@@ -143,8 +156,11 @@
         long end = System.nanoTime() + waitMillis * 1_000_000;
         while (true) {
             synchronized (this) {
+                if (after < forgottenRevision) {
+                    return new Answer(410, Map.of());
+                }
                 List<Object> events = new ArrayList<>();
-                for (Map<String, Object> item : history) {
+                for (Map<String, Object> item : deaf ? List.<Map<String, Object>>of() : history) {
                     if (((Number) item.get("revision")).longValue() > after
                             && String.valueOf(item.get("key")).startsWith(prefix)) {
                         events.add(item);
