--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -4,8 +4,10 @@
 import java.util.Collection;
 import java.util.Collections;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.jspecify.annotations.Nullable;
@@ -18,8 +20,15 @@
 
     /** Load fraction that an instance in another failure domain must be better by; a millisecond more is little. */
     private static final double OTHER_DOMAIN_PENALTY = 0.02;
-    /** Load fraction by which choices of several entries with the same view are spread. */
-    private static final double NOISE = 0.04;
+    /** Least load fraction by which choices of several entries with the same view are spread. */
+    private static final double LEAST_SPREAD = 0.04;
+    /**
+     * Requests by which choices are spread at least. Entries see each other's choices some hundred milliseconds later;
+     * without a spread of as many requests as come to an instance in that time, all of them choose the same one.
+     */
+    private static final double SPREAD_REQUESTS = 2;
+    /** Largest load fraction by which choices are spread: at few slots, one request more is a crowded instance. */
+    private static final double LARGEST_SPREAD = 0.17;
     /** Load fraction that a failure rate of 1 adds. */
     private static final double FAILURE_PENALTY = 3.0;
     /**
@@ -34,10 +43,15 @@
     /** Requests beyond its slots that a plain instance is given, relative to its slots; it works them off in turn. */
     private static final double PLAIN_DEPTH = 2.0;
 
+    /** Odd factor that keeps the keys of prompts and the hashes of instances apart. */
+    private static final long INSTANCE_FACTOR = 0x9E3779B97F4A7C15L;
+
     private final String failureDomain;
     private final SplittableRandom random;
     private final Map<String, InstanceState> states = new HashMap<>();
     private final Map<String, Map<String, Integer>> peerLoads = new HashMap<>();
+    /** The sum of the loads of all other entries for each instance, so that a choice does not cost a look at each. */
+    private final Map<String, Integer> peerTotals = new HashMap<>();
 
     /**
      * Creates an empty table.
@@ -75,9 +89,8 @@
      *
      * @param instance the chosen instance
      * @param shortage why there is none
-     * @param candidates the number of instances that could have run it
      */
-    public record Selection(Optional<UpstreamInstance> instance, Optional<Shortage> shortage, int candidates) {}
+    public record Selection(Optional<UpstreamInstance> instance, Optional<Shortage> shortage) {}
 
     /** Adds an instance or replaces what is known of it. A new start under the same identifier forgets the past. */
     public void put(UpstreamInstance instance, long nowMillis) {
@@ -107,34 +120,38 @@
 
     /** Replaces the loads that another entry puts on instances. */
     public void peerLoad(String entry, Map<String, Integer> loads) {
-        peerLoads.put(entry, Map.copyOf(loads));
+        Map<String, Integer> next = Map.copyOf(loads);
+        forgetPeer(entry);
+        peerLoads.put(entry, next);
+        next.forEach((id, load) -> peerTotals.merge(id, load, Integer::sum));
     }
 
     /** Forgets the loads of an entry that is silent. */
     public void forgetPeer(String entry) {
-        peerLoads.remove(entry);
+        Map<String, Integer> before = peerLoads.remove(entry);
+        if (before != null) {
+            before.forEach((id, load) ->
+                    peerTotals.computeIfPresent(id, (key, total) -> total.equals(load) ? null : total - load));
+        }
     }
 
     /** Forgets the loads of all entries but some. */
     public void retainPeers(Set<String> entries) {
-        peerLoads.keySet().retainAll(entries);
+        Set<String> gone = new HashSet<>(peerLoads.keySet());
+        gone.removeAll(entries);
+        gone.forEach(this::forgetPeer);
     }
 
     /** Returns the requests that all entries have at an instance, as far as known. */
     public int load(String id) {
         InstanceState state = states.get(id);
-        int load = state == null ? 0 : state.ownLoad();
-        for (Map<String, Integer> peer : peerLoads.values()) {
-            load += peer.getOrDefault(id, 0);
-        }
-        return load;
+        return (state == null ? 0 : state.ownLoad()) + peerTotals.getOrDefault(id, 0);
     }
 
     /** Chooses the instance for a request. */
     public Selection choose(Query query, long nowMillis) {
         boolean usable = false;
         boolean resident = false;
-        int candidates = 0;
         double bestCost = Double.MAX_VALUE;
         @Nullable UpstreamInstance best = null;
         for (InstanceState state : states.values()) {
@@ -155,7 +172,6 @@
             if (load >= instance.slots() * depth || reading(state, query.prompt())) {
                 continue;
             }
-            candidates++;
             double cost = cost(state, query, load, nowMillis);
             if (cost < bestCost) {
                 bestCost = cost;
@@ -163,10 +179,10 @@
             }
         }
         if (best != null) {
-            return new Selection(Optional.of(best), Optional.empty(), candidates);
+            return new Selection(Optional.of(best), Optional.empty());
         }
         Shortage shortage = resident ? Shortage.FULL : usable ? Shortage.NOT_RESIDENT : Shortage.NO_INSTANCE;
-        return new Selection(Optional.empty(), Optional.of(shortage), 0);
+        return new Selection(Optional.empty(), Optional.of(shortage));
     }
 
     private static boolean reading(InstanceState state, Prompt prompt) {
@@ -183,6 +199,22 @@
         cost -= AFFINITY_BONUS
                 * state.keptTokens(query.prompt())
                 / Math.max(1, query.prompt().tokens());
-        return cost + random.nextDouble() * NOISE;
+        double spread = Math.min(LARGEST_SPREAD, SPREAD_REQUESTS / Math.max(1, instance.slots()));
+        return cost + draw(query, instance) * Math.max(LEAST_SPREAD, spread);
+    }
+
+    /**
+     * Returns a number from 0 to below 1. For requests that share the beginning of their prompt it is the same in all
+     * entries, so that these requests meet at an instance that keeps the beginning though no entry tells another one
+     * what it has sent.
+     */
+    private double draw(Query query, UpstreamInstance instance) {
+        OptionalLong shared = query.prompt().sharedKey();
+        if (shared.isEmpty()) {
+            return random.nextDouble();
+        }
+        return new SplittableRandom(
+                        shared.getAsLong() * INSTANCE_FACTOR + instance.id().hashCode())
+                .nextDouble();
     }
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/Prompt.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/Prompt.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.OptionalLong;
 
 /**
  * The prompt of a request as far as it matters for where it is read.
@@ -27,6 +28,14 @@
         }
     }
 
+    /**
+     * Returns the key of the longest beginning that other requests have too: all parts but the last one, which belongs
+     * to the request or its session. Empty if the request states no parts.
+     */
+    public OptionalLong sharedKey() {
+        return keys.isEmpty() ? OptionalLong.empty() : OptionalLong.of(keys.get(Math.max(0, keys.size() - 2)));
+    }
+
     /** Returns the prompt that a caller states. */
     public static Prompt of(CallerRequest caller) {
         List<Long> keys = new ArrayList<>();
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
@@ -18,13 +18,17 @@
     private final InstanceTable table = new InstanceTable("a", 1);
 
     private static UpstreamInstance instance(String id, boolean draining, long started) {
+        return instance(id, draining, started, 4);
+    }
+
+    private static UpstreamInstance instance(String id, boolean draining, long started, int slots) {
         return new UpstreamInstance(
                 id,
                 "words",
                 "10.0.0.1",
                 80,
                 "a",
-                4,
+                slots,
                 draining,
                 OptionalLong.empty(),
                 Map.of("m", Set.of("a1")),
@@ -86,6 +90,43 @@
             assertThat(chosen(query)).contains("two");
         }
 
+        /** Guards against a shared beginning that each entry lets another engine read. */
+        @Test
+        void entriesChooseTheSameEngineForPromptsThatBeginAlike() {
+            InstanceTable other = new InstanceTable("a", 99);
+            for (String id : List.of("one", "two", "three", "four")) {
+                table.put(instance(id, false, 1), 0);
+                other.put(instance(id, false, 1), 0);
+            }
+            for (long beginning = 0; beginning < 50; beginning++) {
+                Query here = beginningWith(beginning, 1);
+                Query there = beginningWith(beginning, 2);
+                assertThat(chosen(here))
+                        .isEqualTo(other.choose(there, 0).instance().map(UpstreamInstance::id));
+            }
+        }
+
+        /** Guards against entries that all choose the instance that was least loaded when they last heard of it. */
+        @Test
+        void entriesWithTheSameLateViewSpread() {
+            for (String id : List.of("one", "two", "three", "four")) {
+                table.put(instance(id, false, 1, 12), 0);
+            }
+            table.peerLoad("other-entry", Map.of("two", 1, "three", 1, "four", 1));
+            long toTheIdleOne = 0;
+            for (long beginning = 0; beginning < 100; beginning++) {
+                toTheIdleOne +=
+                        chosen(beginningWith(beginning, 1)).orElseThrow().equals("one") ? 1 : 0;
+            }
+            // An even split would be 25; it takes more than that, as it is less loaded, and leaves some to the others.
+            assertThat(toTheIdleOne).isBetween(25L, 80L);
+        }
+
+        private Query beginningWith(long beginning, long own) {
+            Prompt prompt = new Prompt(700, List.of(beginning, own), List.of(100L, 600L));
+            return new Query("words", Optional.of(ModelTarget.parse("m")), prompt, Set.of());
+        }
+
         @Test
         void passesOverLeavingAndExcludedInstances() {
             table.put(instance("one", true, 1), 0);
@@ -121,6 +162,28 @@
         }
     }
 
+    @Nested
+    class Loads {
+
+        /** Guards against sums that drift as entries report again, fall silent and leave. */
+        @Test
+        void areTheSumOfTheLatestReports() {
+            table.put(instance("one", false, 1), 0);
+            table.peerLoad("a", Map.of("one", 2));
+            table.peerLoad("b", Map.of("one", 3));
+            table.peerLoad("a", Map.of("one", 1));
+            assertThat(table.load("one")).isEqualTo(4);
+            table.forgetPeer("b");
+            table.forgetPeer("b");
+            assertThat(table.load("one")).isEqualTo(1);
+            table.peerLoad("b", Map.of("one", 5));
+            table.retainPeers(Set.of("b"));
+            assertThat(table.load("one")).isEqualTo(5);
+            table.retainPeers(Set.of());
+            assertThat(table.load("one")).isZero();
+        }
+    }
+
     @Nested
     class Residents {
 
