--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -21,31 +21,44 @@
 import io.oleandermoor.state.dispatch.InstanceState;
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.residency.DemandBoard;
+import io.oleandermoor.state.share.ReportRotation;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
 
-/** Tells the other entries what this one does, and takes over what they tell. Used on the event loop only. */
+/**
+ * Tells the other entries what this one does, and takes over what they tell. Loads and grants go to all entries in
+ * turn, demand goes to the entry that gives orders, and that one tells what engines hold. Used on the event loop only.
+ */
 @SuppressWarnings("FutureReturnValueIgnored") // Failures reach the handlers of the channel; tasks run on the loop.
 public final class PeerExchange {
 
     private static final Logger LOG = LogManager.getLogger(PeerExchange.class);
     /** Entries choose instances by each other's counts; at this interval a count is some ten requests old at most. */
-    private static final long REPORT_MILLIS = 100;
-    /** Least time between two reports that are sent early. */
-    private static final long EARLY_MILLIS = 20;
+    private static final long TICK_MILLIS = 100;
+    /** Reports of one tick: with up to as many entries each one is told at every tick. */
+    private static final int REPORTS_PER_TICK = 16;
+    /** Other entries for each of which the giver of orders can take a report at every tick. */
+    private static final int GIVER_REPORTS_PER_TICK = 64;
+    /** Least time between two early reports for each other entry that gets them. */
+    private static final long EARLY_MILLIS_FOR_EACH = 2;
 
-    /** What engines hold is repeated at this interval, so that a lost datagram is made good. */
-    private static final long RESIDENTS_MILLIS = 400;
+    private static final long LEAST_EARLY_MILLIS = 20;
+    /** Time without a report of the giver of orders after which demand is told to all. */
+    private static final long GIVER_SILENT_MILLIS = 2_000;
+    /** Size of what engines hold in one report: with the rest of it, some two packets of a link. */
+    private static final int RESIDENT_BYTES = 1_000;
 
     /** Entries that started within this time of each other were down together. */
     private static final long TOGETHER_MILLIS = 1_500;
@@ -60,12 +73,14 @@
     private final long incarnation = System.currentTimeMillis();
     private final long startedMillis = Moment.steadyNow();
     private final Map<String, Long> incarnations = new HashMap<>();
-    private final Map<String, EngineResidents> residents = new HashMap<>();
+    private final ReportRotation rotation = new ReportRotation(REPORTS_PER_TICK);
+    private final ResidentsToTell residents = new ResidentsToTell(RESIDENT_BYTES);
+    private List<EngineResidents> roundPart = List.of();
+    private Optional<String> giver = Optional.empty();
+    private long giverHeardMillis;
     private boolean olderPeer;
-    private boolean holder;
-    private boolean residentsChanged;
-    private long residentsMillis;
-    private long sentMillis;
+    private long ticks;
+    private long earlyMillis;
     private boolean early;
     private @Nullable Channel channel;
 
@@ -101,7 +116,7 @@
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
-        loop.scheduleAtFixedRate(this::report, REPORT_MILLIS, REPORT_MILLIS, TimeUnit.MILLISECONDS);
+        loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Reports soon, because something was learned that others wait for. */
@@ -110,69 +125,131 @@
             return;
         }
         early = true;
-        long delay = Math.max(0, EARLY_MILLIS - (Moment.steadyNow() - sentMillis));
-        loop.schedule(
-                () -> {
-                    early = false;
-                    report();
-                },
-                delay,
-                TimeUnit.MILLISECONDS);
+        long gap = Math.max(
+                LEAST_EARLY_MILLIS, EARLY_MILLIS_FOR_EACH * earlyTargets().size());
+        long delay = Math.max(0, gap - (Moment.steadyNow() - earlyMillis));
+        loop.schedule(this::reportEarly, delay, TimeUnit.MILLISECONDS);
     }
 
     /** Tells what an engine holds after an order of this entry. */
     public void tellResidents(String instance, Map<String, Set<String>> models) {
-        holder = true;
+        if (!view.givesOrders()) {
+            // The answer to an order came after the right to give orders was lost.
+            return;
+        }
         EngineResidents.Builder builder = EngineResidents.newBuilder().setInstance(instance);
         models.forEach((model, adapters) ->
                 builder.addModels(ResidentModel.newBuilder().setModel(model).addAllAdapters(adapters)));
-        residents.put(instance, builder.build());
-        residentsChanged = true;
+        residents.changed(builder.build());
         reportSoon();
     }
 
     /** Ceases to tell what engines hold. */
     public void notHolder() {
-        holder = false;
         residents.clear();
+        roundPart = List.of();
     }
 
-    private void report() {
-        Channel open = channel;
-        if (open == null) {
-            return;
-        }
-        sentMillis = Moment.steadyNow();
-        view.silentPeers().forEach(view.instances()::forgetPeer);
+    private void tick() {
+        ticks++;
+        TreeMap<String, InetSocketAddress> known = new TreeMap<>(peers.get());
+        view.reportRound(rotation.roundTicks(known.size()) * TICK_MILLIS);
+        Set<String> silent = view.updateSilentPeers();
+        silent.forEach(view.instances()::forgetPeer);
+        demands.retain(view.entry(), known.keySet());
+        silent.forEach(demands::forget);
         view.settleStart(olderPeer);
         view.refill();
         Map<ModelTarget, DemandBoard.Wanted> own = ownDemand.get();
         demands.report(view.entry(), own);
+        Set<String> due = new LinkedHashSet<>(rotation.next(known.navigableKeySet()));
+        Optional<String> orders = presentGiver();
+        long giverTicks = 1 + known.size() / GIVER_REPORTS_PER_TICK;
+        if (ticks % giverTicks == 0) {
+            orders.ifPresent(due::add);
+        }
+        EntryReport.Builder report = report();
+        if (view.givesOrders()) {
+            report.addAllResidents(residentsOfRound(known.size()));
+        }
+        send(due, known, report, orders, own);
+    }
+
+    /** Returns what engines hold, the same part for all entries that are told in one round. */
+    private List<EngineResidents> residentsOfRound(int entries) {
+        if (ticks % rotation.roundTicks(entries) == 0) {
+            residents.retain(id -> view.instances().state(id).isPresent());
+            roundPart = residents.nextInTurn();
+        }
+        return roundPart;
+    }
+
+    private void reportEarly() {
+        early = false;
+        earlyMillis = Moment.steadyNow();
+        Map<String, InetSocketAddress> known = peers.get();
+        EntryReport.Builder report = report();
+        Map<ModelTarget, DemandBoard.Wanted> own = ownDemand.get();
+        demands.report(view.entry(), own);
+        List<EngineResidents> part = view.givesOrders() ? residents.nextChanges() : List.of();
+        send(earlyTargets(), known, report.addAllResidents(part), presentGiver(), own);
+        if (residents.hasChanges() && view.givesOrders()) {
+            reportSoon();
+        }
+    }
+
+    /** What engines hold concerns all entries; what this entry needs concerns the one that gives orders. */
+    private Set<String> earlyTargets() {
+        if (view.givesOrders()) {
+            return residents.hasChanges() ? peers.get().keySet() : Set.of();
+        }
+        return presentGiver().map(Set::of).orElse(Set.of());
+    }
+
+    private Optional<String> presentGiver() {
+        boolean heard = Moment.steadyNow() - giverHeardMillis < GIVER_SILENT_MILLIS;
+        return giver.filter(name -> heard && peers.get().containsKey(name));
+    }
+
+    private EntryReport.Builder report() {
         EntryReport.Builder report = EntryReport.newBuilder()
                 .setEntry(view.entry())
                 .setIncarnation(incarnation)
-                .setUptimeMillis(sentMillis - startedMillis);
+                .setUptimeMillis(Moment.steadyNow() - startedMillis)
+                .setGivesOrders(view.givesOrders());
         view.buckets().forEach((team, bucket) -> report.putGrantedTokens(team, bucket.granted()));
         for (InstanceState state : view.instances().all()) {
             if (state.ownLoad() > 0) {
                 report.putRunning(state.instance().id(), state.ownLoad());
             }
         }
+        return report;
+    }
+
+    private void send(
+            Set<String> names,
+            Map<String, InetSocketAddress> known,
+            EntryReport.Builder report,
+            Optional<String> orders,
+            Map<ModelTarget, DemandBoard.Wanted> own) {
+        Channel open = channel;
+        if (open == null || names.isEmpty()) {
+            return;
+        }
+        byte[] plain = report.build().toByteArray();
         own.forEach((target, wanted) -> report.addDemands(TargetDemand.newBuilder()
                 .setTarget(target.toString())
                 .setRunning(wanted.running())
                 .setWaiting(wanted.waiting())));
-        boolean residentsDue = residentsChanged || sentMillis - residentsMillis >= RESIDENTS_MILLIS;
-        if (holder && residentsDue) {
-            residentsChanged = false;
-            residentsMillis = sentMillis;
-            residents.keySet().removeIf(id -> view.instances().state(id).isEmpty());
-            report.addAllResidents(residents.values());
-        }
-        byte[] bytes = report.build().toByteArray();
-        List<InetSocketAddress> targets = new ArrayList<>(peers.get().values());
-        for (InetSocketAddress target : targets) {
-            open.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), target), open.voidPromise());
+        byte[] withDemand = report.build().toByteArray();
+        for (String name : names) {
+            InetSocketAddress address = known.get(name);
+            if (address != null) {
+                boolean wantsDemand = orders.map(name::equals).orElse(!view.givesOrders());
+                open.write(
+                        new DatagramPacket(Unpooled.wrappedBuffer(wantsDemand ? withDemand : plain), address),
+                        open.voidPromise());
+            }
         }
         open.flush();
     }
@@ -192,6 +269,16 @@
                         view.bucket(team).ifPresent(bucket -> bucket.peerGranted(peer, granted, restarted, older)));
         view.heard(peer);
         view.instances().peerLoad(peer, report.getRunningMap());
+        if (report.getGivesOrders()) {
+            giver = Optional.of(peer);
+            giverHeardMillis = Moment.steadyNow();
+        }
+        takeDemand(peer, report);
+        takeResidents(report);
+    }
+
+    /** A report without demand is one to an entry that does not give orders; what was told before is out of date. */
+    private void takeDemand(String peer, EntryReport report) {
         Map<ModelTarget, DemandBoard.Wanted> wanted = new HashMap<>();
         for (TargetDemand demand : report.getDemandsList()) {
             wanted.put(
@@ -199,6 +286,9 @@
                     new DemandBoard.Wanted(demand.getRunning(), demand.getWaiting()));
         }
         demands.report(peer, wanted);
+    }
+
+    private void takeResidents(EntryReport report) {
         boolean changed = false;
         for (EngineResidents engine : report.getResidentsList()) {
             Map<String, Set<String>> models = new HashMap<>();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/FleetView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/FleetView.java
@@ -19,18 +19,22 @@
 public final class FleetView {
 
     private static final Logger LOG = LogManager.getLogger(FleetView.class);
-    /** Time without a report after which another entry counts as silent: four reports. */
-    private static final long SILENT_MILLIS = 450;
+    /** Reports in a row without which another entry counts as silent. */
+    private static final long SILENT_REPORTS = 4;
+    /** What a report may be late. */
+    private static final long REPORT_SLACK_MILLIS = 50;
 
     private final String entry;
     private final InstanceTable instances;
     private final Map<String, SharedBucket> buckets = new HashMap<>();
     private final Map<String, Long> peersHeard = new HashMap<>();
+    private final Set<String> silentPeers = new HashSet<>();
     private final List<Runnable> changeListeners = new ArrayList<>();
     private Set<String> peers = Set.of();
     private @Nullable FleetDocument document;
     private @Nullable Moment confirmed;
     private boolean peersKnown;
+    private long reportRoundMillis = 100;
     private boolean startSettled;
     private long documentMillis;
     private boolean instancesKnown;
@@ -152,13 +156,20 @@
         peers = Set.copyOf(names);
         peersKnown = true;
         peersHeard.keySet().retainAll(names);
+        updateSilentPeers();
         buckets.values().forEach(bucket -> bucket.retain(names));
         instances.retainPeers(names);
     }
 
+    /** Records the interval at which each other entry reports. */
+    public void reportRound(long millis) {
+        reportRoundMillis = millis;
+    }
+
     /** Records a report of another entry. */
     public void heard(String peer) {
         peersHeard.put(peer, Moment.steadyNow());
+        silentPeers.remove(peer);
     }
 
     /**
@@ -187,17 +198,23 @@
         return peers.size() + 1;
     }
 
-    /** Returns the registered entries that have not been heard lately. */
-    public Set<String> silentPeers() {
+    /** Finds the registered entries that have not been heard lately; done at intervals, as it looks at each of them. */
+    public Set<String> updateSilentPeers() {
         long now = Moment.steadyNow();
-        Set<String> silent = new HashSet<>();
+        long patience = SILENT_REPORTS * reportRoundMillis + REPORT_SLACK_MILLIS;
+        silentPeers.clear();
         for (String peer : peers) {
             Long heard = peersHeard.get(peer);
-            if (heard == null || now - heard > SILENT_MILLIS) {
-                silent.add(peer);
+            if (heard == null || now - heard > patience) {
+                silentPeers.add(peer);
             }
         }
-        return silent;
+        return silentPeers();
+    }
+
+    /** Returns the registered entries that had not been heard at the last look, nor since. */
+    public Set<String> silentPeers() {
+        return Set.copyOf(silentPeers);
     }
 
     /** Returns the bucket of a team; empty if the team has no rate. */
@@ -213,7 +230,6 @@
     /** Adds to the buckets what has accrued. */
     public void refill() {
         long now = Moment.steadyNow();
-        Set<String> silent = silentPeers();
-        buckets.values().forEach(bucket -> bucket.refill(now, silent, entryCount()));
+        buckets.values().forEach(bucket -> bucket.refill(now, silentPeers, entryCount()));
     }
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/DemandBoard.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/DemandBoard.java
@@ -77,6 +77,11 @@
         byEntry.remove(entry);
     }
 
+    /** Forgets all entries but one and some others. */
+    public void retain(String entry, Set<String> others) {
+        byEntry.keySet().removeIf(known -> !known.equals(entry) && !others.contains(known));
+    }
+
     /** Adds up the entries and smooths. */
     public void update(long nowMillis) {
         double keep = Math.exp(-Math.max(0, nowMillis - updatedMillis) / SMOOTHING_MILLIS);
--- /dev/null
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/share/ReportRotationTest.java
@@ -0,0 +1,58 @@
+package io.oleandermoor.state.share;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeSet;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+class ReportRotationTest {
+
+    private static final int PER_TICK = 16;
+
+    private final ReportRotation rotation = new ReportRotation(PER_TICK);
+
+    private static TreeSet<String> entries(int count) {
+        TreeSet<String> names = new TreeSet<>();
+        for (int index = 0; index < count; index++) {
+            names.add("entry-" + index);
+        }
+        return names;
+    }
+
+    /** Guards against an entry that is never told, and against a cost that grows with the square of the fleet. */
+    @Property(tries = 200)
+    void tellsEachEntryInARoundAndFewAtATime(@ForAll @IntRange(max = 400) int count) {
+        ReportRotation each = new ReportRotation(PER_TICK);
+        TreeSet<String> names = entries(count);
+        List<String> told = new ArrayList<>();
+        for (int tick = 0; tick < each.roundTicks(count); tick++) {
+            List<String> due = each.next(names);
+            assertThat(due).doesNotHaveDuplicates().hasSizeLessThanOrEqualTo(Math.max(PER_TICK, (count + 9) / 10));
+            told.addAll(due);
+        }
+        assertThat(new TreeSet<>(told)).isEqualTo(names);
+    }
+
+    @Test
+    void tellsAFewEntriesAtEveryTick() {
+        assertThat(rotation.roundTicks(0)).isEqualTo(1);
+        assertThat(rotation.next(entries(0))).isEmpty();
+        assertThat(rotation.roundTicks(PER_TICK)).isEqualTo(1);
+        assertThat(rotation.next(entries(4))).hasSize(4);
+        assertThat(rotation.next(entries(4))).hasSize(4);
+    }
+
+    /** Guards against a round that begins anew, and tells the same entries again, whenever one leaves. */
+    @Test
+    void goesOnBehindAnEntryThatHasLeft() {
+        TreeSet<String> names = entries(33);
+        List<String> first = rotation.next(names);
+        names.remove(first.get(first.size() - 1));
+        assertThat(rotation.next(names)).doesNotContainAnyElementsOf(first);
+    }
+}
