Give the next order after a load without an answer at once

Cause: an engine whose answer to an order was lost got no order for 0.8 to 1.3 s, until a report had come. The number of orders that each order names already guards a load that is carried out late; an unload still waits for a report, as its memory counts as free when it is sent. EngineOrdersTest.LeavingOrdersUnanswered fails before.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrders.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrders.java
@@ -40,6 +40,9 @@
     /** A report describes the engine as it was some hundred milliseconds earlier. */
     private static final long REPORT_LAG_MILLIS = 450;
 
+    /** Orders without an answer in a row after which the engine is asked what it holds, and whether it is there. */
+    private static final int UNANSWERED_BEFORE_REPORT = 2;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final EventLoop loop;
@@ -49,6 +52,7 @@
     private UpstreamInstance instance;
     private long sequence;
     private boolean waitingForAnswer;
+    private int unansweredInRow;
     private boolean busy;
     private String incoming = "";
     private boolean roomMade;
@@ -113,6 +117,7 @@
             return;
         }
         doubtful = false;
+        unansweredInRow = 0;
         sequence = report.orderSequence();
         if (report.busy()) {
             busy = true;
@@ -167,10 +172,27 @@
                 order.unload(), target.model(), target.adapter(), sequence, term.holder(), term.token());
         client.order(instance, wire).subscribe(answer -> answered(order, profile, answer), cause -> {
             LOG.warn("event=order_unanswered instance={} target={} cause=\"{}\"", id(), target, cause.getMessage());
-            unclear();
+            unanswered(order);
         });
     }
 
+    /**
+     * A load that may have been accepted is no reason to wait for a report: the next order names the same number of
+     * orders before it, so it is declined if this one was accepted, and this one is declined if it arrives after the
+     * next. An unload is counted as done when it is sent, so what the engine holds must be read before its memory is
+     * given to another model.
+     */
+    private void unanswered(PlannedOrder order) {
+        unansweredInRow++;
+        if (order.unload() || unansweredInRow >= UNANSWERED_BEFORE_REPORT) {
+            unclear();
+        } else {
+            waitingForAnswer = false;
+            incoming = "";
+            roomMade = false;
+        }
+    }
+
     private void unclear() {
         waitingForAnswer = false;
         doubtful = true;
@@ -182,6 +204,7 @@
 
     private void answered(PlannedOrder order, EngineProfile profile, EngineClient.OrderAnswer answer) {
         waitingForAnswer = false;
+        unansweredInRow = 0;
         ModelTarget target = order.target();
         switch (answer) {
             case ACCEPTED, HOLDS -> {
