--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -33,7 +33,8 @@
 
     private static final Logger LOG = LogManager.getLogger(Gateway.class);
     private static final long STORE_TIMEOUT_MILLIS = 1_000;
-    private static final long ORDER_TIMEOUT_MILLIS = 800;
+    /** An engine answers an order at once; a lost packet is sent again within this time. */
+    private static final long ORDER_TIMEOUT_MILLIS = 400;
     /**
      * Keys are refused this long before a revocation must be in force: a watch hears nothing while history is dropped.
      */
@@ -41,6 +42,9 @@
     /** A machine without a confirmed configuration leaves the load balancer before it has to refuse. */
     private static final double READY_SHARE = 0.75;
 
+    /** Time for which a machine with hardly any processor time leaves the duty of giving orders to others. */
+    private static final long LARGEST_HANDICAP_MILLIS = 500;
+
     private static final long POOL_SWEEP_MILLIS = 1_000;
     /** The load balancer asks each second and takes a machine out after two misses. */
     private static final long LOAD_BALANCER_MILLIS = 2_500;
@@ -89,7 +93,7 @@
         membership = new Membership(loop, store, view, settings.get(GatewaySettings.PEER_ADDRESS));
         exchange = new PeerExchange(loop, view, demands, membership::peers, desk::demand);
         lease = new OrderLease(
-                loop, store, name, settings.get(GatewaySettings.HOLDER_GAP).toMillis());
+                loop, store, name, settings.get(GatewaySettings.HOLDER_GAP).toMillis(), orderHandicapMillis());
         orders = new OrderGiver(
                 loop,
                 view,
@@ -100,6 +104,12 @@
                 settings.get(GatewaySettings.PLACEMENT));
     }
 
+    /** Returns the time for which this machine leaves the duty of giving orders to machines with more cores. */
+    private long orderHandicapMillis() {
+        double cores = settings.get(GatewaySettings.CORES) * settings.get(GatewaySettings.CORE_SHARE);
+        return (long) (LARGEST_HANDICAP_MILLIS * Math.max(0, 1 - cores));
+    }
+
     private long keyLimitMillis() {
         return settings.get(GatewaySettings.REVOCATION).toMillis() - KEY_MARGIN_MILLIS;
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderGiver.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderGiver.java
@@ -14,6 +14,7 @@
 import io.oleandermoor.state.residency.EngineView;
 import io.oleandermoor.state.residency.PlacementPolicy;
 import io.oleandermoor.state.residency.PlannedOrder;
+import io.oleandermoor.state.residency.PlanningPace;
 import io.oleandermoor.state.residency.ResidencyPlanner;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -33,6 +34,9 @@
     /** Loads from the weight store beyond the steady rate that may start together. */
     private static final double LOAD_BURST = 2;
 
+    /** Share of its time that this entry spends on weighing models; the rest is for requests and for adapters. */
+    private static final double MODELS_SHARE = 0.1;
+
     private static final double MILLIS_PER_SECOND = 1_000;
 
     private final EventLoop loop;
@@ -45,6 +49,7 @@
     private final Map<String, EngineOrders> orders = new HashMap<>();
     private final Map<String, ResidencyPlanner> planners = new HashMap<>();
     private final Map<String, EngineProfile> profiles = new HashMap<>();
+    private final PlanningPace pace = new PlanningPace(MODELS_SHARE);
     private double loadTokens;
     private long loadTokensMillis = Moment.steadyNow();
 
@@ -101,14 +106,18 @@
         }
         long now = Moment.steadyNow();
         demands.update(now);
+        boolean withModels = pace.due(now);
         for (FleetDocument document : view.document().stream().toList()) {
             for (UpstreamService service : document.services()) {
-                service.engine().ifPresent(profile -> plan(service.name(), profile, now));
+                service.engine().ifPresent(profile -> plan(service.name(), profile, withModels, now));
             }
         }
+        if (withModels) {
+            pace.planned(now, Moment.steadyNow());
+        }
     }
 
-    private void plan(String service, EngineProfile profile, long now) {
+    private void plan(String service, EngineProfile profile, boolean withModels, long now) {
         if (!profile.equals(profiles.put(service, profile))) {
             planners.put(service, new ResidencyPlanner(profile, policy));
         }
@@ -134,9 +143,10 @@
         if (planner == null) {
             return;
         }
-        for (PlannedOrder order : planner.plan(views, demands.demands(), (int) loadTokens, now)) {
-            send(order, profile, now);
-        }
+        List<PlannedOrder> planned = withModels
+                ? planner.plan(views, demands.demands(), (int) loadTokens, now)
+                : planner.planAdapters(views, demands.demands(), now);
+        planned.forEach(order -> send(order, profile, now));
     }
 
     private void told(String id, Map<String, Set<String>> models) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
@@ -49,6 +49,7 @@
     private final StoreClient store;
     private final String entry;
     private final long gapMillis;
+    private final long handicapMillis;
     private long lease;
     private long token;
     private long orderableMillis;
@@ -65,12 +66,14 @@
      * @param store the store
      * @param entry the name of this entry
      * @param gapMillis the time between the orders of two holders
+     * @param handicapMillis the time for which this entry leaves a free right to others
      */
-    public OrderLease(EventLoop loop, StoreClient store, String entry, long gapMillis) {
+    public OrderLease(EventLoop loop, StoreClient store, String entry, long gapMillis, long handicapMillis) {
         this.loop = loop;
         this.store = store;
         this.entry = entry;
         this.gapMillis = gapMillis;
+        this.handicapMillis = handicapMillis;
     }
 
     /** Starts to ask for the right. */
@@ -127,7 +130,7 @@
     private void tryLater(long delayMillis) {
         if (!trying && isFree()) {
             trying = true;
-            long delay = ThreadLocalRandom.current().nextLong(delayMillis) + delayMillis / 2;
+            long delay = ThreadLocalRandom.current().nextLong(delayMillis) + delayMillis / 2 + handicapMillis;
             loop.schedule(this::tryToTake, delay, TimeUnit.MILLISECONDS);
         }
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
@@ -17,6 +17,15 @@
     public static final Setting<String> FAILURE_DOMAIN =
             Setting.identifier("process.failure-domain", text -> text, "Failure domain that the machine is in.");
 
+    /** Cores of the machine. */
+    public static final Setting<Double> CORES =
+            Setting.decimal("machine.cores", "Number of cores of the machine.").defaultingTo("1");
+
+    /** Share of the cores of the machine. */
+    public static final Setting<Double> CORE_SHARE = Setting.decimal(
+                    "machine.core-share", "Part of the time of each core that the machine gives.")
+            .defaultingTo("1");
+
     /** Address for callers. */
     public static final Setting<Address> CALLER_ADDRESS =
             Setting.listenAddress("listen.caller", "Address on which callers send requests over HTTP.");
@@ -73,6 +82,8 @@
             .with(
                     NAME,
                     FAILURE_DOMAIN,
+                    CORES,
+                    CORE_SHARE,
                     CALLER_ADDRESS,
                     READY_ADDRESS,
                     PEER_ADDRESS,
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderLeaseTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderLeaseTest.java
@@ -36,9 +36,13 @@
     }
 
     private OrderLease lease(String entry) {
+        return lease(entry, 0);
+    }
+
+    private OrderLease lease(String entry, long handicapMillis) {
         StoreClient client =
                 new StoreClient(loop, Address.parse(store.address()).toSocketAddress(), TIMEOUT_MILLIS);
-        return new OrderLease(loop, client, entry, GAP_MILLIS);
+        return new OrderLease(loop, client, entry, GAP_MILLIS, handicapMillis);
     }
 
     private boolean holds(OrderLease lease) throws Exception {
@@ -53,6 +57,22 @@
         assertThat(store.value(HOLDER)).isEqualTo("one");
     }
 
+    /** Guards against the duty on a machine that has no time for it, while others have. */
+    @Test
+    void anEntryOnASmallMachineLeavesTheRightToOthers() throws Exception {
+        OrderLease small = lease("small", 2_000);
+        OrderLease large = lease("large");
+        loop.submit(() -> {
+                    small.start();
+                    large.start();
+                })
+                .sync();
+        await().atMost(Duration.ofSeconds(10)).until(() -> holds(large));
+        await().during(Duration.ofSeconds(3))
+                .atMost(Duration.ofSeconds(5))
+                .until(() -> store.value(HOLDER).equals("large"));
+    }
+
     /** Guards against two holders: a claim must not rest on what the watch told while the claim was under way. */
     @Test
     void aClaimDoesNotOverwriteAHolderThatCameFirst() throws Exception {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ResidencyPlanner.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ResidencyPlanner.java
@@ -49,6 +49,23 @@
         return round.orders();
     }
 
+    /**
+     * Decides on adapters only, and on the models for which room was made. This looks at few engines for each request
+     * that waits, while models are weighed against each other on all engines.
+     *
+     * @param engines all engines of the service that are not leaving
+     * @param demands the demand for each target
+     * @param nowMillis the time
+     * @return at most one order for each engine
+     */
+    public List<PlannedOrder> planAdapters(
+            Collection<EngineView> engines, Map<ModelTarget, DemandBoard.Demand> demands, long nowMillis) {
+        PlanningRound round = new PlanningRound(engines, demands, 0, nowMillis);
+        dueLoads(round);
+        adapters.place(round);
+        return round.orders();
+    }
+
     /** Loads the models for which room was made; their loads were counted when the room was ordered. */
     private void dueLoads(PlanningRound round) {
         for (EngineView engine : round.engines()) {
