--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -177,7 +177,7 @@
         front.stopListening();
         front.closeIdle();
         boolean over = Moment.steadyNow() >= endMillis;
-        if (desk.open() > 0 && !over) {
+        if ((desk.open() > 0 || front.receiving()) && !over) {
             loop.schedule(() -> finish(endMillis), STOP_CHECK_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderGiver.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderGiver.java
@@ -35,7 +35,7 @@
     private static final double LOAD_BURST = 2;
 
     /** Share of its time that this entry spends on weighing models; the rest is for requests and for adapters. */
-    private static final double MODELS_SHARE = 0.1;
+    private static final double MODELS_SHARE = 0.25;
 
     private static final double MILLIS_PER_SECOND = 1_000;
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -57,7 +57,7 @@
     private final StreamTimes times = new StreamTimes(arrivedMillis);
     private @Nullable ScheduledFuture<?> endTimer;
     private @Nullable ScheduledFuture<?> waitTimer;
-    private UpstreamPool.@Nullable Cancellation cancellation;
+    private UpstreamPool.@Nullable Sending sending;
     private @Nullable SendAttempt send;
     private @Nullable EventStream stream;
     private boolean waiting;
@@ -242,9 +242,9 @@
         SendAttempt next = new SendAttempt(this, instance);
         send = next;
         next.begin();
-        cancellation = desk.pool().send(instance, copy, admitted.caller().id(), next);
+        sending = desk.pool().send(instance, copy, admitted.caller().id(), next);
         if (send != next) {
-            cancellation = null;
+            sending = null;
         }
     }
 
@@ -291,9 +291,9 @@
         if (current != null) {
             current.close();
         }
-        if (cancellation != null) {
-            mayHaveRun |= cancellation.cancel();
-            cancellation = null;
+        if (sending != null) {
+            mayHaveRun |= sending.cancel();
+            sending = null;
         }
     }
 
@@ -403,7 +403,7 @@
     void settleSend() {
         SendAttempt current = send;
         send = null;
-        cancellation = null;
+        sending = null;
         if (current != null) {
             current.close();
         }
@@ -417,12 +417,39 @@
                 && endMillis - Moment.steadyNow() > leastMillis;
     }
 
-    /** Returns whether the request may go on at another instance though this one may still run it. */
-    boolean mayMove() {
-        return admitted.route().repeatable()
+    /**
+     * Returns the instance at which the request may go on though the present one may still run it: one that can take it
+     * now, within the limits of sends. What is slow stays where it is if nobody else can take it.
+     */
+    Optional<UpstreamInstance> reserveMove() {
+        boolean allowed = admitted.route().repeatable()
                 && runs <= 1
                 && admitted.route().maximumAttempts() > 1
+                && sends < LARGEST_SENDS
                 && endMillis - Moment.steadyNow() > LEAST_REPEAT_MILLIS;
+        if (!allowed) {
+            return Optional.empty();
+        }
+        return select().instance()
+                .filter(instance -> desk.allowance(admitted.service())
+                        .tryRepeat(Moment.steadyNow(), desk.view().entryCount()));
+    }
+
+    /** Goes on at another instance, which was reserved. */
+    void move(UpstreamInstance instance, String reason) {
+        abandonSend();
+        logRepeat(reason);
+        take(instance);
+    }
+
+    /** The caller takes what it is sent, or has stopped taking it. */
+    void callerReads(boolean reads) {
+        if (sending != null) {
+            sending.reading(reads);
+        }
+        if (send != null) {
+            send.paused(!reads);
+        }
     }
 
     /** Allows an instance that declined the request for now to be chosen again. */
@@ -454,6 +481,11 @@
     }
 
     private void repeat(String reason) {
+        logRepeat(reason);
+        dispatch();
+    }
+
+    private void logRepeat(String reason) {
         desk.log()
                 .decided(
                         "repeat",
@@ -463,7 +495,6 @@
                         sends,
                         age(),
                         tried);
-        dispatch();
     }
 
     /** Sends again after a failure if that is allowed, or gives up. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/FrontConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/FrontConnection.java
@@ -77,6 +77,11 @@
         }
     }
 
+    /** Returns whether a request has come in part. */
+    boolean receiving() {
+        return bytesSinceMillis >= 0;
+    }
+
     /** Closes the connection as soon as no request is being answered. */
     void closeWhenIdle() {
         closing = true;
@@ -123,11 +128,17 @@
 
     private void next() {
         ChannelHandlerContext open = context;
-        FullHttpRequest request = answering || open == null || !open.channel().isActive() ? null : queued.pollFirst();
+        if (answering
+                || open == null
+                || !open.channel().isActive()
+                || !open.channel().isWritable()) {
+            return;
+        }
+        FullHttpRequest request = queued.pollFirst();
         if (request == null) {
             return;
         }
-        if (queued.isEmpty() && open != null) {
+        if (queued.isEmpty()) {
             open.channel().config().setAutoRead(true);
         }
         answering = true;
@@ -229,6 +240,18 @@
         }
     }
 
+    /** What the caller does not take is not read from the instance either, so that it is not kept here. */
+    @Override
+    public void channelWritabilityChanged(ChannelHandlerContext changed) {
+        boolean writable = changed.channel().isWritable();
+        if (exchange != null) {
+            exchange.callerReads(writable);
+        }
+        if (writable) {
+            next();
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext from) {
         server.closed(this);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/FrontServer.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/FrontServer.java
@@ -104,6 +104,11 @@
         new ArrayList<>(connections).forEach(FrontConnection::closeWhenIdle);
     }
 
+    /** Returns whether a request has come in part on any connection. */
+    public boolean receiving() {
+        return connections.stream().anyMatch(FrontConnection::receiving);
+    }
+
     /** Accepts no more connections. */
     public void stopListening() {
         if (listening != null) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
@@ -20,6 +20,9 @@
     /** Waiting requests are offered a place at least this often; releases of places offer it at once. */
     private static final long OFFER_MILLIS = 25;
 
+    /** Bytes of plain answers that are held at a time until they are whole: a sixth of the heap. */
+    private static final long LARGEST_BUFFERED_BYTES = 16 << 20;
+
     private final EventLoop loop;
     private final FleetView view;
     private final UpstreamPool pool;
@@ -33,6 +36,7 @@
     private final SilenceWatch silence;
     private Runnable shortageListener = () -> {};
     private boolean offering;
+    private long bufferedBytes;
     private long nextNumber;
     private int open;
 
@@ -179,6 +183,17 @@
         }
     }
 
+    /**
+     * Counts bytes of answers that are held until the answer is whole.
+     *
+     * @param bytes the bytes that are added, or negative if they are released
+     * @return whether as many may be held
+     */
+    boolean buffer(long bytes) {
+        bufferedBytes += bytes;
+        return bufferedBytes <= LARGEST_BUFFERED_BYTES;
+    }
+
     long nextNumber() {
         open++;
         return nextNumber++;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -19,7 +19,7 @@
 /** One send of a request to an instance and what comes of it. Used on the event loop only. */
 final class SendAttempt implements Attempt {
 
-    private static final int LARGEST_PLAIN_ANSWER_BYTES = 16 << 20;
+    private static final int LARGEST_PLAIN_ANSWER_BYTES = 4 << 20;
     private static final int FIRST_FAILURE_STATUS = 500;
 
     private final Exchange exchange;
@@ -31,6 +31,8 @@
     private long unread;
     private final int loadSent;
     private boolean ran;
+    private boolean paused;
+    private int ticksWithoutEvent;
 
     SendAttempt(Exchange exchange, UpstreamInstance instance) {
         this.exchange = exchange;
@@ -69,10 +71,7 @@
             state().ifPresent(InstanceState::ended);
             target().ifPresent(target -> exchange.desk().runs(target, -1));
         }
-        if (body != null) {
-            body.release();
-            body = null;
-        }
+        takeBody().release();
     }
 
     /** Counts the run once, though both the head and the end of an answer may tell of it. */
@@ -87,19 +86,32 @@
         return exchange.desk().view().instances().state(instance.id());
     }
 
-    /** Returns whether events of a stream are due from the instance. */
+    /** Returns whether events of a stream are due from the instance, and its caller takes them. */
     boolean streams() {
-        return head != null && body == null;
+        return head != null && body == null && !paused;
     }
 
-    /**
-     * The instance has gone silent; the request goes on elsewhere if it may be repeated and another send is allowed.
-     */
-    void silent() {
-        if (exchange.isCurrent(this) && exchange.mayMove()) {
-            mayHaveRun();
-            fail("silence");
+    /** Notes whether the instance is not read because the caller takes nothing. */
+    void paused(boolean isPaused) {
+        paused = isPaused;
+        ticksWithoutEvent = 0;
+    }
+
+    /** Counts a tick in which no new event came, and returns how many there are in a row. */
+    int tickWithoutEvent() {
+        return ++ticksWithoutEvent;
+    }
+
+    /** The instance or the stream has gone silent; the request goes on elsewhere if another instance can take it. */
+    void silent(String reason) {
+        if (!exchange.isCurrent(this)) {
+            return;
         }
+        exchange.reserveMove().ifPresent(other -> {
+            mayHaveRun();
+            state().ifPresent(state -> state.lost(Moment.steadyNow()));
+            exchange.move(other, reason + " of " + instance.id());
+        });
     }
 
     private Optional<ModelTarget> target() {
@@ -155,18 +167,24 @@
         if (!exchange.isCurrent(this)) {
             return;
         }
-        exchange.desk().silence().heard(instance.id());
         promptRead();
         if (body != null) {
-            body.writeBytes(content);
-            if (body.readableBytes() > LARGEST_PLAIN_ANSWER_BYTES) {
+            exchange.desk().silence().heard(instance.id());
+            if (!exchange.desk().buffer(content.readableBytes())
+                    || body.readableBytes() + content.readableBytes() > LARGEST_PLAIN_ANSWER_BYTES) {
+                body.writeBytes(content);
                 fail("answer_too_large");
+                return;
             }
+            body.writeBytes(content);
             return;
         }
         exchange.stream().ifPresent(events -> {
             ByteBuf whole = events.take(content);
             if (whole.isReadable()) {
+                // Only new events are a sign of life: an instance in trouble may send bytes without end.
+                exchange.desk().silence().heard(instance.id());
+                ticksWithoutEvent = 0;
                 exchange.times().event(Moment.steadyNow());
                 exchange.sink().part(whole);
             } else {
@@ -215,6 +233,7 @@
     private ByteBuf takeBody() {
         ByteBuf whole = body == null ? Unpooled.EMPTY_BUFFER : body;
         body = null;
+        exchange.desk().buffer(-whole.readableBytes());
         return whole;
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SilenceWatch.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SilenceWatch.java
@@ -5,18 +5,17 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
-import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
 /**
- * Finds instances that have gone silent without closing their connections: an engine makes an event for every running
- * stream many times a second, so one with streams and without a byte on any of them is dark or cut off. Its streams go
- * on elsewhere where their route allows that; answers that cannot be repeated are left to end by themselves. Silence is
- * counted in ticks of the event loop, so that a process that stood still does not take everybody else for silent. Used
- * on the event loop only.
+ * Finds instances that have gone silent without closing their connections, and single streams that stand still: an
+ * engine makes an event for every running stream many times a second, so one with streams and without an event on any
+ * of them is dark or cut off. Streams go on elsewhere where their route allows that and another instance can take them;
+ * answers that cannot be repeated are left to end by themselves. Silence is counted in ticks of the event loop, so that
+ * a process that stood still does not take everybody else for silent. Used on the event loop only.
  */
 final class SilenceWatch {
 
@@ -24,8 +23,12 @@
     static final long TICK_MILLIS = 100;
 
     private static final Logger LOG = LogManager.getLogger(SilenceWatch.class);
-    /** Ticks without a byte: far more than the pause between two events of a slow engine, half a caller's patience. */
+    /** Ticks without an event on any of several streams: far more than a pause of a slow engine. */
     private static final int SILENT_TICKS = 8;
+    /** Streams from which on they do not all pause at the same time by chance, as when some are preempted. */
+    private static final int SEVERAL_STREAMS = 3;
+    /** Ticks without an event on one stream, or on few: three quarters of the least patience of a caller. */
+    private static final int STALLED_TICKS = 15;
 
     private final FleetView view;
     private final Map<String, Watched> instances = new HashMap<>();
@@ -65,13 +68,14 @@
     void tick() {
         for (Map.Entry<String, Watched> entry : new ArrayList<>(instances.entrySet())) {
             Watched watched = entry.getValue();
-            boolean streams = watched.attempts.stream().anyMatch(SendAttempt::streams);
-            watched.silentTicks = watched.heard || !streams ? 0 : watched.silentTicks + 1;
+            long streams =
+                    watched.attempts.stream().filter(SendAttempt::streams).count();
+            watched.silentTicks = watched.heard || streams == 0 ? 0 : watched.silentTicks + 1;
             watched.heard = false;
-            if (watched.silentTicks >= SILENT_TICKS) {
-                watched.silentTicks = 0;
+            if (watched.silentTicks >= (streams >= SEVERAL_STREAMS ? SILENT_TICKS : STALLED_TICKS)) {
                 silent(entry.getKey(), watched);
             }
+            stalled(entry.getKey(), watched);
         }
     }
 
@@ -80,9 +84,19 @@
                 "event=instance_silent instance={} attempts={} silent_ms={}",
                 instance,
                 watched.attempts.size(),
-                SILENT_TICKS * TICK_MILLIS);
+                watched.silentTicks * TICK_MILLIS);
+        watched.silentTicks = 0;
         view.instances().state(instance).ifPresent(state -> state.unreachable(Moment.steadyNow()));
-        List<SendAttempt> attempts = new ArrayList<>(watched.attempts);
-        attempts.forEach(SendAttempt::silent);
+        new ArrayList<>(watched.attempts).forEach(attempt -> attempt.silent("silence"));
+    }
+
+    /** Looks at each stream alone: one may stand still among sound ones. */
+    private void stalled(String instance, Watched watched) {
+        for (SendAttempt attempt : new ArrayList<>(watched.attempts)) {
+            if (attempt.streams() && attempt.tickWithoutEvent() >= STALLED_TICKS) {
+                LOG.debug("event=stream_stalled instance={}", instance);
+                attempt.silent("stalled_stream");
+            }
+        }
     }
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -20,10 +20,17 @@
  * requests and are skipped; a connection on which anything unexpected came is not used again.
  */
 @SuppressWarnings("FutureReturnValueIgnored") // Failures reach the handlers of the channel; tasks run on the loop.
-final class UpstreamConnection extends ChannelInboundHandlerAdapter {
+final class UpstreamConnection extends ChannelInboundHandlerAdapter implements UpstreamPool.Sending {
 
     private static final int FIRST_FINAL_STATUS = 200;
     private static final long MILLIS_PER_SECOND = 1_000;
+    /**
+     * Bytes before the answer to a request that are no part of it. One late answer to an earlier request fits; an
+     * instance that sends more may go on without end.
+     */
+    private static final long LARGEST_FOREIGN_BYTES = 256 << 10;
+    /** What a head counts in that sum. */
+    private static final long HEAD_BYTES = 8 << 10;
     /** An idle connection is given up this long before the instance would close it. */
     private static final long KEEP_ALIVE_MARGIN_MILLIS = 400;
 
@@ -32,6 +39,7 @@
     private @Nullable Channel channel;
     private @Nullable Attempt attempt;
     private String requestId = "";
+    private long foreignBytes;
     private boolean skipping;
     private boolean answering;
     private boolean reusable;
@@ -57,9 +65,17 @@
                 && Moment.steadyNow() < usableUntilMillis;
     }
 
+    /**
+     * Returns whether the last request on this connection had an identifier, so that a late copy of its answer might.
+     */
+    boolean served(String id) {
+        return used && requestId.equals(id);
+    }
+
     void send(FullHttpRequest request, String id, Attempt next) {
         attempt = next;
         requestId = id;
+        foreignBytes = 0;
         skipping = false;
         answering = false;
         reusable = true;
@@ -77,13 +93,21 @@
     }
 
     /** Gives up the request; closing the connection cancels it at the instance. */
-    boolean cancel() {
+    @Override
+    public boolean cancel() {
         boolean sent = attempt != null;
         attempt = null;
         close();
         return sent;
     }
 
+    @Override
+    public void reading(boolean reads) {
+        if (channel != null && attempt != null) {
+            channel.config().setAutoRead(reads);
+        }
+    }
+
     void close() {
         reusable = false;
         if (channel != null) {
@@ -125,6 +149,7 @@
         AnswerHead head = RequestHeaders.decode(response);
         if (head.status() < FIRST_FINAL_STATUS) {
             skipping = true;
+            foreign(HEAD_BYTES);
             return;
         }
         // An answer without an identifier on a connection that served earlier requests may be a late extra one.
@@ -132,6 +157,7 @@
         skipping = !ours;
         if (!ours) {
             reusable = false;
+            foreign(HEAD_BYTES);
             return;
         }
         answering = true;
@@ -162,6 +188,7 @@
             return;
         }
         if (skipping) {
+            foreign(content.content().readableBytes());
             return;
         }
         if (content.content().isReadable()) {
@@ -172,6 +199,7 @@
                 breakOff(Attempt.Break.UNKNOWN, "connection was reset in the answer");
                 return;
             }
+            reading(true);
             attempt = null;
             used = true;
             pool.release(this);
@@ -179,6 +207,14 @@
         }
     }
 
+    /** Counts bytes that belong to no request or say nothing, and ends the connection where they have no end. */
+    private void foreign(long bytes) {
+        foreignBytes += bytes;
+        if (foreignBytes > LARGEST_FOREIGN_BYTES) {
+            breakOff(Attempt.Break.UNKNOWN, "bytes that are no answer");
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext context) {
         breakOff(Attempt.Break.UNKNOWN, answering ? "connection ended in the answer" : "connection ended unanswered");
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
@@ -26,6 +26,9 @@
     /** A connection in the same region opens within a few milliseconds; a lost first packet is sent again after 1 s. */
     private static final int CONNECT_TIMEOUT_MILLIS = 700;
 
+    /** What the operating system holds of one answer that is not read, because its caller does not read either. */
+    private static final int RECEIVE_BUFFER_BYTES = 256 << 10;
+
     private final EventLoop loop;
     private final Map<String, Deque<UpstreamConnection>> idle = new HashMap<>();
 
@@ -38,9 +41,8 @@
         this.loop = loop;
     }
 
-    /** Gives up a send. */
-    @FunctionalInterface
-    public interface Cancellation {
+    /** A send that is under way. */
+    public interface Sending {
 
         /**
          * Cancels the request at the instance; its attempt hears nothing more.
@@ -48,6 +50,14 @@
          * @return whether any of the request may have reached the instance
          */
         boolean cancel();
+
+        /**
+         * Reads on or stops reading what the instance sends. An instance whose bytes are not read stops sending once
+         * the buffers of both operating systems are full.
+         *
+         * @param reads whether to read
+         */
+        void reading(boolean reads);
     }
 
     /**
@@ -58,20 +68,22 @@
      * @param id the identifier that the answer must carry
      * @param attempt receives what comes of it
      */
-    public Cancellation send(UpstreamInstance instance, FullHttpRequest request, String id, Attempt attempt) {
-        Optional<UpstreamConnection> kept = takeIdle(instance.id());
+    public Sending send(UpstreamInstance instance, FullHttpRequest request, String id, Attempt attempt) {
+        Optional<UpstreamConnection> kept = takeIdle(instance.id(), id);
         if (kept.isPresent()) {
             kept.get().send(request, id, attempt);
-            return kept.get()::cancel;
+            return kept.get();
         }
         return connect(instance, request, id, attempt);
     }
 
-    private Optional<UpstreamConnection> takeIdle(String instance) {
+    private Optional<UpstreamConnection> takeIdle(String instance, String id) {
         Deque<UpstreamConnection> connections = idle.get(instance);
         while (connections != null && !connections.isEmpty()) {
             UpstreamConnection connection = connections.pollLast();
-            if (connection.idle()) {
+            // A second copy of the answer to an earlier send of the same request would be taken for the answer to this
+            // one.
+            if (connection.idle() && !connection.served(id)) {
                 return Optional.of(connection);
             }
             connection.close();
@@ -79,7 +91,7 @@
         return Optional.empty();
     }
 
-    private Cancellation connect(UpstreamInstance instance, FullHttpRequest request, String id, Attempt attempt) {
+    private Sending connect(UpstreamInstance instance, FullHttpRequest request, String id, Attempt attempt) {
         UpstreamConnection connection = new UpstreamConnection(this, instance.id());
         Opening opening = new Opening(connection);
         new Bootstrap()
@@ -87,6 +99,7 @@
                 .channel(NioSocketChannel.class)
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MILLIS)
                 .option(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
                 .handler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
@@ -142,7 +155,7 @@
     }
 
     /** A send that waits for its connection. */
-    private static final class Opening implements Cancellation {
+    private static final class Opening implements Sending {
 
         private final UpstreamConnection connection;
         private boolean cancelled;
@@ -156,5 +169,10 @@
             cancelled = true;
             return connection.cancel();
         }
+
+        @Override
+        public void reading(boolean reads) {
+            connection.reading(reads);
+        }
     }
 }
--- /dev/null
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
@@ -0,0 +1,150 @@
+package io.oleandermoor.gateway.standin;
+
+import static org.awaitility.Awaitility.await;
+
+import io.oleandermoor.gateway.Gateway;
+import io.oleandermoor.gateway.settings.GatewaySettings;
+import io.oleandermoor.gateway.standin.InstanceStandIn.Behaviour;
+import io.oleandermoor.transport.settings.SettingsReader;
+import java.io.IOException;
+import java.net.ServerSocket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+
+/** A whole entry between a caller and stand-ins of the store and of instances. */
+public final class EntryFixture implements AutoCloseable {
+
+    /** A route whose answers are streams that may be resumed. */
+    public static final String STREAM = "/stream/x";
+
+    /** A route whose requests may run once only. */
+    public static final String ONCE = "/once/x";
+
+    /** A route whose requests may run again. */
+    public static final String SAFE = "/safe/x";
+
+    private static final String MODELS = "[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
+
+    private final HttpClient client = HttpClient.newBuilder()
+            .version(HttpClient.Version.HTTP_1_1)
+            .connectTimeout(Duration.ofSeconds(5))
+            .build();
+    private final List<AutoCloseable> opened = new ArrayList<>();
+    private final StoreStandIn store;
+    private final Gateway gateway;
+    private final int callerPort;
+    private final int readyPort;
+    private int nextId;
+
+    /** Starts an entry, a store and no instance. */
+    public EntryFixture() throws Exception {
+        store = opened(new StoreStandIn());
+        callerPort = freePort();
+        readyPort = freePort();
+        String settings = "[process]\nname = entry-1\nfailure-domain = a\n[listen]\ncaller = 127.0.0.1:" + callerPort
+                + "\nready = 127.0.0.1:" + readyPort + "\npeer = 127.0.0.1:" + freePort() + "\n[store]\naddress = "
+                + store.address() + "\n[limits]\nrevocation = 5000ms\ngrace = 8s\n[retries]\nwindow = 10s\n"
+                + "ratio = 0.2\nfixed = 50\n[orders]\nholder-gap = 3000ms\n";
+        gateway = new Gateway(new SettingsReader(GatewaySettings.SCHEMA).read("test", settings, List.of()));
+        gateway.start();
+        gateway.listen();
+    }
+
+    @Override
+    public void close() throws Exception {
+        gateway.stop();
+        for (AutoCloseable each : opened) {
+            each.close();
+        }
+    }
+
+    private <T extends AutoCloseable> T opened(T each) {
+        opened.add(each);
+        return each;
+    }
+
+    private static int freePort() throws IOException {
+        try (ServerSocket socket = new ServerSocket(0)) {
+            return socket.getLocalPort();
+        }
+    }
+
+    /** Starts an instance and registers it. */
+    public InstanceStandIn instance(String id, String service, Behaviour behaviour) throws IOException {
+        InstanceStandIn instance = opened(new InstanceStandIn(id, behaviour));
+        store.put("servers/" + id, instance.entry(service, "ready", service.equals("words") ? MODELS : "[]"));
+        return instance;
+    }
+
+    private static String route(String name, String kind, String service, int timeoutMillis, boolean resumable) {
+        return "{\"name\":\"" + name + "\",\"host\":\"127.0.0.1\",\"path-prefix\":\"/" + name + "/\",\"kind\":\""
+                + kind + "\",\"timeout-ms\":" + timeoutMillis + ",\"target-latency-ms\":500,\"priority\":1,"
+                + "\"service\":\"" + service + "\",\"max-attempts\":2,\"resumable\":" + resumable
+                + ",\"gap-target-ms\":150}";
+    }
+
+    /** Puts a configuration into the store. */
+    public void configure(int version, String keys) {
+        store.put(
+                "op/config",
+                "{\"version\":" + version + ",\"routes\":[" + route("stream", "streaming", "words", 5_000, true) + ","
+                        + route("once", "unsafe", "shop", 900, false) + ","
+                        + route("safe", "safe", "shop", 5_000, false)
+                        + "],\"services\":[{\"name\":\"words\",\"engine\":{\"slots\":8,\"kv-capacity\":1000,"
+                        + "\"models\":[{\"name\":\"m\",\"weights-mb\":1,\"load-time-s\":1}]}},{\"name\":\"shop\"}],"
+                        + "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":65536,"
+                        + "\"header-timeout-ms\":6000,\"idle-timeout-ms\":15000},\"tenants\":[{\"name\":\"team-1\","
+                        + "\"api-keys\":[" + keys + "]}]}");
+    }
+
+    /** Configures the entry and waits until it is ready. */
+    public void ready() {
+        configure(2, "\"key-1\"");
+        await().atMost(Duration.ofSeconds(20)).until(() -> isReady());
+    }
+
+    /** Returns whether the entry tells the load balancer that it is ready. */
+    public boolean isReady() throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + readyPort + "/api/ready"))
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode() == 200;
+    }
+
+    /** Sends a request and returns its answer. */
+    public HttpResponse<String> call(String path, String key) throws Exception {
+        HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + callerPort + path))
+                .header("Request-Id", "id-" + nextId++)
+                .header("Authorization", "Token " + key)
+                .header("Tenant", "forged")
+                .header("Model", path.equals(STREAM) ? "m" : "none")
+                .header("Deadline-Ms", "4000")
+                .POST(HttpRequest.BodyPublishers.ofString("question"))
+                .build();
+        return client.send(request, HttpResponse.BodyHandlers.ofString());
+    }
+
+    /** Returns the port for callers. */
+    public int callerPort() {
+        return callerPort;
+    }
+
+    /** Returns the store. */
+    public StoreStandIn store() {
+        return store;
+    }
+
+    /** Returns the entry. */
+    public Gateway gateway() {
+        return gateway;
+    }
+
+    /** Returns the client of the callers. */
+    public HttpClient client() {
+        return client;
+    }
+}
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
 
 /** An instance that behaves as told: it answers, breaks off, stays silent, or sends what nobody asked for. */
@@ -37,10 +38,29 @@
         /** Answers after four seconds. */
         SLOW,
         /** States that it did not run the request. */
-        DECLINE
+        DECLINE,
+        /** Says twice that it is another instance, and from the second request on runs each one without an answer. */
+        MISDIRECT_TWICE,
+        /** Sends interim answers without end. */
+        ENDLESS_INTERIM,
+        /** Sends a header without end. */
+        ENDLESS_HEAD,
+        /** Sends an answer to somebody else that has no end. */
+        ENDLESS_FOREIGN,
+        /** Sends an answer that has no end. */
+        ENDLESS_BODY,
+        /** Streams two events, and then a byte of a comment now and then. */
+        DRIBBLE_STREAM,
+        /** Streams five events, with a long pause after the second. */
+        PAUSE_STREAM,
+        /** Streams large events without end. */
+        FLOOD_STREAM
     }
 
     private static final long SLOW_NANOS = 4_000_000_000L;
+    private static final long PAUSE_NANOS = 1_300_000_000L;
+    private static final long DRIBBLE_NANOS = 50_000_000L;
+    private static final long FLOOD_BYTES = 64L << 20;
     private static final int EVENTS = 5;
     private static final int TORN_AFTER = 2;
 
@@ -48,6 +68,7 @@
     private final String id;
     private final List<Map<String, String>> received = new CopyOnWriteArrayList<>();
     private final List<Socket> open = new CopyOnWriteArrayList<>();
+    private final AtomicLong written = new AtomicLong();
     private volatile Behaviour behaviour;
 
     /** Starts an instance on a free port of the loopback. */
@@ -77,6 +98,11 @@
         return received;
     }
 
+    /** Returns the bytes that it has written. */
+    public long written() {
+        return written.get();
+    }
+
     private void accept() {
         while (!listening.isClosed()) {
             try {
@@ -96,6 +122,10 @@
             InputStream input = new BufferedInputStream(socket.getInputStream());
             while (true) {
                 Map<String, String> request = read(input);
+                if (request.get("line").startsWith("GET /api/")) {
+                    write(socket.getOutputStream(), whole("", "503 Service Unavailable", "Not-Executed: 1\r\n", ""));
+                    continue;
+                }
                 received.add(request);
                 if (!answer(socket, request)) {
                     return;
@@ -161,6 +191,35 @@
             case RESET -> {
                 return reset(socket);
             }
+            case MISDIRECT_TWICE -> {
+                if (received.size() == 1) {
+                    String misdirected = whole(requestId, "421 Misdirected Request", "Not-Executed: 1\r\n", "");
+                    write(output, misdirected + misdirected);
+                }
+            }
+            case ENDLESS_INTERIM, ENDLESS_HEAD, ENDLESS_FOREIGN, ENDLESS_BODY -> endless(output, requestId);
+            case DRIBBLE_STREAM -> {
+                stream(output, requestId, first(request), TORN_AFTER);
+                while (true) {
+                    chunk(output, ":");
+                    LockSupport.parkNanos(DRIBBLE_NANOS);
+                }
+            }
+            case PAUSE_STREAM -> {
+                stream(output, requestId, first(request), TORN_AFTER, "");
+                LockSupport.parkNanos(PAUSE_NANOS);
+                for (int event = TORN_AFTER + 1; event <= EVENTS; event++) {
+                    chunk(output, event(event));
+                }
+                write(output, "0\r\n\r\n");
+            }
+            case FLOOD_STREAM -> {
+                streamHead(output, requestId);
+                String filling = "x".repeat(16 << 10);
+                for (int event = 1; written.get() < FLOOD_BYTES; event++) {
+                    chunk(output, "id: " + event + "\ndata: " + filling + "\n\n");
+                }
+            }
             default -> {
                 // SILENT: the connection stays open.
             }
@@ -168,6 +227,28 @@
         return true;
     }
 
+    /** Writes until the other side closes the connection. */
+    private void endless(OutputStream output, String requestId) throws IOException {
+        String filling = "x".repeat(8 << 10);
+        switch (behaviour) {
+            case ENDLESS_HEAD -> write(output, "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nFilling: ");
+            case ENDLESS_FOREIGN -> streamHead(output, "somebody-else");
+            case ENDLESS_BODY -> streamHead(output, requestId);
+            default -> {
+                // Interim answers need no beginning.
+            }
+        }
+        while (true) {
+            if (behaviour == Behaviour.ENDLESS_INTERIM) {
+                write(output, "HTTP/1.1 100 Continue\r\n\r\n");
+            } else if (behaviour == Behaviour.ENDLESS_HEAD) {
+                write(output, filling);
+            } else {
+                chunk(output, filling);
+            }
+        }
+    }
+
     private static boolean reset(Socket socket) throws IOException {
         socket.setSoLinger(true, 0);
         return false;
@@ -177,22 +258,35 @@
         return Integer.parseInt(request.getOrDefault("last-event-id", "0")) + 1;
     }
 
-    private static void stream(OutputStream output, String requestId, int first, int last) throws IOException {
-        write(
-                output,
-                "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nResponse-Stamp: s\r\n"
-                        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    private void stream(OutputStream output, String requestId, int first, int last) throws IOException {
+        stream(output, requestId, first, last, "id: " + (last + 1) + "\nda");
+    }
+
+    /** Streams events, and ends after the last one of all or goes on with what follows an earlier one. */
+    private void stream(OutputStream output, String requestId, int first, int last, String torn) throws IOException {
+        streamHead(output, requestId);
         for (int event = first; event <= last; event++) {
-            chunk(output, "id: " + event + "\ndata: " + event + "\n\n");
+            chunk(output, event(event));
         }
         if (last == EVENTS) {
             write(output, "0\r\n\r\n");
-        } else {
-            chunk(output, "id: " + (last + 1) + "\nda");
+        } else if (!torn.isEmpty()) {
+            chunk(output, torn);
         }
     }
 
-    private static void chunk(OutputStream output, String text) throws IOException {
+    private void streamHead(OutputStream output, String requestId) throws IOException {
+        write(
+                output,
+                "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nResponse-Stamp: s\r\n"
+                        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    }
+
+    private static String event(int number) {
+        return "id: " + number + "\ndata: " + number + "\n\n";
+    }
+
+    private void chunk(OutputStream output, String text) throws IOException {
         write(output, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
     }
 
@@ -201,9 +295,11 @@
                 + body.length() + "\r\n\r\n" + body;
     }
 
-    private static void write(OutputStream output, String text) throws IOException {
-        output.write(text.getBytes(StandardCharsets.US_ASCII));
+    private void write(OutputStream output, String text) throws IOException {
+        byte[] bytes = text.getBytes(StandardCharsets.US_ASCII);
+        output.write(bytes);
         output.flush();
+        written.addAndGet(bytes.length);
     }
 
     @Override
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/LeastHarm.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/LeastHarm.java
@@ -88,6 +88,7 @@
         if (asked && firstDemandMillis == Long.MAX_VALUE) {
             firstDemandMillis = round.nowMillis();
         }
+        placedMillis.values().removeIf(placed -> round.nowMillis() - placed >= REST_MILLIS);
         new Search(round).run();
     }
 
@@ -108,6 +109,10 @@
 
         private final EngineView engine;
         private final Set<String> models;
+        /** What is lost when a model yields, until a move changes the loads. */
+        private final Map<String, Double> losses = new HashMap<>();
+
+        private List<String> victims = List.of();
         private double load;
         private double presentLoad;
 
@@ -129,8 +134,10 @@
         private final List<Place> places = new ArrayList<>();
         private final Map<String, List<Place>> holders = new HashMap<>();
         private final Map<String, Double> demands = new HashMap<>();
-        private final Map<String, Integer> present = new HashMap<>();
+        private final Map<String, List<Place>> present = new HashMap<>();
         private final Set<String> atHand = new HashSet<>();
+        /** The places that can be given an order; few of all, and all that a move may change. */
+        private final List<Place> open = new ArrayList<>();
 
         Search(PlanningRound round) {
             this.round = round;
@@ -155,6 +162,12 @@
                         .models()
                         .keySet()
                         .forEach(model -> place.presentLoad += share(model, presentCopies(model)));
+                if (round.mayOrder(place.engine) && place.engine.incoming().isEmpty()) {
+                    place.victims = place.engine.models().keySet().stream()
+                            .filter(victim -> mayYield(place, victim))
+                            .toList();
+                    open.add(place);
+                }
             }
         }
 
@@ -177,13 +190,15 @@
         }
 
         private List<Place> presentHolders(String model) {
-            return holders.getOrDefault(model, List.of()).stream()
-                    .filter(place -> place.engine.models().containsKey(model))
-                    .toList();
+            return present.computeIfAbsent(
+                    model,
+                    key -> holders.getOrDefault(key, List.of()).stream()
+                            .filter(place -> place.engine.models().containsKey(key))
+                            .toList());
         }
 
         private int presentCopies(String model) {
-            return present.computeIfAbsent(model, key -> presentHolders(key).size());
+            return presentHolders(model).size();
         }
 
         private double share(String model, int copies) {
@@ -199,29 +214,27 @@
                         && (demand(model) == 0 || round.demand(model).forecast() < expected)) {
                     continue;
                 }
-                for (Place place : places) {
-                    if (!mayTake(place, model)) {
-                        continue;
-                    }
-                    if (memory.fits(place.engine, model)) {
-                        best = better(best, move(place, model, Optional.empty()));
-                        continue;
-                    }
-                    for (String victim : place.engine.models().keySet()) {
-                        if (mayYield(place, victim) && memory.fitsWithout(place.engine, victim, model)) {
-                            best = better(best, move(place, model, Optional.of(victim)));
-                        }
+                for (Place place : open) {
+                    if (!place.models.contains(model) && round.mayLoad(place.engine, model)) {
+                        best = best(best, place, model);
                     }
                 }
             }
             return Optional.ofNullable(best).filter(move -> move.gain() > LEAST_GAIN);
         }
 
-        private boolean mayTake(Place place, String model) {
-            return round.mayOrder(place.engine)
-                    && place.engine.incoming().isEmpty()
-                    && !place.models.contains(model)
-                    && round.mayLoad(place.engine, model);
+        private @Nullable Move best(@Nullable Move soFar, Place place, String model) {
+            @Nullable Move best = soFar;
+            double crowding = crowding(place, model);
+            if (memory.fits(place.engine, model)) {
+                return better(best, move(place, model, crowding, Optional.empty()));
+            }
+            for (String victim : place.victims) {
+                if (memory.fitsWithout(place.engine, victim, model)) {
+                    best = better(best, move(place, model, crowding, Optional.of(victim)));
+                }
+            }
+            return best;
         }
 
         private boolean mayYield(Place place, String victim) {
@@ -233,8 +246,7 @@
             return best == null || next.gain() > best.gain() ? next : best;
         }
 
-        private Move move(Place place, String model, Optional<String> victim) {
-            double crowding = crowding(place, model);
+        private Move move(Place place, String model, double crowding, Optional<String> victim) {
             double gain = Math.max(0, -crowding);
             if (copies(model) == 0) {
                 gain += missing(model, atHand.contains(model));
@@ -245,7 +257,7 @@
             double worth = gain * Math.max(0, HORIZON_SECONDS - seconds) / HORIZON_SECONDS;
             double cost = Math.max(0, crowding) + disturbance(place, victim);
             if (victim.isPresent()) {
-                cost += loss(place, victim.get());
+                cost += place.losses.computeIfAbsent(victim.get(), yielding -> loss(place, yielding));
             }
             return new Move(place, model, victim, worth - cost);
         }
@@ -325,7 +337,6 @@
             Place place = move.place();
             for (String victim : move.victim().stream().toList()) {
                 double before = share(victim, copies(victim));
-                present.remove(victim);
                 holders.getOrDefault(victim, List.of()).remove(place);
                 place.models.remove(victim);
                 place.load -= before;
@@ -337,6 +348,9 @@
             place.models.add(move.model());
             place.load += share(move.model(), copies(move.model()));
             placedMillis.put(place.engine.id() + " " + move.model(), round.nowMillis());
+            open.remove(place);
+            open.forEach(each -> each.losses.clear());
+            move.victim().ifPresent(present::remove);
             move.victim()
                     .ifPresentOrElse(
                             victim -> round.replace(place.engine, victim, move.model(), reason),
