Expect an overdue load to take as long again; begin no forecast for requests that already wait

And a waiting request at the head of its line began the backlog of its places anew with every demand report. Tests: WaitPolicyTest.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -121,7 +121,7 @@
      * request still meets its target then, and more requests for it come meanwhile.
      */
     boolean presses() {
-        return WaitPolicy.presses(admitted.route(), age(), desk.expectedPlaceMillis(this, shortage));
+        return WaitPolicy.presses(admitted.route(), shortage, age(), () -> desk.expectedPlaceMillis(this, shortage));
     }
 
     void start() {
@@ -149,7 +149,7 @@
     }
 
     private void take(UpstreamInstance instance) {
-        desk.placed(places());
+        desk.placed(places(), target());
         send(instance);
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargets.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargets.java
@@ -13,8 +13,6 @@
 
     /** Time after which a target that was not asked for in vain again counts as missing anew. */
     private static final long FORGET_MILLIS = 3_000;
-    /** An adapter is there within some tens of milliseconds if its model is. */
-    private static final long ADAPTER_MILLIS = 250;
 
     /** Time for which a refused request counts as demand, less than the time that it would have run. */
     private static final long REFUSAL_MILLIS = 600;
@@ -60,12 +58,17 @@
         spans.merge(target, new Span(now, now), (old, fresh) -> new Span(old.firstMillis(), now));
     }
 
+    /** Notes that an instance holds a target. */
+    void present(ModelTarget target) {
+        spans.remove(target);
+    }
+
     long expectedMillis(String service, ModelTarget target, long now) {
-        if (target.isAdapter() && modelHeld(service, target.model())) {
-            return ADAPTER_MILLIS;
-        }
         Span span = spans.get(target);
         long missing = span == null ? 0 : now - span.firstMillis();
+        if (target.isAdapter() && modelHeld(service, target.model())) {
+            return WaitPolicy.expectedAdapterMillis(missing);
+        }
         return WaitPolicy.expectedLoadMillis(loadMillis(service, target.model()), missing);
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDesk.java
@@ -11,6 +11,7 @@
 import io.oleandermoor.state.residency.DemandBoard;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 
 /** What all requests of this entry share. Used on the event loop only. */
@@ -155,8 +156,9 @@
     }
 
     /** Notes that a request got a place. */
-    void placed(String need) {
+    void placed(String need, Optional<ModelTarget> target) {
         places.placed(need, Moment.steadyNow());
+        target.ifPresent(residency::present);
     }
 
     /** Notes that a request was refused for want of its model; it counts as demand for a while. */
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/WaitPolicy.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/WaitPolicy.java
@@ -3,6 +3,7 @@
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.fleet.HostRoute;
 import java.util.Optional;
+import java.util.function.LongSupplier;
 
 /**
  * Decides whether a request that no instance can take now waits at the entry or is refused at once. Answers bursts and
@@ -21,6 +22,9 @@
     /** Time from the first request for a model that nobody holds until its load begins, and for the load to be seen. */
     private static final long LOAD_OVERHEAD_MILLIS = 1_200;
 
+    /** Time from the first request for an adapter that nobody holds, whose model is held, until it is there. */
+    private static final long ADAPTER_MILLIS = 250;
+
     /** Time for the model that yields to end its runs, and for the prompt to be read. */
     private static final long PRESS_MARGIN_MILLIS = 1_000;
 
@@ -79,23 +83,36 @@
 
     /**
      * Returns whether what a request waits for is needed now, or its first event comes too late. Answers batch requests
-     * for models that take turns on few places.
+     * for models that take turns on few places. A place at an instance that holds the model is always needed now.
      *
      * @param route the route
+     * @param shortage why it waits
      * @param waitedMillis the time since the request came
-     * @param expectedMillis the time that it takes to get what the request waits for
+     * @param expectedMillis the time that it takes to get the model or adapter; asked for only where one is missing
      */
-    public static boolean presses(HostRoute route, long waitedMillis, long expectedMillis) {
-        return waitedMillis + expectedMillis + PRESS_MARGIN_MILLIS >= route.latencyTargetMillis();
+    public static boolean presses(HostRoute route, Shortage shortage, long waitedMillis, LongSupplier expectedMillis) {
+        return shortage != Shortage.NOT_RESIDENT
+                || waitedMillis + expectedMillis.getAsLong() + PRESS_MARGIN_MILLIS >= route.latencyTargetMillis();
     }
 
     /**
-     * Returns the expected time until a model is there that nobody holds.
+     * Returns the expected time until a model is there that nobody holds. A load that is overdue was not ordered when
+     * the model was first asked for; it is expected to take as long again as it is overdue.
      *
      * @param loadMillis the time of its load
      * @param missingMillis the time since it was first asked for in vain
      */
     public static long expectedLoadMillis(long loadMillis, long missingMillis) {
-        return Math.max(LEAST_RETRY_MILLIS, loadMillis + LOAD_OVERHEAD_MILLIS - missingMillis);
+        return Math.max(LEAST_RETRY_MILLIS, Math.abs(loadMillis + LOAD_OVERHEAD_MILLIS - missingMillis));
+    }
+
+    /**
+     * Returns the expected time until an adapter is there that nobody holds, though its model is held; as long again as
+     * it has been missing where that is longer than usual, as where all places for adapters are in use.
+     *
+     * @param missingMillis the time since it was first asked for in vain
+     */
+    public static long expectedAdapterMillis(long missingMillis) {
+        return Math.max(ADAPTER_MILLIS, missingMillis);
     }
 }
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/WaitPolicyTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/WaitPolicyTest.java
@@ -57,14 +57,42 @@
     /** Guards against batch requests that have models exchanged one by one, though they could wait and share a load. */
     @Test
     void aRequestWithAFarTargetDoesNotPressAtOnce() {
-        assertThat(WaitPolicy.presses(route(RequestKind.STREAMING, 5_000), 0, 1_200))
+        HostRoute far = route(RequestKind.STREAMING, 5_000);
+        assertThat(WaitPolicy.presses(far, Shortage.NOT_RESIDENT, 0, () -> 1_200))
                 .isFalse();
-        assertThat(WaitPolicy.presses(route(RequestKind.STREAMING, 5_000), 3_000, 1_200))
+        assertThat(WaitPolicy.presses(far, Shortage.NOT_RESIDENT, 3_000, () -> 1_200))
                 .isTrue();
-        assertThat(WaitPolicy.presses(route(RequestKind.STREAMING, 500), 0, 1_200))
+        assertThat(WaitPolicy.presses(route(RequestKind.STREAMING, 500), Shortage.NOT_RESIDENT, 0, () -> 1_200))
                 .isTrue();
     }
 
+    /** Guards against a forecast that begins anew because a request that already waits asks for it. */
+    @Test
+    void aRequestThatWaitsForAPlacePressesWithoutAForecast() {
+        assertThat(WaitPolicy.presses(route(RequestKind.STREAMING, 5_000), Shortage.FULL, 0, () -> {
+                    throw new IllegalStateException("the forecast was asked for");
+                }))
+                .isTrue();
+    }
+
+    /** Guards against requests that are held for a model whose load is always expected in a moment and never comes. */
+    @Test
+    void anOverdueLoadIsExpectedToTakeAsLongAgain() {
+        assertThat(WaitPolicy.expectedLoadMillis(4_000, 0)).isEqualTo(5_200);
+        assertThat(WaitPolicy.expectedLoadMillis(4_000, 5_000)).isEqualTo(200);
+        assertThat(WaitPolicy.expectedLoadMillis(4_000, 9_200)).isEqualTo(4_000);
+        HostRoute live = route(RequestKind.STREAMING, 500);
+        long expected = WaitPolicy.expectedLoadMillis(4_000, 9_200);
+        assertThat(WaitPolicy.decide(live, 12_000, 0, expected, 0).waitMillis()).isZero();
+    }
+
+    /** Guards against requests that are held for an adapter that gets no place. */
+    @Test
+    void anAdapterThatWasLongMissingIsNotExpectedInAMoment() {
+        assertThat(WaitPolicy.expectedAdapterMillis(0)).isEqualTo(250);
+        assertThat(WaitPolicy.expectedAdapterMillis(3_000)).isEqualTo(3_000);
+    }
+
     /** Guards against a missing model that is told as full because others wait, and so is not counted as demand. */
     @Test
     void aMissingModelIsMissingWhoeverWaits() {
