Pass over slow instances, and tell them by name

Cause: an instance that turns slow without failing got as many streams as its load allowed, and nobody could see which one it was. Each entry now measures the pauses of an instance's streams against the usual ones of its service; from twice as long on it counts as more loaded, and `event=instance_slow` names it. Ruled out: the time to the first event, which depends on prompts and queues more than on the instance.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -33,6 +33,7 @@
     private boolean ran;
     private boolean paused;
     private int ticksWithoutEvent;
+    private long eventMillis = -1;
 
     SendAttempt(Exchange exchange, UpstreamInstance instance) {
         this.exchange = exchange;
@@ -185,7 +186,12 @@
                 // Only new events are a sign of life: an instance in trouble may send bytes without end.
                 exchange.desk().silence().heard(instance.id());
                 ticksWithoutEvent = 0;
-                exchange.times().event(Moment.steadyNow());
+                long now = Moment.steadyNow();
+                if (eventMillis >= 0 && !paused) {
+                    exchange.desk().view().instances().streamed(instance.id(), now - eventMillis, now);
+                }
+                eventMillis = now;
+                exchange.times().event(now);
                 exchange.sink().part(whole);
             } else {
                 whole.release();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SilenceWatch.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SilenceWatch.java
@@ -6,6 +6,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.OptionalDouble;
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -42,6 +43,7 @@
         private final Set<SendAttempt> attempts = new HashSet<>();
         private boolean heard;
         private int silentTicks;
+        private boolean slow;
     }
 
     void begin(String instance, SendAttempt attempt) {
@@ -76,9 +78,24 @@
                 silent(entry.getKey(), watched);
             }
             stalled(entry.getKey(), watched);
+            slow(entry.getKey(), watched);
         }
     }
 
+    /** Tells once for each time that an instance is slow, so that its name is seen before its callers complain. */
+    private void slow(String instance, Watched watched) {
+        OptionalDouble slowness = view.instances().slowness(instance, Moment.steadyNow());
+        if (slowness.isPresent() && !watched.slow) {
+            LOG.info(
+                    "event=instance_slow instance={} times_usual_pause={} streams={} load={}",
+                    instance,
+                    Math.round(slowness.getAsDouble() * 10) / 10.0,
+                    watched.attempts.size(),
+                    view.instances().load(instance));
+        }
+        watched.slow = slowness.isPresent();
+    }
+
     private void silent(String instance, Watched watched) {
         LOG.warn(
                 "event=instance_silent instance={} attempts={} silent_ms={}",
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
@@ -19,6 +19,8 @@
     private static final double RESULT_WEIGHT = 0.15;
     /** Time in which a failure rate without new results falls to a half. */
     private static final double FORGET_HALF_LIFE_MILLIS = 2_000;
+    /** Weight of the newest gap in the pace of an instance: some ten events show a change. */
+    private static final double PACE_WEIGHT = 0.1;
     /** Time for which a target that the instance declined counts as absent. */
     private static final long ABSENCE_MILLIS = 400;
     /** Time for which what the giver of orders told goes before what the instance says; longer than its reports. */
@@ -31,6 +33,7 @@
     private long orderedMillis = Long.MIN_VALUE / 2;
     private int ownLoad;
     private long unreadTokens;
+    private final StreamPace pace = new StreamPace(PACE_WEIGHT);
     private int failuresInRow;
     private long pausedUntilMillis = Long.MIN_VALUE;
     private double failureRate;
@@ -177,6 +180,10 @@
         failureRateMillis = nowMillis;
     }
 
+    StreamPace pace() {
+        return pace;
+    }
+
     /** Returns the recent share of failures, from 0 to 1. */
     public double failureRate(long nowMillis) {
         double age = Math.max(0, nowMillis - failureRateMillis);
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -7,6 +7,7 @@
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
@@ -46,6 +47,17 @@
     /** Odd factor that keeps the keys of prompts and the hashes of instances apart. */
     private static final long INSTANCE_FACTOR = 0x9E3779B97F4A7C15L;
 
+    /**
+     * Gaps between events, relative to the usual ones, from which an instance counts as slow; models differ by less.
+     */
+    private static final double SLOW = 2.0;
+    /** Load fraction that a slow instance is worse by for each further multiple of the usual gap, up to a bound. */
+    private static final double SLOW_PENALTY = 0.25;
+
+    private static final double LARGEST_SLOW_PENALTY = 1.0;
+    /** Weight of the newest gap in the pace of a service, which has the events of all its instances. */
+    private static final double SERVICE_PACE_WEIGHT = 0.01;
+
     private final String failureDomain;
     private final SplittableRandom random;
     private final Map<String, InstanceState> states = new HashMap<>();
@@ -53,6 +65,8 @@
     /** The sum of the loads of all other entries for each instance, so that a choice does not cost a look at each. */
     private final Map<String, Integer> peerTotals = new HashMap<>();
 
+    private final Map<String, StreamPace> paces = new HashMap<>();
+
     /**
      * Creates an empty table.
      *
@@ -148,6 +162,37 @@
         return (state == null ? 0 : state.ownLoad()) + peerTotals.getOrDefault(id, 0);
     }
 
+    /**
+     * Notes an event of a stream.
+     *
+     * @param id the instance
+     * @param gapMillis the time since the event before it
+     * @param nowMillis the time
+     */
+    public void streamed(String id, long gapMillis, long nowMillis) {
+        InstanceState state = states.get(id);
+        if (state != null) {
+            StreamPace usual =
+                    paces.computeIfAbsent(state.instance().service(), service -> new StreamPace(SERVICE_PACE_WEIGHT));
+            state.pace().event(gapMillis, usual.gapMillis(), nowMillis);
+            // A few slow instances must not make slowness usual.
+            double counted = usual.gapMillis() > 0 ? Math.min(gapMillis, SLOW * usual.gapMillis()) : gapMillis;
+            usual.event(counted, usual.gapMillis(), nowMillis);
+        }
+    }
+
+    /** Returns how many times as long the pauses of an instance are as is usual for its service, if it is slow. */
+    public OptionalDouble slowness(String id, long nowMillis) {
+        InstanceState state = states.get(id);
+        double slowness = state == null ? 1 : slowness(state, nowMillis);
+        return slowness < SLOW ? OptionalDouble.empty() : OptionalDouble.of(slowness);
+    }
+
+    private double slowness(InstanceState state, long nowMillis) {
+        StreamPace usual = paces.get(state.instance().service());
+        return usual == null ? 1 : state.pace().slowness(usual.gapMillis(), nowMillis);
+    }
+
     /** Chooses the instance for a request. */
     public Selection choose(Query query, long nowMillis) {
         boolean usable = false;
@@ -196,6 +241,7 @@
             cost += OTHER_DOMAIN_PENALTY;
         }
         cost += FAILURE_PENALTY * state.failureRate(nowMillis);
+        cost += Math.min(LARGEST_SLOW_PENALTY, SLOW_PENALTY * Math.max(0, slowness(state, nowMillis) - SLOW));
         cost -= AFFINITY_BONUS
                 * state.keptTokens(query.prompt())
                 / Math.max(1, query.prompt().tokens());
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
@@ -162,6 +162,65 @@
         }
     }
 
+    @Nested
+    class Slowness {
+
+        private static final long USUAL_MILLIS = 25;
+
+        private void stream(String id, long gapMillis, int events) {
+            for (int event = 0; event < events; event++) {
+                table.streamed(id, gapMillis, 0);
+            }
+        }
+
+        private void threeInstances() {
+            for (String id : List.of("one", "two", "three")) {
+                table.put(instance(id, false, 1, 12), 0);
+            }
+            stream("two", USUAL_MILLIS, 200);
+            stream("three", USUAL_MILLIS, 200);
+        }
+
+        /** An instance that is five times as slow makes a fifth of the events. */
+        private void slowOne() {
+            for (int round = 0; round < 30; round++) {
+                stream("one", 5 * USUAL_MILLIS, 1);
+                stream("two", USUAL_MILLIS, 5);
+                stream("three", USUAL_MILLIS, 5);
+            }
+        }
+
+        /** Guards against streams that go on to a slow instance because it is no more loaded than the others. */
+        @Test
+        void aSlowInstanceIsPassedOverForMoreLoadedOnes() {
+            threeInstances();
+            slowOne();
+            table.peerLoad("other-entry", Map.of("two", 4, "three", 4));
+            assertThat(table.slowness("one", 0).orElseThrow()).isBetween(3.0, 5.0);
+            assertThat(chosen(query("m"))).isNotEqualTo(Optional.of("one"));
+        }
+
+        /** Guards against an instance that is left alone for ever, though it is as fast as before. */
+        @Test
+        void aSlowInstanceIsTriedAgain() {
+            threeInstances();
+            slowOne();
+            table.peerLoad("other-entry", Map.of("two", 4, "three", 4));
+            assertThat(table.slowness("one", 20_000)).isEmpty();
+            assertThat(table.choose(query("m"), 20_000).instance().map(UpstreamInstance::id))
+                    .contains("one");
+        }
+
+        /** Guards against a sound instance that counts as slow for one pause of one stream. */
+        @Test
+        void aSinglePauseMakesNoSlowInstance() {
+            threeInstances();
+            stream("one", USUAL_MILLIS, 30);
+            stream("one", 100 * USUAL_MILLIS, 1);
+            assertThat(table.slowness("one", 0)).isEmpty();
+        }
+    }
+
     @Nested
     class Loads {
 
