Tell changes of what engines hold at once again, and give the lines of a request a class of their own

Cause: the entries to tell were looked up after the changes had been taken out, so a change that fitted into one part (nearly every one) went to nobody and came only with its engine's turn, one to two seconds later at 33 entries. PeerExchangeTest.aChangeIsToldToAllEntriesBeforeItsTurn fails before.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -108,6 +108,12 @@
 
     /** Listens on an address and starts to report. */
     public void start(InetSocketAddress address) {
+        bind(address);
+        loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    /** Listens on an address; only what is told early is sent. */
+    void bind(InetSocketAddress address) {
         channel = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
@@ -116,7 +122,6 @@
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
-        loop.scheduleAtFixedRate(this::tick, TICK_MILLIS, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     /** Reports soon, because something was learned that others wait for. */
@@ -188,11 +193,13 @@
         early = false;
         earlyMillis = Moment.steadyNow();
         Map<String, InetSocketAddress> known = peers.get();
+        // Whom to tell depends on the changes that are taken out below.
+        Set<String> targets = earlyTargets();
         EntryReport.Builder report = report();
         Map<ModelTarget, DemandBoard.Wanted> own = ownDemand.get();
         demands.report(view.entry(), own);
         List<EngineResidents> part = view.givesOrders() ? residents.nextChanges() : List.of();
-        send(earlyTargets(), known, report.addAllResidents(part), presentGiver(), own);
+        send(targets, known, report.addAllResidents(part), presentGiver(), own);
         if (residents.hasChanges() && view.givesOrders()) {
             reportSoon();
         }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Exchange.java
@@ -53,6 +53,7 @@
     private final long arrivedMillis = Moment.steadyNow();
     private final long endMillis;
     private final Set<String> tried = new HashSet<>();
+    private final ExchangeLines lines;
     private final Prompt prompt;
     private final StreamTimes times = new StreamTimes(arrivedMillis);
     private @Nullable ScheduledFuture<?> endTimer;
@@ -74,6 +75,7 @@
         this.request = request;
         this.admitted = admitted;
         this.number = desk.nextNumber();
+        this.lines = new ExchangeLines(desk);
         long allowed = Math.min(
                 admitted.route().timeoutMillis(),
                 admitted.caller().deadlineMillis().orElse(Long.MAX_VALUE / 2));
@@ -257,13 +259,7 @@
             giveUp("timeout");
             return;
         }
-        desk.log()
-                .decided(
-                        "timeout",
-                        "request={} after_ms={} sends={}",
-                        admitted.caller().id(),
-                        age(),
-                        sends);
+        lines.timeout(this);
         if (sink.started()) {
             finish();
             sink.abort();
@@ -272,7 +268,7 @@
         }
     }
 
-    private long age() {
+    long age() {
         return Moment.steadyNow() - arrivedMillis;
     }
 
@@ -299,22 +295,7 @@
 
     /** Ends the request with the truest refusal or failure. */
     private void giveUp(String reason) {
-        desk.log()
-                .decided(
-                        mayHaveRun ? "failed" : "refused",
-                        "request={} route={} team={} target={} reason={} after_ms={} sends={} waiting={} version={}",
-                        admitted.caller().id(),
-                        admitted.route().name(),
-                        admitted.team().map(TeamLimits::name).orElse("-"),
-                        target().map(ModelTarget::toString).orElse("-"),
-                        reason,
-                        age(),
-                        sends,
-                        desk.line().size(),
-                        desk.view()
-                                .document()
-                                .map(document -> document.version())
-                                .orElse(-1L));
+        lines.ended(this, mayHaveRun, reason);
         if (sink.started()) {
             finish();
             sink.abort();
@@ -438,7 +419,7 @@
     /** Goes on at another instance, which was reserved. */
     void move(UpstreamInstance instance, String reason) {
         abandonSend();
-        logRepeat(reason);
+        lines.repeat(this, reason, tried);
         take(instance);
     }
 
@@ -481,22 +462,10 @@
     }
 
     private void repeat(String reason) {
-        logRepeat(reason);
+        lines.repeat(this, reason, tried);
         dispatch();
     }
 
-    private void logRepeat(String reason) {
-        desk.log()
-                .decided(
-                        "repeat",
-                        "request={} reason=\"{}\" sends={} after_ms={} tried={}",
-                        admitted.caller().id(),
-                        reason,
-                        sends,
-                        age(),
-                        tried);
-    }
-
     /** Sends again after a failure if that is allowed, or gives up. */
     void again(String reason) {
         if (done) {
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
@@ -66,10 +66,13 @@
         }
         for (Entry entry : entries) {
             loop.submit(() -> prepare(entry)).sync();
-            entry.exchange.start(addresses.get(entry.view.entry()));
         }
     }
 
+    private void startAll() {
+        entries.forEach(entry -> entry.exchange.start(addresses.get(entry.view.entry())));
+    }
+
     private void prepare(Entry entry) {
         for (int engine = 0; engine < ENGINES; engine++) {
             entry.view.instances().put(engine(engine), 0);
@@ -102,9 +105,26 @@
         return loop.submit(task).get();
     }
 
+    /** Guards against requests that wait until it is an engine's turn, though what it holds has just changed. */
+    @Test
+    void aChangeIsToldToAllEntriesBeforeItsTurn() throws Exception {
+        // No entry reports in turn.
+        entries.forEach(entry -> entry.exchange.bind(addresses.get(entry.view.entry())));
+        Entry giver = entries.get(GIVER);
+        onLoop(() -> {
+            giver.view.givesOrders(true);
+            giver.exchange.tellResidents("engine-7", Map.of("m", Set.of("a1")));
+            return true;
+        });
+        for (Entry entry : entries.subList(1, ENTRIES)) {
+            await().atMost(Duration.ofSeconds(20)).until(() -> onLoop(() -> knownEngines(entry) == 1));
+        }
+    }
+
     /** Guards against loads that only some entries hear of where there are too many to tell all of them at once. */
     @Test
     void everyEntryHearsTheLoadsOfAllOthers() {
+        startAll();
         for (Entry entry : entries) {
             await().atMost(Duration.ofSeconds(20))
                     .until(() -> onLoop(() -> entry.view.instances().load("engine-1") == ENTRIES));
@@ -116,6 +136,7 @@
     /** Guards against demand that goes to everybody, and against demand that the giver of orders does not hear of. */
     @Test
     void demandReachesTheGiverOfOrders() throws Exception {
+        startAll();
         Entry giver = entries.get(GIVER);
         onLoop(() -> {
             giver.view.givesOrders(true);
@@ -136,6 +157,7 @@
      */
     @Test
     void everyEntryHearsWhatAllEnginesHold() throws Exception {
+        startAll();
         Entry giver = entries.get(GIVER);
         onLoop(() -> {
             giver.view.givesOrders(true);
@@ -158,6 +180,7 @@
     /** Guards against the demand of an entry that has left and counts for ever. */
     @Test
     void theDemandOfAnEntryThatHasLeftIsForgotten() throws Exception {
+        startAll();
         Entry giver = entries.get(GIVER);
         onLoop(() -> {
             giver.view.givesOrders(true);
