--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/ExplainCommand.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/ExplainCommand.java
@@ -2,6 +2,7 @@
 
 import com.github.rvesse.airline.annotations.Arguments;
 import com.github.rvesse.airline.annotations.Command;
+import com.github.rvesse.airline.annotations.Option;
 import com.github.rvesse.airline.annotations.restrictions.Required;
 import java.io.BufferedReader;
 import java.io.IOException;
@@ -15,7 +16,10 @@
 import java.util.Map;
 import java.util.Set;
 
-/** Puts together what the logs of all processes say of one request, and names the line that decided its outcome. */
+/**
+ * Puts together what the logs of all processes say of one request, and names the line that decided its outcome; or counts
+ * the outcomes of all requests by their causes.
+ */
 @Command(name = "explain", description = "Shows from log files what became of a request and why")
 public final class ExplainCommand implements CommandAction {
 
@@ -34,6 +38,12 @@
 
     private static final String INSTANCE_MARK = " of ";
 
+    @Option(
+            name = "--summary",
+            description = "Counts all requests that were refused, failed or late by cause, route, team, model and second;"
+                    + " all arguments are log files then")
+    private boolean summary;
+
     @Required
     @Arguments(
             title = {"request", "file"},
@@ -42,6 +52,10 @@
 
     @Override
     public ExitCode run(CommandContext context) throws IOException, CommandFailedException {
+        if (summary) {
+            new OutcomeSummary(read(words), OUTCOMES.keySet()).print(context.output());
+            return ExitCode.OK;
+        }
         if (words.size() < 2) {
             throw new CommandFailedException("explain needs the identifier of a request and at least one log file");
         }
--- a/oleandermoor-command/src/test/java/io/oleandermoor/command/ExplainCommandTest.java
+++ b/oleandermoor-command/src/test/java/io/oleandermoor/command/ExplainCommandTest.java
@@ -37,7 +37,11 @@
     private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
 
     private ExitCode explain(String... words) throws IOException {
-        Path first = Files.writeString(directory.resolve("first.log"), FIRST_ENTRY);
+        return explain(FIRST_ENTRY, words);
+    }
+
+    private ExitCode explain(String firstEntry, String... words) throws IOException {
+        Path first = Files.writeString(directory.resolve("first.log"), firstEntry);
         Path second = Files.writeString(directory.resolve("second.log"), SECOND_ENTRY);
         CommandContext context = new CommandContext(
                 new PrintStream(output, true, StandardCharsets.UTF_8),
@@ -92,4 +96,59 @@
             assertThat(explain()).isNotEqualTo(ExitCode.OK);
         }
     }
+
+    @Nested
+    class Summary {
+
+        private static final String LOG = """
+                time=2026-01-01T10:00:03.000Z INFO requests event=refused request=r-1 route=drafts team=shop target=m-1/a-2 reason=no_place_FULL
+                time=2026-01-01T10:00:03.100Z INFO requests event=refused request=r-2 route=drafts team=shop target=m-1 reason=no_place_FULL
+                time=2026-01-01T10:00:04.000Z INFO requests event=failed request=r-3 route=orders team=van target=- reason="status_500 of i-7"
+                time=2026-01-01T10:00:04.000Z INFO requests event=late request=r-4 route=drafts team=shop target=m-2 missed=EVENT_INTERVAL first_ms=90 pause_ms=310 load_sent=27
+                time=2026-01-01T10:00:04.000Z INFO requests event=late request=r-5 route=drafts team=shop target=m-2 missed=BOTH first_ms=900 pause_ms=480 load_sent=64
+                """;
+
+        private List<String> rows() throws IOException {
+            assertThat(explain(LOG, "--summary")).isEqualTo(ExitCode.OK);
+            return output.toString(StandardCharsets.UTF_8)
+                    .lines()
+                    .map(line -> line.replaceAll(" +", " "))
+                    .toList();
+        }
+
+        /** Guards against equal causes that are counted apart because a reason names an instance. */
+        @Test
+        void countsOutcomesByReasonWithAnExample() throws IOException {
+            assertThat(rows())
+                    .contains(
+                            "no_place_FULL refused 2 r-1",
+                            "status_500 failed 1 r-3",
+                            "EVENT_INTERVAL late 1 r-4",
+                            "BOTH late 1 r-5");
+        }
+
+        /** Guards against adapters that hide how many requests the copies of their model could not take. */
+        @Test
+        void countsAdaptersWithTheirModel() throws IOException {
+            assertThat(rows()).contains("m-1 refused 2 r-1", "m-2 late 2 r-4");
+        }
+
+        @Test
+        void countsOutcomesByRouteTeamAndSecond() throws IOException {
+            assertThat(rows())
+                    .contains(
+                            "drafts refused 2 r-1", "van failed 1 r-3", "2026-01-01T10:00:03 refused 2 r-1");
+        }
+
+        @Test
+        void countsLateStreamsByDelayAndLoad() throws IOException {
+            assertThat(rows()).contains("0 to 249 1 r-4", "750 to 999 1 r-5", "250 to 499 2 r-4", "60 to 69 1 r-5");
+        }
+
+        /** Guards against a summary that passes for complete although lines are missing. */
+        @Test
+        void countsTheLinesThatWereLeftOut() throws IOException {
+            assertThat(rows()).endsWith("late 7");
+        }
+    }
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -12,6 +12,7 @@
 import io.oleandermoor.state.dispatch.InstanceTable;
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.fleet.RequestKind;
+import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
@@ -254,7 +255,7 @@
             return;
         }
         instanceState().ifPresent(state -> state.recordSuccess(Timestamp.monotonicNowMillis()));
-        if (exchange.latency().missesTargets(exchange.admitted().route())) {
+        if (exchange.latency().missedTargets(exchange.admitted().route()) != StreamLatency.MissedTargets.NONE) {
             logLateStream();
         }
         exchange.closeCurrentAttempt();
@@ -268,14 +269,18 @@
                 .eventLog()
                 .log(
                         "late",
-                        "request={} route={} target={} instance={} first_ms={} pause_ms={} sends={} load_sent={} load={}",
+                        "request={} route={} team={} target={} instance={} missed={} first_ms={} pause_ms={} sends={}"
+                                + " prompt_tokens={} load_sent={} load={}",
                         exchange.admitted().caller().id(),
                         exchange.admitted().route().name(),
+                        exchange.admitted().team().map(TeamLimits::name).orElse("-"),
                         target().map(ModelTarget::toString).orElse("-"),
                         instance.id(),
+                        exchange.latency().missedTargets(exchange.admitted().route()),
                         exchange.latency().firstEventDelayMillis(),
                         exchange.latency().longestPauseMillis(),
                         exchange.sendCount(),
+                        exchange.prompt().tokens(),
                         loadAtSend,
                         instances.load(instance.id()));
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/StreamLatency.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/StreamLatency.java
@@ -8,6 +8,14 @@
  */
 final class StreamLatency {
 
+    /** The targets of a route that a stream missed. */
+    enum MissedTargets {
+        NONE,
+        FIRST_EVENT,
+        EVENT_INTERVAL,
+        BOTH
+    }
+
     private final long arrivedMillis;
     private long lastEventMillis;
     private long firstEventDelayMillis = -1;
@@ -42,10 +50,14 @@
         return longestPauseMillis;
     }
 
-    /** Returns whether the stream missed the latency target or the event interval target of its route. */
-    boolean missesTargets(HostRoute route) {
-        boolean eventIntervalMissed =
+    /** Returns which targets of its route the stream missed. */
+    MissedTargets missedTargets(HostRoute route) {
+        boolean intervalMissed =
                 route.eventIntervalTargetMillis() > 0 && longestPauseMillis > route.eventIntervalTargetMillis();
-        return eventIntervalMissed || firstEventDelayMillis > route.latencyTargetMillis();
+        boolean firstEventMissed = firstEventDelayMillis > route.latencyTargetMillis();
+        if (intervalMissed) {
+            return firstEventMissed ? MissedTargets.BOTH : MissedTargets.EVENT_INTERVAL;
+        }
+        return firstEventMissed ? MissedTargets.FIRST_EVENT : MissedTargets.NONE;
     }
 }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/request/StreamLatencyTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/request/StreamLatencyTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.oleandermoor.gateway.request.StreamLatency.MissedTargets;
 import io.oleandermoor.state.fleet.HostRoute;
 import io.oleandermoor.state.fleet.RequestKind;
 import java.util.List;
@@ -28,14 +29,14 @@
     void streamWithinBothTargetsMeetsTargets() {
         latency.recordEvents(1_500);
         latency.recordEvents(1_650);
-        assertThat(latency.missesTargets(ROUTE)).isFalse();
+        assertThat(latency.missedTargets(ROUTE)).isEqualTo(MissedTargets.NONE);
     }
 
     /** Guards against a late first event that counts as a pause or is ignored. */
     @Test
     void lateFirstEventMissesTargetsAndIsNoPause() {
         latency.recordEvents(1_501);
-        assertThat(latency.missesTargets(ROUTE)).isTrue();
+        assertThat(latency.missedTargets(ROUTE)).isEqualTo(MissedTargets.FIRST_EVENT);
         assertThat(latency.longestPauseMillis()).isZero();
     }
 
@@ -44,7 +45,7 @@
         latency.recordEvents(1_100);
         latency.recordEvents(1_251);
         latency.recordEvents(1_260);
-        assertThat(latency.missesTargets(ROUTE)).isTrue();
+        assertThat(latency.missedTargets(ROUTE)).isEqualTo(MissedTargets.EVENT_INTERVAL);
         assertThat(latency.longestPauseMillis()).isEqualTo(151);
     }
 }
