Evict several models for one that fits in place of no single other model

Cause: moves had one victim. An engine of 200 GB with three models of 65 GB had no room for one of 73 GB at any gain, so that the model stayed without a copy while its requests were refused.

Change: a model without a copy may take the place of several, the least costly first; the engine unloads one after the other, and their copies do not count from the first order on. The test plays engines full of the middle size and a wanted model of the largest; without the change no order is planned for it.

Kept, because without it such a model can't be placed at all.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrderSender.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrderSender.java
@@ -14,6 +14,7 @@
 import io.oleandermoor.state.residency.PlannedOrder;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -56,6 +57,7 @@
     private boolean busy;
     private String incomingModel = "";
     private boolean memoryFreed;
+    private List<String> remainingVictims = List.of();
     private long incomingExpiryMillis;
     private long expectedDoneMillis;
     /** Whether a report is needed to know the state; initially true, as the number of accepted orders is unknown. */
@@ -94,8 +96,7 @@
         UpstreamInstance updated = state.instance();
         // An engine publishes a new description when an order is done. It arrives before the next report is due.
         if (now > incomingExpiryMillis || models.containsKey(incomingModel)) {
-            incomingModel = "";
-            memoryFreed = false;
+            clearIncomingModel();
         }
         boolean orderDone = busy && !updated.models().equals(instance.models());
         instance = updated;
@@ -148,7 +149,14 @@
                 load,
                 incomingModel,
                 memoryFreed,
-                instance.modelsWithLocalWeights());
+                instance.modelsWithLocalWeights(),
+                remainingVictims.stream().filter(models::containsKey).toList());
+    }
+
+    private void clearIncomingModel() {
+        incomingModel = "";
+        memoryFreed = false;
+        remainingVictims = List.of();
     }
 
     private Map<String, Set<String>> copyOfModels() {
@@ -163,6 +171,7 @@
             incomingModel = order.incomingModel();
             incomingExpiryMillis = now + INCOMING_MODEL_TIMEOUT_MILLIS;
             memoryFreed = order.unload();
+            remainingVictims = order.remainingVictims();
         }
         ModelTarget target = order.target();
         if (order.unload()) {
@@ -194,8 +203,7 @@
             markStateUnknown();
         } else {
             waitingForAnswer = false;
-            incomingModel = "";
-            memoryFreed = false;
+            clearIncomingModel();
         }
     }
 
@@ -203,8 +211,7 @@
         waitingForAnswer = false;
         stateUnknown = true;
         // Whether the order is carried out is unknown, so its model must not be relied on.
-        incomingModel = "";
-        memoryFreed = false;
+        clearIncomingModel();
         nextReportMillis = Timestamp.monotonicNowMillis() + REPORT_LAG_MILLIS;
     }
 
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/CostBasedPlacement.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/CostBasedPlacement.java
@@ -3,6 +3,7 @@
 import io.oleandermoor.state.fleet.EngineProfile;
 import io.oleandermoor.state.fleet.ModelProfile;
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -132,14 +133,15 @@
         private EngineAllocation(EngineView engine) {
             this.engine = engine;
             this.models = new HashSet<>(engine.models().keySet());
+            engine.remainingVictims().forEach(models::remove);
             if (!engine.incomingModel().isEmpty()) {
                 models.add(engine.incomingModel());
             }
         }
     }
 
-    /** An additional copy of a model, which replaces another model if it does not fit otherwise. */
-    private record Move(EngineAllocation allocation, String model, Optional<String> victim, double gain) {}
+    /** An additional copy of a model, which replaces other models if it does not fit otherwise. */
+    private record Move(EngineAllocation allocation, String model, List<String> victims, double gain) {}
 
     private final class GreedySearch {
 
@@ -242,16 +244,45 @@
             @Nullable Move best = soFar;
             double costChange = loadCostChange(allocation, model);
             if (memory.fits(allocation.engine, model)) {
-                return betterOf(best, evaluate(allocation, model, costChange, Optional.empty()));
+                return betterOf(best, evaluate(allocation, model, costChange, List.of()));
             }
+            boolean singleVictimSuffices = false;
             for (String victim : allocation.victims) {
-                if (memory.fitsAfterEviction(allocation.engine, victim, model)) {
-                    best = betterOf(best, evaluate(allocation, model, costChange, Optional.of(victim)));
+                if (memory.fitsAfterEviction(allocation.engine, List.of(victim), model)) {
+                    singleVictimSuffices = true;
+                    best = betterOf(best, evaluate(allocation, model, costChange, List.of(victim)));
+                }
+            }
+            if (!singleVictimSuffices && copies(model) == 0) {
+                Optional<List<String>> victims = cheapestVictims(allocation, model);
+                if (victims.isPresent()) {
+                    best = betterOf(best, evaluate(allocation, model, costChange, victims.get()));
                 }
             }
             return best;
         }
 
+        /**
+         * Returns models to evict together for a model that none of them makes room for alone, the least costly first.
+         * A model that is larger than any that an engine holds could otherwise never replace them.
+         */
+        private Optional<List<String>> cheapestVictims(EngineAllocation allocation, String model) {
+            List<String> ascendingCost = allocation.victims.stream()
+                    .sorted(Comparator.comparingDouble(victim -> cachedEvictionCost(allocation, victim)))
+                    .toList();
+            for (int count = 2; count <= ascendingCost.size(); count++) {
+                List<String> victims = ascendingCost.subList(0, count);
+                if (memory.fitsAfterEviction(allocation.engine, victims, model)) {
+                    return Optional.of(victims);
+                }
+            }
+            return Optional.empty();
+        }
+
+        private double cachedEvictionCost(EngineAllocation allocation, String victim) {
+            return allocation.evictionCosts.computeIfAbsent(victim, evicted -> evictionCost(allocation, evicted));
+        }
+
         private boolean mayEvict(EngineAllocation allocation, String victim) {
             long placedMillis =
                     lastPlacementMillis.getOrDefault(allocation.engine.id() + " " + victim, Long.MIN_VALUE / 2);
@@ -262,22 +293,21 @@
             return best == null || next.gain() > best.gain() ? next : best;
         }
 
-        private Move evaluate(EngineAllocation allocation, String model, double costChange, Optional<String> victim) {
+        private Move evaluate(EngineAllocation allocation, String model, double costChange, List<String> victims) {
             double gain = Math.max(0, -costChange);
             if (copies(model) == 0) {
                 gain += missingModelCost(model, modelsWithLocalWeights.contains(model));
             } else if (copies(model) == 1) {
                 gain += SINGLE_COPY_COST_PER_REQUEST * demand(model);
             }
-            double delaySeconds = loadSeconds(allocation, model) + unloadSeconds(victim);
+            double delaySeconds = loadSeconds(allocation, model) + unloadSeconds(victims);
             double weightedGain =
                     gain * Math.max(0, PLANNING_HORIZON_SECONDS - delaySeconds) / PLANNING_HORIZON_SECONDS;
-            double cost = Math.max(0, costChange) + disturbanceCost(allocation, victim);
-            if (victim.isPresent()) {
-                cost += allocation.evictionCosts.computeIfAbsent(
-                        victim.get(), evicted -> evictionCost(allocation, evicted));
+            double cost = Math.max(0, costChange) + disturbanceCost(allocation, victims);
+            for (String victim : victims) {
+                cost += cachedEvictionCost(allocation, victim);
             }
-            return new Move(allocation, model, victim, weightedGain - cost);
+            return new Move(allocation, model, victims, weightedGain - cost);
         }
 
         private double loadSeconds(EngineAllocation allocation, String model) {
@@ -290,14 +320,16 @@
                     : modelProfile.storeLoadSeconds();
         }
 
-        private double unloadSeconds(Optional<String> victim) {
-            return victim.map(model -> UNLOAD_OVERHEAD_SECONDS + (demand(model) > 0 ? DRAIN_SECONDS : 0))
-                    .orElse(0.0);
+        private double unloadSeconds(List<String> victims) {
+            return victims.stream()
+                    .mapToDouble(model -> UNLOAD_OVERHEAD_SECONDS + (demand(model) > 0 ? DRAIN_SECONDS : 0))
+                    .sum();
         }
 
-        private double disturbanceCost(EngineAllocation allocation, Optional<String> victim) {
-            double drainingRequests =
-                    victim.map(model -> demandPerCopy(model, copies(model))).orElse(0.0);
+        private double disturbanceCost(EngineAllocation allocation, List<String> victims) {
+            double drainingRequests = victims.stream()
+                    .mapToDouble(model -> demandPerCopy(model, copies(model)))
+                    .sum();
             return Math.min(MAXIMUM_LOAD_DISTURBANCE_COST, DISTURBANCE_COST_PER_REQUEST * (1 + allocation.load))
                     + DRAIN_COST_PER_REQUEST * drainingRequests;
         }
@@ -362,7 +394,7 @@
             String reason = String.format(
                     "demand %.1f on %d copies, gain %.2f", demand(move.model()), copies(move.model()), move.gain());
             EngineAllocation allocation = move.allocation();
-            for (String victim : move.victim().stream().toList()) {
+            for (String victim : move.victims()) {
                 double previousPerCopy = demandPerCopy(victim, copies(victim));
                 holders.getOrDefault(victim, List.of()).remove(allocation);
                 allocation.models.remove(victim);
@@ -377,11 +409,12 @@
             lastPlacementMillis.put(allocation.engine.id() + " " + move.model(), round.nowMillis());
             available.remove(allocation);
             available.forEach(each -> each.evictionCosts.clear());
-            move.victim().ifPresent(readyHoldersByModel::remove);
-            move.victim()
-                    .ifPresentOrElse(
-                            victim -> round.orderReplacement(allocation.engine, victim, move.model(), reason),
-                            () -> round.orderLoad(allocation.engine, move.model(), reason));
+            move.victims().forEach(readyHoldersByModel::remove);
+            if (move.victims().isEmpty()) {
+                round.orderLoad(allocation.engine, move.model(), reason);
+            } else {
+                round.orderReplacement(allocation.engine, move.victims(), move.model(), reason);
+            }
         }
 
         private void redistribute(String model, double previousPerCopy) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/EngineMemory.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/EngineMemory.java
@@ -2,6 +2,8 @@
 
 import io.oleandermoor.state.fleet.EngineProfile;
 import io.oleandermoor.state.fleet.ModelProfile;
+import java.util.Collection;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -22,14 +24,14 @@
     }
 
     boolean fits(EngineView engine, String model) {
-        return fitsAfterEviction(engine, "", model);
+        return fitsAfterEviction(engine, List.of(), model);
     }
 
-    /** Returns whether a model fits once another one, if any, is evicted together with its adapters. */
-    boolean fitsAfterEviction(EngineView engine, String victim, String model) {
+    /** Returns whether a model fits once other models are evicted together with their adapters. */
+    boolean fitsAfterEviction(EngineView engine, Collection<String> victims, String model) {
         double usedMegabytes = 0;
         for (Map.Entry<String, Set<String>> held : engine.models().entrySet()) {
-            if (!held.getKey().equals(victim)) {
+            if (!victims.contains(held.getKey())) {
                 usedMegabytes += megabytes(held.getKey());
             }
         }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/EngineView.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/EngineView.java
@@ -1,5 +1,6 @@
 package io.oleandermoor.state.residency;
 
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 
@@ -15,6 +16,7 @@
  * @param memoryFreed whether an unload was ordered to free memory for the incoming model, so that its load comes next
  * @param localWeights the models whose weights the engine has in its memory or on its disk, so that it can load them
  *     without the weight store
+ * @param remainingVictims the held models that are still to be unloaded for the incoming model, in this order
  */
 public record EngineView(
         String id,
@@ -24,7 +26,21 @@
         int load,
         String incomingModel,
         boolean memoryFreed,
-        Set<String> localWeights) {
+        Set<String> localWeights,
+        List<String> remainingVictims) {
+
+    /** Creates a view of an engine that has nothing else to unload for its incoming model. */
+    public EngineView(
+            String id,
+            String failureDomain,
+            boolean readyForOrder,
+            Map<String, Set<String>> models,
+            int load,
+            String incomingModel,
+            boolean memoryFreed,
+            Set<String> localWeights) {
+        this(id, failureDomain, readyForOrder, models, load, incomingModel, memoryFreed, localWeights, List.of());
+    }
 
     int adapterCount() {
         return models.values().stream().mapToInt(Set::size).sum();
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/PlannedOrder.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/PlannedOrder.java
@@ -1,6 +1,7 @@
 package io.oleandermoor.state.residency;
 
 import io.oleandermoor.state.dispatch.ModelTarget;
+import java.util.List;
 
 /**
  * An order that is to be sent to an engine.
@@ -11,6 +12,8 @@
  * @param fromWeightStore whether the order leads to a load from the weight store
  * @param reason the reason for the order, for the log
  * @param incomingModel the model that the engine loads or frees memory for, empty for an adapter
+ * @param remainingVictims the models that the engine has to unload after this order before the incoming model fits, in
+ *     this order
  */
 public record PlannedOrder(
         String engine,
@@ -18,4 +21,22 @@
         ModelTarget target,
         boolean fromWeightStore,
         String reason,
-        String incomingModel) {}
+        String incomingModel,
+        List<String> remainingVictims) {
+
+    /** Copies the remaining victims. */
+    public PlannedOrder {
+        remainingVictims = List.copyOf(remainingVictims);
+    }
+
+    /** Creates an order after which nothing else has to be unloaded. */
+    public PlannedOrder(
+            String engine,
+            boolean unload,
+            ModelTarget target,
+            boolean fromWeightStore,
+            String reason,
+            String incomingModel) {
+        this(engine, unload, target, fromWeightStore, reason, incomingModel, List.of());
+    }
+}
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/PlanningRound.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/PlanningRound.java
@@ -74,7 +74,9 @@
                 .computeIfAbsent(target.model(), key -> new AggregateDemand())
                 .add(demand));
         for (EngineView engine : engines) {
-            engine.models().keySet().forEach(model -> copies.merge(model, 1, Integer::sum));
+            engine.models().keySet().stream()
+                    .filter(model -> !engine.remainingVictims().contains(model))
+                    .forEach(model -> copies.merge(model, 1, Integer::sum));
             if (!engine.incomingModel().isEmpty() && !engine.models().containsKey(engine.incomingModel())) {
                 copies.merge(engine.incomingModel(), 1, Integer::sum);
             }
@@ -128,19 +130,20 @@
                 engine.id(), false, new ModelTarget(model, ""), reserveStoreLoad(engine, model), reason, model));
     }
 
-    /** Adds an order to unload a model in favor of another one, which is loaded afterwards. */
-    void orderReplacement(EngineView engine, String victim, String model, String reason) {
-        copies.merge(victim, -1, Integer::sum);
+    /** Adds an order to unload the first of some models in favor of another one, which is loaded after the last. */
+    void orderReplacement(EngineView engine, List<String> victims, String model, String reason) {
+        victims.forEach(victim -> copies.merge(victim, -1, Integer::sum));
         copies.merge(model, 1, Integer::sum);
         // The load that follows is counted now, so that no model is evicted for a load that the store does not allow.
         boolean fromStore = reserveStoreLoad(engine, model);
         addOrder(new PlannedOrder(
                 engine.id(),
                 true,
-                new ModelTarget(victim, ""),
+                new ModelTarget(victims.get(0), ""),
                 fromStore,
                 "evicted for " + model + ", " + reason,
-                model));
+                model,
+                victims.subList(1, victims.size())));
     }
 
     private boolean reserveStoreLoad(EngineView engine, String model) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ResidencyPlanner.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ResidencyPlanner.java
@@ -66,16 +66,31 @@
         return round.orders();
     }
 
-    /** Orders the loads for which memory was freed; they were counted when the eviction was ordered. */
+    /**
+     * Orders the loads for which memory was freed, and the remaining evictions for them. The loads were counted when the
+     * first eviction was ordered.
+     */
     private void loadIncomingModels(PlanningRound round) {
         for (EngineView engine : round.engines()) {
             String model = engine.incomingModel();
-            if (engine.readyForOrder()
-                    && engine.memoryFreed()
-                    && !engine.models().containsKey(model)
-                    && memory.fits(engine, model)) {
+            if (!engine.readyForOrder()
+                    || !engine.memoryFreed()
+                    || engine.models().containsKey(model)) {
+                continue;
+            }
+            if (memory.fits(engine, model)) {
                 round.addOrder(new PlannedOrder(
                         engine.id(), false, new ModelTarget(model, ""), false, "memory was freed", model));
+            } else if (!engine.remainingVictims().isEmpty()) {
+                List<String> victims = engine.remainingVictims();
+                round.addOrder(new PlannedOrder(
+                        engine.id(),
+                        true,
+                        new ModelTarget(victims.get(0), ""),
+                        false,
+                        "also evicted for " + model,
+                        model,
+                        victims.subList(1, victims.size())));
             }
         }
     }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ThresholdPlacement.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ThresholdPlacement.java
@@ -95,7 +95,7 @@
                     .min(Comparator.comparingDouble(PlacementOption::cost))
                     .ifPresent(best -> best.victim()
                             .ifPresentOrElse(
-                                    victim -> round.orderReplacement(best.engine(), victim, model, reason),
+                                    victim -> round.orderReplacement(best.engine(), List.of(victim), model, reason),
                                     () -> round.orderLoad(best.engine(), model, reason)));
         }
 
@@ -106,7 +106,7 @@
                 return Optional.of(new PlacementOption(engine, Optional.empty(), fetchCost + loadCost));
             }
             return engine.models().keySet().stream()
-                    .filter(victim -> memory.fitsAfterEviction(engine, victim, model) && mayEvict(victim, model))
+                    .filter(victim -> memory.fitsAfterEviction(engine, List.of(victim), model) && mayEvict(victim, model))
                     .min(Comparator.comparingDouble(this::evictionCost))
                     .map(victim -> new PlacementOption(
                             engine, Optional.of(victim), fetchCost + loadCost + evictionCost(victim) + 1));
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/CostBasedPlacementTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/CostBasedPlacementTest.java
@@ -161,4 +161,108 @@
             assertThat(demand.forecast()).isGreaterThan(demand.smoothed()).isLessThan(2 * demand.current());
         }
     }
+
+    /** Engines that hold three models of the middle size, and a model that needs the room of two of them. */
+    @Nested
+    class WhenNoSingleEvictionMakesRoom {
+
+        private static final int MAXIMUM_ROUNDS = 10;
+        private static final EngineProfile MIXED_SIZES = new EngineProfile(
+                64,
+                100_000,
+                200_000,
+                8,
+                1.4,
+                Map.of(
+                        "first", new ModelProfile("first", 65_100, 5.8, 1.2, 0, 66),
+                        "second", new ModelProfile("second", 65_300, 5.8, 1.2, 0, 66),
+                        "third", new ModelProfile("third", 65_500, 5.8, 1.2, 0, 66),
+                        "fourth", new ModelProfile("fourth", 65_500, 5.8, 1.2, 0, 66),
+                        "large", new ModelProfile("large", 72_700, 6.4, 1.3, 15, 66)));
+
+        private final ResidencyPlanner mixedPlanner = new ResidencyPlanner(MIXED_SIZES, ResidencyPolicy.LEAST_HARM);
+        private final Map<String, EngineView> engines = new HashMap<>();
+        private long nowMillis = NOW_MILLIS;
+
+        private void hold(String engine, String... models) {
+            engines.put(engine, engine(engine, models));
+        }
+
+        /** Plans and carries out orders until the model has a copy or the rounds are used up. */
+        private void playUntilLoaded(String model, Map<String, Integer> waiting) {
+            for (int round = 0; round < MAXIMUM_ROUNDS && copies(model) == 0; round++) {
+                Map<ModelTarget, DemandTracker.RequestCounts> counts = new HashMap<>();
+                waiting.forEach((name, count) ->
+                        counts.put(new ModelTarget(name, ""), new DemandTracker.RequestCounts(0, count)));
+                demandTracker.report("entry", counts);
+                demandTracker.update(nowMillis);
+                mixedPlanner
+                        .plan(engines.values(), demandTracker.demands(), 2, nowMillis)
+                        .forEach(this::carryOut);
+                nowMillis += 1_000;
+            }
+        }
+
+        private void carryOut(PlannedOrder order) {
+            Map<String, Set<String>> held =
+                    new HashMap<>(engines.get(order.engine()).models());
+            if (order.unload()) {
+                held.remove(order.target().model());
+            } else {
+                held.put(order.target().model(), Set.of());
+            }
+            engines.put(
+                    order.engine(),
+                    new EngineView(
+                            order.engine(),
+                            "a",
+                            true,
+                            held,
+                            0,
+                            order.unload() ? order.incomingModel() : "",
+                            order.unload(),
+                            MIXED_SIZES.models().keySet(),
+                            order.remainingVictims()));
+            assertThat(usedMegabytes(order.engine())).isLessThanOrEqualTo(MIXED_SIZES.weightMemoryMegabytes());
+        }
+
+        private double usedMegabytes(String engine) {
+            return engines.get(engine).models().keySet().stream()
+                    .mapToDouble(model -> MIXED_SIZES.models().get(model).weightMegabytes())
+                    .sum();
+        }
+
+        private long copies(String model) {
+            return engines.values().stream()
+                    .filter(engine -> engine.models().containsKey(model))
+                    .count();
+        }
+
+        /** Guards against refusing all requests for a model that fits in place of no single other model. */
+        @Test
+        void loadsTheLargeModelInPlaceOfTwoOthers() {
+            hold("one", "first", "second", "third");
+            hold("two", "first", "second", "fourth");
+            playUntilLoaded("large", Map.of("large", 20, "first", 4, "second", 4));
+            assertThat(copies("large")).isOne();
+        }
+
+        /** Guards against making room by evicting the only copy of a model that more requests ask for. */
+        @Test
+        void keepsACopyOfEachBusierModel() {
+            hold("one", "first", "second", "third");
+            hold("two", "first", "second", "fourth");
+            playUntilLoaded("large", Map.of("large", 5, "first", 40, "second", 40));
+            assertThat(copies("first")).isPositive();
+            assertThat(copies("second")).isPositive();
+        }
+
+        /** Guards against evicting more models than the large one needs. */
+        @Test
+        void evictsNoMoreModelsThanNeeded() {
+            hold("one", "first", "second", "third");
+            playUntilLoaded("large", Map.of("large", 20));
+            assertThat(engines.get("one").models()).hasSize(2);
+        }
+    }
 }
