Send no prompt to an engine whose streams pause

Cause: seven tenths of the late streams missed only a pause. An engine processes prompts between the tokens of its streams, and each entry knows only its own prompts. All streams of an engine pause together, so that the streams of an entry show the prompts of all entries.

Change: StreamPauses learns the usual interval of an engine's events and takes a stream that is 15% beyond it for a pause; no prompt is sent to that engine then. Streams beyond their target do not count, as one may have stalled alone. Dispatch mechanisms are an enum, each of which can be left out.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -72,7 +72,10 @@
             counted = false;
             markPromptRead();
             exchange.dispatcher().silenceDetector().attemptEnded(instance.id(), this);
-            instanceState().ifPresent(InstanceState::requestEnded);
+            instanceState().ifPresent(state -> {
+                state.requestEnded();
+                state.forgetStream(exchange.sequenceNumber());
+            });
             target().ifPresent(target -> exchange.dispatcher().changeRunning(target, -1));
         }
         detachBody().release();
@@ -99,6 +102,7 @@
     void setPaused(boolean newPaused) {
         paused = newPaused;
         ticksWithoutEvent = 0;
+        instanceState().ifPresent(state -> state.forgetStream(exchange.sequenceNumber()));
     }
 
     /** Counts a tick without a new event and returns the number of consecutive ones. */
@@ -160,6 +164,14 @@
                                 streamHeaders));
     }
 
+    private void recordProgress(long now) {
+        if (lastEventMillis >= 0) {
+            exchange.dispatcher().view().instances().recordStreamEvent(instance.id(), now - lastEventMillis, now);
+        }
+        long targetMillis = exchange.admitted().route().eventIntervalTargetMillis();
+        instanceState().ifPresent(state -> state.recordStreamProgress(exchange.sequenceNumber(), targetMillis, now));
+    }
+
     private void fail(String reason) {
         exchange.cancelCurrentAttempt();
         instanceState().ifPresent(state -> state.recordConnectionLoss(Timestamp.monotonicNowMillis()));
@@ -190,11 +202,8 @@
                 exchange.dispatcher().silenceDetector().recordActivity(instance.id());
                 ticksWithoutEvent = 0;
                 long now = Timestamp.monotonicNowMillis();
-                if (lastEventMillis >= 0 && !paused) {
-                    exchange.dispatcher()
-                            .view()
-                            .instances()
-                            .recordStreamEvent(instance.id(), now - lastEventMillis, now);
+                if (!paused) {
+                    recordProgress(now);
                 }
                 lastEventMillis = now;
                 exchange.latency().recordEvents(now);
--- /dev/null
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/DispatchMechanism.java
@@ -0,0 +1,15 @@
+package io.oleandermoor.state.dispatch;
+
+/** Mechanisms of the choice of an instance, which can be disabled one by one to measure what each is worth. */
+public enum DispatchMechanism {
+    /** Limits the prompt tokens that this entry lets an engine process at a time. */
+    PREFILL_TOKEN_LIMIT,
+    /** Sends no prompt to an engine whose streams pause because it processes another prompt. */
+    PREFILL_PAUSE_DETECTION,
+    /** Lets all entries prefer the same instance for prompts with the same shared prefix. */
+    SHARED_PREFIX_PREFERENCE,
+    /** Prefers an instance that has processed the start of the prompt for this entry. */
+    CACHED_PREFIX_BONUS,
+    /** Avoids instances whose streams pause for longer than those of other instances. */
+    SLOWNESS_PENALTY
+}
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
@@ -36,6 +36,7 @@
     private long orderedModelsMillis = Long.MIN_VALUE / 2;
     private int localLoad;
     private long pendingPrefillTokens;
+    private final StreamPauses streamPauses = new StreamPauses();
     private final EventIntervalAverage eventInterval = new EventIntervalAverage(EVENT_INTERVAL_WEIGHT);
     private int consecutiveFailures;
     private long backoffUntilMillis = Long.MIN_VALUE;
@@ -183,6 +184,26 @@
         failureRateUpdatedMillis = nowMillis;
     }
 
+    StreamPauses streamPauses() {
+        return streamPauses;
+    }
+
+    /**
+     * Records an event of a stream whose caller reads it.
+     *
+     * @param stream a number that identifies the stream in this entry
+     * @param intervalTargetMillis the longest time until the next event with which the stream is still in time
+     * @param nowMillis the current time
+     */
+    public void recordStreamProgress(long stream, long intervalTargetMillis, long nowMillis) {
+        streamPauses.recordEvent(stream, intervalTargetMillis, nowMillis);
+    }
+
+    /** Records that a stream has ended or is not read by its caller. */
+    public void forgetStream(long stream) {
+        streamPauses.remove(stream);
+    }
+
     EventIntervalAverage eventInterval() {
         return eventInterval;
     }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -3,6 +3,7 @@
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import java.util.Collection;
 import java.util.Collections;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
@@ -69,6 +70,7 @@
 
     private final String failureDomain;
     private final SplittableRandom random;
+    private final Set<DispatchMechanism> mechanisms;
     private final Map<String, InstanceState> states = new HashMap<>();
     private final Map<String, Map<String, Integer>> peerLoads = new HashMap<>();
     /** The load of all other entries on each instance, kept as a sum so that a choice does not iterate over entries. */
@@ -83,8 +85,20 @@
      * @param seed the seed of the random jitter
      */
     public InstanceTable(String failureDomain, long seed) {
+        this(failureDomain, seed, EnumSet.allOf(DispatchMechanism.class));
+    }
+
+    /**
+     * Creates an empty table that uses only some mechanisms.
+     *
+     * @param failureDomain the failure domain of this entry
+     * @param seed the seed of the random jitter
+     * @param mechanisms the mechanisms to use
+     */
+    public InstanceTable(String failureDomain, long seed, Set<DispatchMechanism> mechanisms) {
         this.failureDomain = failureDomain;
         this.random = new SplittableRandom(seed);
+        this.mechanisms = Set.copyOf(mechanisms);
     }
 
     /**
@@ -225,7 +239,7 @@
             resident = true;
             int load = load(instance.id());
             double capacityRatio = query.target().isPresent() ? 1.0 : PLAIN_SERVICE_CAPACITY_RATIO;
-            if (load >= instance.slots() * capacityRatio || exceedsPrefillLimit(state, query.prompt())) {
+            if (load >= instance.slots() * capacityRatio || !mayPrefill(state, query.prompt(), nowMillis)) {
                 continue;
             }
             double cost = cost(state, query, load, nowMillis);
@@ -241,9 +255,14 @@
         return new InstanceSelection(Optional.empty(), Optional.of(shortage));
     }
 
-    private static boolean exceedsPrefillLimit(InstanceState state, Prompt prompt) {
-        return state.pendingPrefillTokens() > 0
-                && state.pendingPrefillTokens() + prompt.tokens() > MAXIMUM_PENDING_PREFILL_TOKENS;
+    private boolean mayPrefill(InstanceState state, Prompt prompt, long nowMillis) {
+        if (mechanisms.contains(DispatchMechanism.PREFILL_TOKEN_LIMIT)
+                && state.pendingPrefillTokens() > 0
+                && state.pendingPrefillTokens() + prompt.tokens() > MAXIMUM_PENDING_PREFILL_TOKENS) {
+            return false;
+        }
+        return !mechanisms.contains(DispatchMechanism.PREFILL_PAUSE_DETECTION)
+                || !state.streamPauses().isAnyPausing(nowMillis);
     }
 
     private double cost(InstanceState state, InstanceQuery query, int load, long nowMillis) {
@@ -253,12 +272,16 @@
             cost += REMOTE_DOMAIN_PENALTY;
         }
         cost += FAILURE_PENALTY * state.failureRate(nowMillis);
-        cost += Math.min(
-                MAXIMUM_SLOWDOWN_PENALTY,
-                SLOWDOWN_PENALTY * Math.max(0, slowdownRatio(state, nowMillis) - SLOW_INTERVAL_RATIO));
-        cost -= CACHED_PREFIX_BONUS
-                * state.cachedPrefixTokens(query.prompt())
-                / Math.max(1, query.prompt().tokens());
+        if (mechanisms.contains(DispatchMechanism.SLOWNESS_PENALTY)) {
+            cost += Math.min(
+                    MAXIMUM_SLOWDOWN_PENALTY,
+                    SLOWDOWN_PENALTY * Math.max(0, slowdownRatio(state, nowMillis) - SLOW_INTERVAL_RATIO));
+        }
+        if (mechanisms.contains(DispatchMechanism.CACHED_PREFIX_BONUS)) {
+            cost -= CACHED_PREFIX_BONUS
+                    * state.cachedPrefixTokens(query.prompt())
+                    / Math.max(1, query.prompt().tokens());
+        }
         double jitterRange = Math.min(MAXIMUM_JITTER, JITTER_REQUESTS / Math.max(1, instance.slots()));
         return cost + jitter(query, instance) * Math.max(MINIMUM_JITTER, jitterRange);
     }
@@ -270,7 +293,7 @@
      */
     private double jitter(InstanceQuery query, UpstreamInstance instance) {
         OptionalLong sharedKey = query.prompt().sharedPrefixKey();
-        if (sharedKey.isEmpty()) {
+        if (sharedKey.isEmpty() || !mechanisms.contains(DispatchMechanism.SHARED_PREFIX_PREFERENCE)) {
             return random.nextDouble();
         }
         return new SplittableRandom(sharedKey.getAsLong() * PREFIX_KEY_MULTIPLIER
