Count the time that an instance keeps an idle connection from the end of its answer

Cause: the time was counted from the head of the answer, so that a stream of three seconds used it up and its connection was closed.

Kept as the repair of a fault; the test fails without it.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -46,6 +46,7 @@
     private boolean servedRequest;
     private boolean connectionFailed;
     private boolean delimitedByClose;
+    private long keepAliveMillis = Integer.MAX_VALUE;
     private long usableUntilMillis = Long.MAX_VALUE;
 
     UpstreamConnection(UpstreamPool pool, String instanceId) {
@@ -164,7 +165,7 @@
         if (!HttpUtil.isKeepAlive(response) || delimitedByClose) {
             reusable = false;
         }
-        usableUntilMillis = Timestamp.monotonicNowMillis() + keepAliveMillis(response);
+        keepAliveMillis = keepAliveMillis(response);
         current.onHead(head, response);
     }
 
@@ -201,6 +202,8 @@
             setAutoRead(true);
             listener = null;
             servedRequest = true;
+            // The instance counts the idle time from the end of its response.
+            usableUntilMillis = Timestamp.monotonicNowMillis() + keepAliveMillis;
             pool.release(this);
             current.onComplete();
         }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/GatewayTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/GatewayTest.java
@@ -251,4 +251,24 @@
             assertThat(ready.receivedRequests()).hasSizeGreaterThanOrEqualTo(10);
         }
     }
+
+    @Nested
+    class ConnectionReuse {
+
+        /**
+         * Guards against opening a connection for each stream because a stream lasts longer than an instance keeps an idle
+         * connection.
+         */
+        @Test
+        void connectionOfALongStreamIsUsedAgain() throws Exception {
+            InstanceStandIn words = entry.startInstance("i-1", "words", Behaviour.PAUSE_STREAM);
+            entry.awaitReady();
+            assertThat(entry.call(STREAM_PATH, "key-1").statusCode()).isEqualTo(200);
+            assertThat(entry.call(STREAM_PATH, "key-1").statusCode()).isEqualTo(200);
+            assertThat(words.receivedRequests())
+                    .hasSize(2)
+                    .extracting(request -> request.get("connection"))
+                    .containsOnly(words.receivedRequests().get(0).get("connection"));
+        }
+    }
 }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -94,7 +94,8 @@
     }
 
     /**
-     * Returns the received requests: headers by lower-case name, the request line as "line", and the body as "body".
+     * Returns the received requests: headers by lower-case name, the request line as "line", the body as "body", and the
+     * port from which the connection was opened as "connection".
      */
     public List<Map<String, String>> receivedRequests() {
         return receivedRequests;
@@ -130,6 +131,7 @@
                             responseText("", "503 Service Unavailable", "Not-Executed: 1\r\n", ""));
                     continue;
                 }
+                request.put("connection", Integer.toString(socket.getPort()));
                 receivedRequests.add(request);
                 if (!respond(socket, request)) {
                     return;
@@ -288,7 +290,8 @@
         write(
                 output,
                 "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nResponse-Stamp: s\r\n"
-                        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+                        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                        + "Keep-Alive: timeout=1\r\n\r\n");
     }
 
     private static String eventText(int number) {
