--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -6,6 +6,7 @@
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.dispatch.QueueOrder;
 import io.oleandermoor.state.dispatch.SlidingWindowRetryBudget;
 import io.oleandermoor.state.dispatch.SlotWaitEstimator;
 import io.oleandermoor.state.residency.DemandTracker;
@@ -31,7 +32,7 @@
     private final DeploymentView view;
     private final UpstreamPool pool;
     private final Limits limits;
-    private final RequestQueue queue = new RequestQueue();
+    private final RequestQueue queue = new RequestQueue(QueueOrder.REACHABLE_TARGET_FIRST);
     private final SlotWaitEstimator capacityForecast = new SlotWaitEstimator();
     private final RequestEventLog eventLog = new RequestEventLog();
     private final Map<String, SlidingWindowRetryBudget> retryAllowances = new HashMap<>();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -15,6 +15,7 @@
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.dispatch.Prompt;
+import io.oleandermoor.state.dispatch.QueueOrder;
 import io.oleandermoor.state.dispatch.WaitPolicy;
 import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.fleet.UpstreamInstance;
@@ -54,6 +55,7 @@
     private final RequestOutcomeLog outcomeLog;
     private final Prompt prompt;
     private final StreamLatency latency = new StreamLatency(arrivedMillis);
+    private final QueueOrder.Position position;
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private @Nullable ScheduledFuture<?> queueTimer;
     private UpstreamPool.@Nullable InFlightRequest sending;
@@ -79,6 +81,8 @@
                 admitted.route().timeoutMillis(),
                 admitted.caller().deadlineMillis().orElse(Long.MAX_VALUE / 2));
         this.deadlineMillis = arrivedMillis + allowedMillis;
+        this.position = new QueueOrder.Position(
+                admitted.urgency(), sequenceNumber, arrivedMillis + admitted.route().latencyTargetMillis());
         this.prompt = admitted.target().isPresent() ? Prompt.of(admitted.caller()) : Prompt.NONE;
     }
 
@@ -86,6 +90,11 @@
         return admitted.urgency();
     }
 
+    /** Returns what determines the place of the request in the queue. */
+    QueueOrder.Position position() {
+        return position;
+    }
+
     long sequenceNumber() {
         return sequenceNumber;
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestQueue.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestQueue.java
@@ -1,20 +1,25 @@
 package io.oleandermoor.gateway.request;
 
+import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.dispatch.QueueOrder;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeSet;
+import java.util.Set;
 
-/** Queues requests that wait for an instance, ordered by urgency and then by arrival. Used on the event loop only. */
+/** Queues requests that wait for an instance. Used on the event loop only. */
 final class RequestQueue {
 
-    private static final Comparator<RequestExchange> URGENCY_ORDER =
-            Comparator.comparingInt(RequestExchange::urgency).thenComparingLong(RequestExchange::sequenceNumber);
+    private final QueueOrder order;
+    private final Set<RequestExchange> requests = new LinkedHashSet<>();
 
-    private final TreeSet<RequestExchange> requests = new TreeSet<>(URGENCY_ORDER);
+    RequestQueue(QueueOrder order) {
+        this.order = order;
+    }
 
     void add(RequestExchange exchange) {
         requests.add(exchange);
@@ -30,6 +35,7 @@
             return;
         }
         List<RequestExchange> snapshot = new ArrayList<>(requests);
+        snapshot.sort(Comparator.comparing(RequestExchange::position, currentOrder()));
         Map<String, Boolean> blocked = new HashMap<>();
         for (RequestExchange exchange : snapshot) {
             String requirement = exchange.requirementKey();
@@ -46,15 +52,22 @@
 
     /** Returns the number of queued requests that compete for the same capacity and come before the given request. */
     int countAhead(RequestExchange exchange) {
+        Comparator<QueueOrder.Position> currentOrder = currentOrder();
         int count = 0;
-        for (RequestExchange each : requests.headSet(exchange)) {
-            if (each.waitsForCapacity() && each.capacityKey().equals(exchange.capacityKey())) {
+        for (RequestExchange each : requests) {
+            if (each.waitsForCapacity()
+                    && each.capacityKey().equals(exchange.capacityKey())
+                    && currentOrder.compare(each.position(), exchange.position()) < 0) {
                 count++;
             }
         }
         return count;
     }
 
+    private Comparator<QueueOrder.Position> currentOrder() {
+        return order.comparator(Timestamp.monotonicNowMillis());
+    }
+
     /** Counts the queued requests by target, without those whose load can start later and still be in time. */
     Map<ModelTarget, Integer> immediateDemandByTarget() {
         Map<ModelTarget, Integer> counts = new HashMap<>();
