Tell refused callers to return one after the other

Change: ReturnSchedule spaces the returns for a model by the time between recent assignments of its slots, up to the third of its remaining time that a caller waits.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -7,6 +7,7 @@
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.dispatch.QueueOrder;
+import io.oleandermoor.state.dispatch.ReturnSchedule;
 import io.oleandermoor.state.dispatch.SlidingWindowRetryBudget;
 import io.oleandermoor.state.dispatch.SlotWaitEstimator;
 import io.oleandermoor.state.residency.DemandTracker;
@@ -34,6 +35,7 @@
     private final Limits limits;
     private final RequestQueue queue = new RequestQueue(QueueOrder.REACHABLE_TARGET_FIRST);
     private final SlotWaitEstimator capacityForecast = new SlotWaitEstimator();
+    private final ReturnSchedule returnSchedule = new ReturnSchedule();
     private final RequestEventLog eventLog = new RequestEventLog();
     private final Map<String, SlidingWindowRetryBudget> retryAllowances = new HashMap<>();
     private final Map<ModelTarget, Integer> runningByTarget = new HashMap<>();
@@ -185,6 +187,25 @@
                         exchange.capacityKey(), queue.countAhead(exchange), Timestamp.monotonicNowMillis()));
     }
 
+    /**
+     * Reserves the time at which the caller of a refused request returns.
+     *
+     * @param exchange the request
+     * @param delayMillis the minimum time until the return
+     * @param maximumDelayMillis the time after which the caller would have to give up
+     * @return the time until the return
+     */
+    long reserveReturn(RequestExchange exchange, long delayMillis, long maximumDelayMillis) {
+        long now = Timestamp.monotonicNowMillis();
+        String resource = exchange.capacityKey();
+        return returnSchedule.reserve(
+                resource,
+                delayMillis,
+                capacityForecast.assignmentIntervalMillis(resource, now),
+                maximumDelayMillis,
+                now);
+    }
+
     /** Schedules a dispatch of the queue after the pending tasks of the event loop. */
     void scheduleDispatch() {
         if (!dispatchScheduled && queue.size() > 0) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -40,6 +40,8 @@
     private static final long MINIMUM_RETRY_REMAINING_MILLIS = 60;
 
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
+    /** A caller waits at most this part of its remaining time before it returns. */
+    private static final int RETURN_SHARE = 3;
     private static final int BAD_GATEWAY = 502;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -323,7 +325,9 @@
                 target().ifPresent(dispatcher::recordRefusal);
             }
             HttpHeaders headers = ResponseWriter.newHeaders();
-            RequestHeaders.setRetryAfter(headers, retryAfterMillis);
+            long maximumDelayMillis = Math.max(0, deadlineMillis - Timestamp.monotonicNowMillis()) / RETURN_SHARE;
+            RequestHeaders.setRetryAfter(
+                    headers, dispatcher.reserveReturn(this, retryAfterMillis, maximumDelayMillis));
             respond(SERVICE_UNAVAILABLE, headers);
         }
     }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/SlotWaitEstimator.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/SlotWaitEstimator.java
@@ -71,6 +71,19 @@
         return Math.max(1, countedMillis * (requestsAhead + 1) / Math.max(1, backlog.assignmentMillis.size()));
     }
 
+    /** Returns the average time between two recent assignments of slots of a resource, a default without a history. */
+    public long assignmentIntervalMillis(String resource, long nowMillis) {
+        Backlog backlog = backlogs.get(resource);
+        if (backlog == null) {
+            return DEFAULT_WAIT_PER_REQUEST_AHEAD_MILLIS;
+        }
+        expire(backlog, nowMillis);
+        long countedMillis = Math.min(nowMillis - backlog.startMillis, WINDOW_MILLIS);
+        return countedMillis < MINIMUM_BACKLOG_MILLIS
+                ? DEFAULT_WAIT_PER_REQUEST_AHEAD_MILLIS
+                : countedMillis / Math.max(1, backlog.assignmentMillis.size());
+    }
+
     private static void expire(Backlog backlog, long nowMillis) {
         while (!backlog.assignmentMillis.isEmpty()
                 && backlog.assignmentMillis.peekFirst() <= nowMillis - WINDOW_MILLIS) {
