--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
@@ -7,6 +7,8 @@
 import io.oleandermoor.gateway.standin.InstanceStandIn.Behaviour;
 import io.oleandermoor.transport.settings.SettingsReader;
 import java.io.IOException;
+import java.net.DatagramSocket;
+import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -47,7 +49,7 @@
         callerPort = freePort();
         readyPort = freePort();
         String settings = "[process]\nname = entry-1\nfailure-domain = a\n[listen]\ncaller = 127.0.0.1:" + callerPort
-                + "\nready = 127.0.0.1:" + readyPort + "\npeer = 127.0.0.1:" + freePort() + "\n[store]\naddress = "
+                + "\nready = 127.0.0.1:" + readyPort + "\npeer = 127.0.0.1:" + freeUdpPort() + "\n[store]\naddress = "
                 + store.address() + "\n[limits]\nrevocation = 5000ms\ngrace = 8s\n[retries]\nwindow = 10s\n"
                 + "ratio = 0.2\nfixed = 50\n[orders]\nholder-gap = 3000ms\n";
         gateway = new Gateway(new SettingsReader(GatewaySettings.SCHEMA).read("test", settings, List.of()));
@@ -74,6 +76,12 @@
         }
     }
 
+    private static int freeUdpPort() throws IOException {
+        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
+            return socket.getLocalPort();
+        }
+    }
+
     /** Starts an instance and registers it in the store. */
     public InstanceStandIn startInstance(String id, String service, Behaviour behaviour) throws IOException {
         InstanceStandIn instance = closeLater(new InstanceStandIn(id, behaviour));
