--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/PlacementController.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/PlacementController.java
@@ -128,7 +128,7 @@
         List<EngineView> views = new ArrayList<>();
         for (InstanceState state : view.instances().states()) {
             UpstreamInstance instance = state.instance();
-            if (instance.service().equals(service) && !instance.draining()) {
+            if (instance.service().equals(service) && !instance.draining() && !state.probablyGone()) {
                 EngineOrderSender sender = senders.computeIfAbsent(
                         instance.id() + "@" + instance.startedMillis(),
                         key -> new EngineOrderSender(
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
@@ -15,6 +15,8 @@
     private static final long MAXIMUM_BACKOFF_MILLIS = 3_000;
     /** Consecutive lost connections after which an instance is not used during a backoff. */
     private static final int FAILURES_BEFORE_BACKOFF = 3;
+    /** Consecutive connections that could not be opened after which an instance is taken for gone. */
+    private static final int UNREACHABLE_BEFORE_GONE = 2;
     /** Weight of the latest result in the failure rate. */
     private static final double FAILURE_RATE_WEIGHT = 0.15;
     /** Time in which the failure rate halves without new results. */
@@ -39,6 +41,8 @@
     private final StreamPauses streamPauses = new StreamPauses();
     private final EventIntervalAverage eventInterval = new EventIntervalAverage(EVENT_INTERVAL_WEIGHT);
     private int consecutiveFailures;
+    private int consecutiveUnreachable;
+    private boolean replaced;
     private long backoffUntilMillis = Long.MIN_VALUE;
     private double failureRate;
     private long failureRateUpdatedMillis;
@@ -130,7 +134,20 @@
 
     /** Returns whether new requests may be sent to the instance. */
     public boolean usable(long nowMillis) {
-        return !instance.draining() && nowMillis >= backoffUntilMillis;
+        return !instance.draining() && !replaced && nowMillis >= backoffUntilMillis;
+    }
+
+    /**
+     * Returns whether the instance has probably ended, although it is still listed: another instance has its address, or
+     * several connections to it could not be opened since the last response.
+     */
+    public boolean probablyGone() {
+        return replaced || consecutiveUnreachable >= UNREACHABLE_BEFORE_GONE;
+    }
+
+    /** Records that another instance, which started later, has the address of this one. */
+    void recordReplacement() {
+        replaced = true;
     }
 
     boolean holds(ModelTarget target, long nowMillis) {
@@ -151,11 +168,13 @@
     /** Records a successful response. */
     public void recordSuccess(long nowMillis) {
         consecutiveFailures = 0;
+        consecutiveUnreachable = 0;
         recordResult(0, nowMillis);
     }
 
     /** Records a response that reports a failure of the instance. */
     public void recordFailure(long nowMillis) {
+        consecutiveUnreachable = 0;
         recordResult(1, nowMillis);
     }
 
@@ -171,6 +190,7 @@
     /** Records that no connection could be opened, so that nothing was sent. */
     public void recordUnreachable(long nowMillis) {
         consecutiveFailures++;
+        consecutiveUnreachable++;
         startBackoff(nowMillis);
     }
 
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -135,11 +135,24 @@
         if (state == null || state.instance().startedMillis() != instance.startedMillis()) {
             int localLoad = state == null ? 0 : state.localLoad();
             states.put(instance.id(), new InstanceState(instance, localLoad));
+            markReplaced(instance);
             return;
         }
         state.updateDescription(instance, nowMillis);
     }
 
+    /** Marks the instances that had the address of an instance before it; each address belongs to one instance. */
+    private void markReplaced(UpstreamInstance instance) {
+        for (InstanceState other : states.values()) {
+            UpstreamInstance previous = other.instance();
+            if (previous.port() == instance.port()
+                    && previous.host().equals(instance.host())
+                    && previous.startedMillis() < instance.startedMillis()) {
+                other.recordReplacement();
+            }
+        }
+    }
+
     /** Removes an instance. */
     public void remove(String id) {
         states.remove(id);
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
@@ -268,4 +268,60 @@
             assertThat(table.choose(query("m"), 200).instance()).isPresent();
         }
     }
+
+    @Nested
+    class ProbablyGone {
+
+        private static UpstreamInstance at(String id, int port, long started) {
+            return new UpstreamInstance(
+                    id,
+                    "words",
+                    "10.0.0.1",
+                    port,
+                    "a",
+                    4,
+                    false,
+                    OptionalLong.empty(),
+                    Map.of("m", Set.of()),
+                    Set.of(),
+                    started);
+        }
+
+        private boolean probablyGone(String id) {
+            return table.state(id).orElseThrow().probablyGone();
+        }
+
+        /** Guards against counting copies of a crashed engine until the platform removes it from the list. */
+        @Test
+        void instanceThatRefusesConnectionsIsProbablyGone() {
+            table.put(at("one", 80, 1), 0);
+            table.state("one").orElseThrow().recordUnreachable(0);
+            assertThat(probablyGone("one")).isFalse();
+            table.state("one").orElseThrow().recordUnreachable(500);
+            assertThat(probablyGone("one")).isTrue();
+            table.state("one").orElseThrow().recordSuccess(900);
+            assertThat(probablyGone("one")).isFalse();
+        }
+
+        /** Guards against counting copies of an engine that has restarted under another identifier. */
+        @Test
+        void instanceWhoseAddressALaterOneHasIsGone() {
+            table.put(at("one", 80, 1), 0);
+            table.put(at("other", 81, 2), 0);
+            table.put(at("two", 80, 3), 0);
+            assertThat(probablyGone("one")).isTrue();
+            assertThat(probablyGone("other")).isFalse();
+            assertThat(probablyGone("two")).isFalse();
+            assertThat(table.choose(query("m"), 0).instance().map(UpstreamInstance::id))
+                    .isNotEqualTo(Optional.of("one"));
+        }
+
+        /** Guards against a late copy of the list that makes the later instance look replaced. */
+        @Test
+        void laterInstanceStaysWhenTheEarlierIsListedAgain() {
+            table.put(at("two", 80, 3), 0);
+            table.put(at("one", 80, 1), 0);
+            assertThat(probablyGone("two")).isFalse();
+        }
+    }
 }
