--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -40,6 +40,8 @@
     private static final long MINIMUM_RETRY_REMAINING_MILLIS = 60;
 
     private static final long DEFAULT_RETRY_AFTER_MILLIS = 1_000;
+    /** Time after which the caller of a stopping entry retries at another one, which may have a slot at once. */
+    private static final long STOPPING_RETRY_AFTER_MILLIS = 100;
     /** A caller waits at most this part of its remaining time before it returns. */
     private static final int RETURN_SHARE = 3;
     private static final int BAD_GATEWAY = 502;
@@ -172,7 +174,7 @@
     private void enqueue(Shortage reason) {
         shortage = reason;
         if (dispatcher.view().isStopping()) {
-            refuseOrFail("stopping");
+            refuseBecauseStopping();
             return;
         }
         // After the last event of a started stream its caller waits as long as for the first event.
@@ -226,10 +228,15 @@
     void rejectOnShutdown() {
         if (queued && !finished) {
             leaveQueue();
-            refuseOrFail("stopping");
+            refuseBecauseStopping();
         }
     }
 
+    private void refuseBecauseStopping() {
+        retryAfterMillis = STOPPING_RETRY_AFTER_MILLIS;
+        refuseOrFail("stopping");
+    }
+
     private void onQueueTimeout() {
         if (!queued || finished) {
             return;
