Count a refused request as demand for as long as requests run

Its demand was the refusals of the last 0.6 s, while a held model counts its running requests, which take some 3 s.

Change: a refused request counts for the average run time of requests with a model at this entry.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargetTracker.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargetTracker.java
@@ -14,8 +14,10 @@
     /** Time without a failed request for a target after which its missing period restarts. */
     private static final long MISSING_EXPIRY_MILLIS = 3_000;
 
-    /** Time for which a refused request counts as demand; shorter than the time that it would have run. */
-    private static final long REFUSAL_DEMAND_MILLIS = 600;
+    /** Assumed run time of a request before any has completed. */
+    private static final double DEFAULT_RUN_MILLIS = 600;
+    /** Weight of the latest run time in the average. */
+    private static final double RUN_TIME_WEIGHT = 0.02;
 
     private static final double MILLIS_PER_SECOND = 1_000;
     /** Expected load time of a model that the configuration does not name. */
@@ -23,6 +25,7 @@
 
     private final DeploymentView view;
     private final Map<ModelTarget, Deque<Long>> refusals = new HashMap<>();
+    private double averageRunMillis = DEFAULT_RUN_MILLIS;
     private final Map<ModelTarget, MissingPeriod> missingPeriods = new HashMap<>();
 
     MissingTargetTracker(DeploymentView view) {
@@ -34,11 +37,19 @@
         refusals.computeIfAbsent(target, key -> new ArrayDeque<>()).addLast(nowMillis);
     }
 
-    /** Counts the recent refusals by target. Older ones are dropped because callers that retry are counted again. */
+    /** Records how long a request with a target ran. */
+    void recordRun(long runMillis) {
+        averageRunMillis += RUN_TIME_WEIGHT * (runMillis - averageRunMillis);
+    }
+
+    /**
+     * Counts the recent refusals by target. A refused request counts for as long as requests run on average, so that the
+     * demand for a missing model is comparable with that for a held one, whose running requests count.
+     */
     Map<ModelTarget, Integer> recentRefusals(long nowMillis) {
         Map<ModelTarget, Integer> counts = new HashMap<>();
         refusals.values().removeIf(times -> {
-            while (!times.isEmpty() && nowMillis - times.peekFirst() > REFUSAL_DEMAND_MILLIS) {
+            while (!times.isEmpty() && nowMillis - times.peekFirst() > averageRunMillis) {
                 times.removeFirst();
             }
             return times.isEmpty();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -172,6 +172,11 @@
         target.ifPresent(missingTargets::recordPresent);
     }
 
+    /** Records how long a completed request with a model or adapter ran. */
+    void recordRun(long runMillis) {
+        missingTargets.recordRun(runMillis);
+    }
+
     /** Records that a request was refused because its target is not loaded; it counts as demand for a limited time. */
     void recordRefusal(ModelTarget target) {
         missingTargets.recordRefusal(target, Timestamp.monotonicNowMillis());
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -31,6 +31,7 @@
     private boolean counted;
     private long unreadPromptTokens;
     private final int loadAtSend;
+    private final long sentMillis = Timestamp.monotonicNowMillis();
     private boolean runRecorded;
     private boolean paused;
     private int ticksWithoutEvent;
@@ -263,7 +264,9 @@
             fail("ended_within_event");
             return;
         }
-        instanceState().ifPresent(state -> state.recordSuccess(Timestamp.monotonicNowMillis()));
+        long now = Timestamp.monotonicNowMillis();
+        instanceState().ifPresent(state -> state.recordSuccess(now));
+        exchange.dispatcher().recordRun(now - sentMillis);
         if (exchange.latency().missedTargets(exchange.admitted().route()) != StreamLatency.MissedTargets.NONE) {
             logLateStream();
         }
