Place a missing model also on busy engines

The load that a move adds was counted in full from the moment of the order, its gain only for the rest of the planning horizon; and a refused request of a missing model counted hardly more than one beyond the slots of an engine, so that no busy engine was ever given it.

Change: load that is added counts for the rest of the horizon like the gain, and a request for a missing model counts twice one beyond the slots, as all of its callers are refused. The test plays two engines that both hold two models with 60 requests each.

Ruled out: idle engines that read the weights of further models before the first request.

--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/CostBasedPlacement.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/CostBasedPlacement.java
@@ -23,8 +23,9 @@
  *   <li>A model with a single copy costs the risk that this copy is lost.
  * </ul>
  *
- * <p>The gain of a move is weighted with the part of the planning horizon that remains once the load is done. The cost
- * of the evicted copy, of higher load and of disturbing the engine is subtracted.
+ * <p>The gain of a move, less the cost of the load that it adds to the engine, is weighted with the part of the planning
+ * horizon that remains once the load is done. The cost of the evicted copies and of disturbing the engine, which arise at
+ * once, is subtracted.
  *
  * <p>This covers demand that shifts between models, sudden requests for rarely used models, engines that restart
  * without models, and batch models that share the capacity that models for live requests leave free. The models that an
@@ -37,8 +38,11 @@
     private static final double PLANNING_HORIZON_SECONDS = 15;
     /** Slot utilization at which the cost of each request is 1, as about half of the engine's streams are late then. */
     private static final double UNIT_COST_UTILIZATION = 0.5;
-    /** Cost of a model without a copy for each request in demand; such a request is refused and retried. */
-    private static final double MISSING_MODEL_COST_PER_REQUEST = 5;
+    /**
+     * Cost of a model without a copy for each request in demand: twice that of a request beyond the slots of an engine,
+     * because all callers of the model are refused and not a part of them.
+     */
+    private static final double MISSING_MODEL_COST_PER_REQUEST = 8;
     /** Additional fixed cost of a model in demand without a copy, so that rarely requested models are loaded. */
     private static final double MISSING_MODEL_BASE_COST = 2;
     /** Cost of a single copy for each request: the probability that the copy is lost within the planning horizon. */
@@ -294,7 +298,7 @@
         }
 
         private Move evaluate(EngineAllocation allocation, String model, double costChange, List<String> victims) {
-            double gain = Math.max(0, -costChange);
+            double gain = -costChange;
             if (copies(model) == 0) {
                 gain += missingModelCost(model, modelsWithLocalWeights.contains(model));
             } else if (copies(model) == 1) {
@@ -303,7 +307,7 @@
             double delaySeconds = loadSeconds(allocation, model) + unloadSeconds(victims);
             double weightedGain =
                     gain * Math.max(0, PLANNING_HORIZON_SECONDS - delaySeconds) / PLANNING_HORIZON_SECONDS;
-            double cost = Math.max(0, costChange) + disturbanceCost(allocation, victims);
+            double cost = disturbanceCost(allocation, victims);
             for (String victim : victims) {
                 cost += cachedEvictionCost(allocation, victim);
             }
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/CostBasedPlacementTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/CostBasedPlacementTest.java
@@ -121,6 +121,17 @@
                     .anySatisfy(order -> assertThat(order.incomingModel()).isEqualTo("first"));
         }
 
+        /** Guards against refusing all requests for one model because every engine is busy with other models. */
+        @Test
+        void loadsMissingModelInPlaceOfAFurtherCopyWhenAllEnginesAreBusy() {
+            List<PlannedOrder> orders = plan(
+                    Map.of("first", 60, "second", 60, "third", 30),
+                    engine("one", "first", "second"),
+                    engine("two", "first", "second"));
+            assertThat(orders)
+                    .anySatisfy(order -> assertThat(order.incomingModel()).isEqualTo("third"));
+        }
+
         /** Guards against evicting the last ready copy of a busy model because other copies are still being loaded. */
         @Test
         void doesNotEvictLastReadyCopyWhileOtherCopiesLoad() {
