Let single mechanisms of dispatch and placement be left out by a setting

`dispatch.disabled` and `orders.disabled` take names of DispatchMechanism and PlacementMechanism, so that each can be measured without another build. A stopping entry's callers are not spaced, as they return to other entries.

--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/ExplainCommand.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/ExplainCommand.java
@@ -17,8 +17,8 @@
 import java.util.Set;
 
 /**
- * Puts together what the logs of all processes say of one request, and names the line that decided its outcome; or counts
- * the outcomes of all requests by their causes.
+ * Puts together what the logs of all processes say of one request, and names the line that decided its outcome; or
+ * counts the outcomes of all requests by their causes.
  */
 @Command(name = "explain", description = "Shows from log files what became of a request and why")
 public final class ExplainCommand implements CommandAction {
@@ -40,8 +40,9 @@
 
     @Option(
             name = "--summary",
-            description = "Counts all requests that were refused, failed or late by cause, route, team, model and second;"
-                    + " all arguments are log files then")
+            description =
+                    "Counts all requests that were refused, failed or late by cause, route, team, model and second;"
+                            + " all arguments are log files then")
     private boolean summary;
 
     @Required
--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/OutcomeSummary.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/OutcomeSummary.java
@@ -10,8 +10,8 @@
 import java.util.function.Function;
 
 /**
- * Counts the requests that were refused, failed or answered late, grouped by one property at a time, with the identifier
- * of one request of each group.
+ * Counts the requests that were refused, failed or answered late, grouped by one property at a time, with the
+ * identifier of one request of each group.
  */
 final class OutcomeSummary {
 
@@ -31,7 +31,10 @@
         ROUTE("route", line -> line.field("route").orElse(NONE)),
         TEAM("team", line -> line.field("team").orElse(NONE)),
         MODEL("model", line -> line.field("target").map(OutcomeSummary::model).orElse(NONE)),
-        SECOND("second", line -> line.time().substring(0, Math.min(SECOND_LENGTH, line.time().length())));
+        SECOND(
+                "second",
+                line -> line.time()
+                        .substring(0, Math.min(SECOND_LENGTH, line.time().length())));
 
         private final String title;
         private final Function<LogLine, String> key;
@@ -111,11 +114,10 @@
             Map<Long, Group> groups = new TreeMap<>();
             outcomes.stream()
                     .filter(line -> line.has("event", LATE))
-                    .forEach(line ->
-                            measurement.rangeStart(line).ifPresent(start -> count(groups, start, line)));
+                    .forEach(line -> measurement.rangeStart(line).ifPresent(start -> count(groups, start, line)));
             Table table = new Table("late " + measurement.field, "requests", "example");
-            groups.forEach((start, group) ->
-                    table.add(start + " to " + (start + measurement.rangeWidth - 1), group.count, group.exampleRequest));
+            groups.forEach((start, group) -> table.add(
+                    start + " to " + (start + measurement.rangeWidth - 1), group.count, group.exampleRequest));
             table.print(output);
             output.println();
         }
--- a/oleandermoor-command/src/test/java/io/oleandermoor/command/ExplainCommandTest.java
+++ b/oleandermoor-command/src/test/java/io/oleandermoor/command/ExplainCommandTest.java
@@ -37,10 +37,10 @@
     private final ByteArrayOutputStream errors = new ByteArrayOutputStream();
 
     private ExitCode explain(String... words) throws IOException {
-        return explain(FIRST_ENTRY, words);
+        return explainLog(FIRST_ENTRY, words);
     }
 
-    private ExitCode explain(String firstEntry, String... words) throws IOException {
+    private ExitCode explainLog(String firstEntry, String... words) throws IOException {
         Path first = Files.writeString(directory.resolve("first.log"), firstEntry);
         Path second = Files.writeString(directory.resolve("second.log"), SECOND_ENTRY);
         CommandContext context = new CommandContext(
@@ -109,7 +109,7 @@
                 """;
 
         private List<String> rows() throws IOException {
-            assertThat(explain(LOG, "--summary")).isEqualTo(ExitCode.OK);
+            assertThat(explainLog(LOG, "--summary")).isEqualTo(ExitCode.OK);
             return output.toString(StandardCharsets.UTF_8)
                     .lines()
                     .map(line -> line.replaceAll(" +", " "))
@@ -136,8 +136,7 @@
         @Test
         void countsOutcomesByRouteTeamAndSecond() throws IOException {
             assertThat(rows())
-                    .contains(
-                            "drafts refused 2 r-1", "van failed 1 r-3", "2026-01-01T10:00:03 refused 2 r-1");
+                    .contains("drafts refused 2 r-1", "van failed 1 r-3", "2026-01-01T10:00:03 refused 2 r-1");
         }
 
         @Test
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -16,9 +16,13 @@
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.EngineClient;
 import io.oleandermoor.platform.StoreClient;
+import io.oleandermoor.state.dispatch.DispatchMechanism;
 import io.oleandermoor.state.dispatch.InstanceTable;
 import io.oleandermoor.state.residency.DemandTracker;
+import io.oleandermoor.state.residency.PlacementMechanism;
+import io.oleandermoor.state.residency.PlacementOptions;
 import io.oleandermoor.transport.settings.Settings;
+import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
@@ -81,7 +85,9 @@
         this.settings = settings;
         String entryName = settings.get(GatewaySettings.NAME);
         view = new DeploymentView(
-                entryName, new InstanceTable(settings.get(GatewaySettings.FAILURE_DOMAIN), System.nanoTime()));
+                entryName,
+                new InstanceTable(
+                        settings.get(GatewaySettings.FAILURE_DOMAIN), System.nanoTime(), dispatchMechanisms()));
         store = new StoreClient(
                 loop, settings.get(GatewaySettings.STORE_ADDRESS).toSocketAddress(), STORE_TIMEOUT_MILLIS);
         dispatcher = new RequestDispatcher(
@@ -92,7 +98,8 @@
                         maximumKeyConfirmationAgeMillis(),
                         settings.get(GatewaySettings.RETRY_RATIO),
                         settings.get(GatewaySettings.RETRY_FIXED),
-                        settings.get(GatewaySettings.RETRY_WINDOW).toMillis()));
+                        settings.get(GatewaySettings.RETRY_WINDOW).toMillis()),
+                dispatchMechanisms());
         callerServer = new CallerServer(loop, dispatcher);
         DemandTracker demands = new DemandTracker();
         membership = new EntryMembership(loop, store, view, settings.get(GatewaySettings.PEER_ADDRESS));
@@ -106,7 +113,19 @@
                 orderLease,
                 new EngineClient(loop, ORDER_TIMEOUT_MILLIS),
                 peerExchange,
-                settings.get(GatewaySettings.PLACEMENT));
+                placementOptions());
+    }
+
+    private Set<DispatchMechanism> dispatchMechanisms() {
+        Set<DispatchMechanism> mechanisms = EnumSet.allOf(DispatchMechanism.class);
+        mechanisms.removeAll(settings.get(GatewaySettings.DISABLED_DISPATCH));
+        return mechanisms;
+    }
+
+    private PlacementOptions placementOptions() {
+        Set<PlacementMechanism> mechanisms = EnumSet.allOf(PlacementMechanism.class);
+        mechanisms.removeAll(settings.get(GatewaySettings.DISABLED_PLACEMENT));
+        return new PlacementOptions(settings.get(GatewaySettings.PLACEMENT), mechanisms);
     }
 
     /** Returns the delay that lets machines with more cores acquire the order lease first. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/PlacementController.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/PlacementController.java
@@ -12,10 +12,10 @@
 import io.oleandermoor.state.fleet.UpstreamService;
 import io.oleandermoor.state.residency.DemandTracker;
 import io.oleandermoor.state.residency.EngineView;
+import io.oleandermoor.state.residency.PlacementOptions;
 import io.oleandermoor.state.residency.PlannedOrder;
 import io.oleandermoor.state.residency.PlanningThrottle;
 import io.oleandermoor.state.residency.ResidencyPlanner;
-import io.oleandermoor.state.residency.ResidencyPolicy;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -48,7 +48,7 @@
     private final OrderLease lease;
     private final EngineClient engines;
     private final PeerExchange exchange;
-    private final ResidencyPolicy policy;
+    private final PlacementOptions options;
     private final Map<String, EngineOrderSender> senders = new HashMap<>();
     private final Map<String, ResidencyPlanner> planners = new HashMap<>();
     private final Map<String, EngineProfile> profiles = new HashMap<>();
@@ -65,7 +65,7 @@
      * @param lease the lease under which this entry may give orders
      * @param engines the client that sends orders to engines
      * @param exchange sends the models that engines hold to the other entries
-     * @param policy the policy by which models are distributed over engines
+     * @param options how models are placed on engines
      */
     public PlacementController(
             EventLoop loop,
@@ -74,14 +74,14 @@
             OrderLease lease,
             EngineClient engines,
             PeerExchange exchange,
-            ResidencyPolicy policy) {
+            PlacementOptions options) {
         this.loop = loop;
         this.view = view;
         this.demands = demands;
         this.lease = lease;
         this.engines = engines;
         this.exchange = exchange;
-        this.policy = policy;
+        this.options = options;
     }
 
     /** Starts periodic planning. */
@@ -123,7 +123,7 @@
 
     private void planService(String service, EngineProfile profile, boolean includeModels, long now) {
         if (!profile.equals(profiles.put(service, profile))) {
-            planners.put(service, new ResidencyPlanner(profile, policy));
+            planners.put(service, new ResidencyPlanner(profile, options));
         }
         List<EngineView> views = new ArrayList<>();
         for (InstanceState state : view.instances().states()) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/AdmittedRequest.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/AdmittedRequest.java
@@ -24,6 +24,13 @@
 
     /** Number of urgency levels for each priority of a team; the priority of the route selects the level. */
     private static final int PRIORITIES_PER_TEAM_PRIORITY = 3;
+    /** Bits of the hash of a request id from which its retry jitter is derived. */
+    private static final int JITTER_MASK = 0xFFFF;
+
+    /** Returns a number from 0 (inclusive) to 1 (exclusive) that spreads the retries of refused callers. */
+    double retryJitter() {
+        return (caller.id().hashCode() & JITTER_MASK) / (JITTER_MASK + 1.0);
+    }
 
     /**
      * Returns the urgency, where 0 is the most urgent; the priority of the team takes precedence over that of the
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargetTracker.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargetTracker.java
@@ -43,8 +43,8 @@
     }
 
     /**
-     * Counts the recent refusals by target. A refused request counts for as long as requests run on average, so that the
-     * demand for a missing model is comparable with that for a held one, whose running requests count.
+     * Counts the recent refusals by target. A refused request counts for as long as requests run on average, so that
+     * the demand for a missing model is comparable with that for a held one, whose running requests count.
      */
     Map<ModelTarget, Integer> recentRefusals(long nowMillis) {
         Map<ModelTarget, Integer> counts = new HashMap<>();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -4,16 +4,19 @@
 import io.oleandermoor.gateway.upstream.UpstreamPool;
 import io.oleandermoor.gateway.view.DeploymentView;
 import io.oleandermoor.gateway.view.Timestamp;
+import io.oleandermoor.state.dispatch.DispatchMechanism;
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.dispatch.QueueOrder;
 import io.oleandermoor.state.dispatch.ReturnSchedule;
 import io.oleandermoor.state.dispatch.SlidingWindowRetryBudget;
 import io.oleandermoor.state.dispatch.SlotWaitEstimator;
+import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.residency.DemandTracker;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -33,7 +36,8 @@
     private final DeploymentView view;
     private final UpstreamPool pool;
     private final Limits limits;
-    private final RequestQueue queue = new RequestQueue(QueueOrder.REACHABLE_TARGET_FIRST);
+    private final Set<DispatchMechanism> mechanisms;
+    private final RequestQueue queue;
     private final SlotWaitEstimator capacityForecast = new SlotWaitEstimator();
     private final ReturnSchedule returnSchedule = new ReturnSchedule();
     private final RequestEventLog eventLog = new RequestEventLog();
@@ -66,12 +70,19 @@
      * @param view this entry's view of the deployment
      * @param pool the pool of connections to instances
      * @param limits the limits of the deployment
+     * @param mechanisms the mechanisms of dispatch to use
      */
-    public RequestDispatcher(EventLoop loop, DeploymentView view, UpstreamPool pool, Limits limits) {
+    public RequestDispatcher(
+            EventLoop loop, DeploymentView view, UpstreamPool pool, Limits limits, Set<DispatchMechanism> mechanisms) {
         this.loop = loop;
         this.view = view;
         this.pool = pool;
         this.limits = limits;
+        this.mechanisms = Set.copyOf(mechanisms);
+        this.queue = new RequestQueue(
+                mechanisms.contains(DispatchMechanism.REACHABLE_TARGET_FIRST)
+                        ? QueueOrder.REACHABLE_TARGET_FIRST
+                        : QueueOrder.ARRIVAL);
         this.missingTargets = new MissingTargetTracker(view);
         this.silenceDetector = new SilenceDetector(view);
     }
@@ -135,6 +146,10 @@
         return limits;
     }
 
+    boolean uses(DispatchMechanism mechanism) {
+        return mechanisms.contains(mechanism);
+    }
+
     RequestQueue queue() {
         return queue;
     }
@@ -172,6 +187,15 @@
         target.ifPresent(missingTargets::recordPresent);
     }
 
+    /** Returns the tokens of a request that has not run to the bucket of its team. */
+    void refundRateTokens(AdmittedRequest admitted) {
+        admitted.team()
+                .filter(TeamLimits::rateLimited)
+                .ifPresent(team -> view.bucket(team.name())
+                        .ifPresent(bucket -> bucket.refund(
+                                team.chargedTokens(admitted.caller().declaredTokens()))));
+    }
+
     /** Records how long a completed request with a model or adapter ran. */
     void recordRun(long runMillis) {
         missingTargets.recordRun(runMillis);
@@ -201,6 +225,9 @@
      * @return the time until the return
      */
     long reserveReturn(RequestExchange exchange, long delayMillis, long maximumDelayMillis) {
+        if (!mechanisms.contains(DispatchMechanism.SPACED_RETURNS)) {
+            return delayMillis;
+        }
         long now = Timestamp.monotonicNowMillis();
         String resource = exchange.capacityKey();
         return returnSchedule.reserve(
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -1,15 +1,14 @@
 package io.oleandermoor.gateway.request;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
-import io.netty.handler.codec.http.HttpVersion;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.oleandermoor.gateway.upstream.UpstreamPool;
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.RequestHeaders;
+import io.oleandermoor.state.dispatch.DispatchMechanism;
 import io.oleandermoor.state.dispatch.InstanceTable;
 import io.oleandermoor.state.dispatch.InstanceTable.InstanceSelection;
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
@@ -17,7 +16,6 @@
 import io.oleandermoor.state.dispatch.Prompt;
 import io.oleandermoor.state.dispatch.QueueOrder;
 import io.oleandermoor.state.dispatch.WaitPolicy;
-import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import java.util.HashSet;
 import java.util.Optional;
@@ -32,8 +30,6 @@
 
     /** Maximum number of sends, including those that an instance declined, which do not count as runs. */
     private static final int MAXIMUM_SENDS = 5;
-    /** Bits of the request id hash that spread the retries of refused callers. */
-    private static final int JITTER_MASK = 0xFFFF;
     /** Time reserved before the deadline for the response to reach the caller. */
     private static final long RESPONSE_MARGIN_MILLIS = 30;
     /** Time that must remain before the deadline for another send. */
@@ -44,6 +40,7 @@
     private static final long STOPPING_RETRY_AFTER_MILLIS = 100;
     /** A caller waits at most this part of its remaining time before it returns. */
     private static final int RETURN_SHARE = 3;
+
     private static final int BAD_GATEWAY = 502;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final int GATEWAY_TIMEOUT = 504;
@@ -86,7 +83,9 @@
                 admitted.caller().deadlineMillis().orElse(Long.MAX_VALUE / 2));
         this.deadlineMillis = arrivedMillis + allowedMillis;
         this.position = new QueueOrder.Position(
-                admitted.urgency(), sequenceNumber, arrivedMillis + admitted.route().latencyTargetMillis());
+                admitted.urgency(),
+                sequenceNumber,
+                arrivedMillis + admitted.route().latencyTargetMillis());
         this.prompt = admitted.target().isPresent() ? Prompt.of(admitted.caller()) : Prompt.NONE;
     }
 
@@ -137,8 +136,9 @@
      * later if the request then still meets its latency target; more requests for the model arrive in the meantime.
      */
     boolean isDemandImmediate() {
-        return WaitPolicy.isUrgent(
-                admitted.route(), shortage, ageMillis(), () -> dispatcher.expectedWaitMillis(this, shortage));
+        return !dispatcher.uses(DispatchMechanism.DEFERRED_DEMAND)
+                || WaitPolicy.isUrgent(
+                        admitted.route(), shortage, ageMillis(), () -> dispatcher.expectedWaitMillis(this, shortage));
     }
 
     void start() {
@@ -184,7 +184,7 @@
                 deadlineMillis - arrivedMillis,
                 waitedMillis,
                 dispatcher.expectedWaitMillis(this, reason),
-                retryJitter());
+                admitted.retryJitter());
         retryAfterMillis = decision.retryMillis();
         if (decision.waitMillis() <= 0) {
             refuseOrFail("no_place_" + reason);
@@ -195,10 +195,6 @@
         queueTimer = dispatcher.loop().schedule(this::onQueueTimeout, decision.waitMillis(), TimeUnit.MILLISECONDS);
     }
 
-    private double retryJitter() {
-        return (admitted.caller().id().hashCode() & JITTER_MASK) / (JITTER_MASK + 1.0);
-    }
-
     private void leaveQueue() {
         queued = false;
         dispatcher.queue().remove(this);
@@ -252,20 +248,7 @@
         OptionalLong lastEventId = stream != null && stream.lastEventId() >= 0
                 ? OptionalLong.of(stream.lastEventId())
                 : admitted.caller().lastEventId();
-        RequestHeaders.InstanceHeaders headers = new RequestHeaders.InstanceHeaders(
-                instance.id(),
-                admitted.team().map(TeamLimits::name),
-                Math.max(1, deadlineMillis - now),
-                urgency(),
-                lastEventId);
-        FullHttpRequest copy = new DefaultFullHttpRequest(
-                HttpVersion.HTTP_1_1,
-                request.method(),
-                request.uri(),
-                request.content().retainedDuplicate(),
-                RequestHeaders.encode(
-                        request.headers(), headers, request.content().readableBytes()),
-                EmptyHttpHeaders.INSTANCE);
+        FullHttpRequest copy = InstanceRequests.create(request, admitted, instance, deadlineMillis - now, lastEventId);
         SendAttempt attempt = new SendAttempt(this, instance);
         currentAttempt = attempt;
         attempt.start();
@@ -327,28 +310,21 @@
         } else if (mayHaveRun) {
             respond(BAD_GATEWAY, EmptyHttpHeaders.INSTANCE);
         } else {
-            refundRateTokens();
+            dispatcher.refundRateTokens(admitted);
             if (shortage == Shortage.NOT_RESIDENT) {
                 target().ifPresent(dispatcher::recordRefusal);
             }
             HttpHeaders headers = ResponseWriter.newHeaders();
             long maximumDelayMillis = Math.max(0, deadlineMillis - Timestamp.monotonicNowMillis()) / RETURN_SHARE;
             RequestHeaders.setRetryAfter(
-                    headers, dispatcher.reserveReturn(this, retryAfterMillis, maximumDelayMillis));
+                    headers,
+                    dispatcher.view().isStopping()
+                            ? retryAfterMillis
+                            : dispatcher.reserveReturn(this, retryAfterMillis, maximumDelayMillis));
             respond(SERVICE_UNAVAILABLE, headers);
         }
     }
 
-    private void refundRateTokens() {
-        admitted.team()
-                .filter(TeamLimits::rateLimited)
-                .ifPresent(team -> dispatcher
-                        .view()
-                        .bucket(team.name())
-                        .ifPresent(bucket -> bucket.refund(
-                                team.chargedTokens(admitted.caller().declaredTokens()))));
-    }
-
     private void respond(int status, HttpHeaders headers) {
         finish();
         response.writeLocalResponse(status, headers, admitted.caller().id());
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
@@ -1,10 +1,13 @@
 package io.oleandermoor.gateway.settings;
 
+import io.oleandermoor.state.dispatch.DispatchMechanism;
+import io.oleandermoor.state.residency.PlacementMechanism;
 import io.oleandermoor.state.residency.ResidencyPolicy;
 import io.oleandermoor.transport.settings.Address;
 import io.oleandermoor.transport.settings.Setting;
 import io.oleandermoor.transport.settings.SettingsSchema;
 import java.time.Duration;
+import java.util.Set;
 
 /** Settings of an entry that runs on the platform. */
 public final class GatewaySettings {
@@ -77,6 +80,18 @@
                     "orders.placement", ResidencyPolicy.class, "Policy that places models on engines.")
             .defaultingTo("LEAST_HARM");
 
+    /** Mechanisms of dispatch that are not used. */
+    public static final Setting<Set<DispatchMechanism>> DISABLED_DISPATCH = Setting.choices(
+                    "dispatch.disabled", DispatchMechanism.class, "Mechanisms of dispatch that are not used.")
+            .defaultingTo("");
+
+    /** Mechanisms of the placement of models that are not used. */
+    public static final Setting<Set<PlacementMechanism>> DISABLED_PLACEMENT = Setting.choices(
+                    "orders.disabled",
+                    PlacementMechanism.class,
+                    "Mechanisms of the placement of models that are not used.")
+            .defaultingTo("");
+
     /** All settings. */
     public static final SettingsSchema SCHEMA = SettingsSchema.builder(
                     "gateway", "Receives requests of callers and forwards them to instances on the platform.")
@@ -96,7 +111,9 @@
                     RETRY_RATIO,
                     RETRY_FIXED,
                     HOLDER_GAP,
-                    PLACEMENT)
+                    PLACEMENT,
+                    DISABLED_DISPATCH,
+                    DISABLED_PLACEMENT)
             .build();
 
     private GatewaySettings() {}
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/GatewayTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/GatewayTest.java
@@ -256,8 +256,8 @@
     class ConnectionReuse {
 
         /**
-         * Guards against opening a connection for each stream because a stream lasts longer than an instance keeps an idle
-         * connection.
+         * Guards against opening a connection for each stream because a stream lasts longer than an instance keeps an
+         * idle connection.
          */
         @Test
         void connectionOfALongStreamIsUsedAgain() throws Exception {
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/settings/GatewaySettingsTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/settings/GatewaySettingsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import io.oleandermoor.state.dispatch.DispatchMechanism;
 import io.oleandermoor.state.finding.InvalidInputException;
 import io.oleandermoor.transport.settings.Settings;
 import io.oleandermoor.transport.settings.SettingsReader;
@@ -46,4 +47,31 @@
             }
         }
     }
+
+    @Nested
+    class DisabledMechanisms {
+
+        private static final String LIMITS = "[limits]\nrevocation = 5s\ngrace = 8s\n[retries]\nwindow = 10s\n"
+                + "ratio = 0.25\nfixed = 4\n[orders]\nholder-gap = 3s\n";
+
+        @Test
+        void areNoneByDefault() throws InvalidInputException {
+            assertThat(read(LIMITS).get(GatewaySettings.DISABLED_DISPATCH)).isEmpty();
+            assertThat(read(LIMITS).get(GatewaySettings.DISABLED_PLACEMENT)).isEmpty();
+        }
+
+        @Test
+        void areListedByName() throws InvalidInputException {
+            Settings settings = read(LIMITS + "[dispatch]\ndisabled = SLOWNESS_PENALTY, SPACED_RETURNS\n");
+            assertThat(settings.get(GatewaySettings.DISABLED_DISPATCH))
+                    .containsExactlyInAnyOrder(DispatchMechanism.SLOWNESS_PENALTY, DispatchMechanism.SPACED_RETURNS);
+        }
+
+        /** Guards against a misspelt name that silently leaves the mechanism on. */
+        @Test
+        void rejectUnknownNames() {
+            assertThatThrownBy(() -> read(LIMITS + "[dispatch]\ndisabled = SLOWNES_PENALTY\n"))
+                    .isInstanceOf(InvalidInputException.class);
+        }
+    }
 }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -94,8 +94,8 @@
     }
 
     /**
-     * Returns the received requests: headers by lower-case name, the request line as "line", the body as "body", and the
-     * port from which the connection was opened as "connection".
+     * Returns the received requests: headers by lower-case name, the request line as "line", the body as "body", and
+     * the port from which the connection was opened as "connection".
      */
     public List<Map<String, String>> receivedRequests() {
         return receivedRequests;
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/DispatchMechanism.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/DispatchMechanism.java
@@ -1,6 +1,6 @@
 package io.oleandermoor.state.dispatch;
 
-/** Mechanisms of the choice of an instance, which can be disabled one by one to measure what each is worth. */
+/** Mechanisms of dispatch, which can be disabled one by one to measure what each is worth. */
 public enum DispatchMechanism {
     /** Limits the prompt tokens that this entry lets an engine process at a time. */
     PREFILL_TOKEN_LIMIT,
@@ -11,5 +11,11 @@
     /** Prefers an instance that has processed the start of the prompt for this entry. */
     CACHED_PREFIX_BONUS,
     /** Avoids instances whose streams pause for longer than those of other instances. */
-    SLOWNESS_PENALTY
+    SLOWNESS_PENALTY,
+    /** Serves queued requests that can still meet their latency target first. */
+    REACHABLE_TARGET_FIRST,
+    /** Spaces the times at which refused callers return. */
+    SPACED_RETURNS,
+    /** Counts a waiting request as demand for a missing model only when the load has to start to be in time. */
+    DEFERRED_DEMAND
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
@@ -138,8 +138,8 @@
     }
 
     /**
-     * Returns whether the instance has probably ended, although it is still listed: another instance has its address, or
-     * several connections to it could not be opened since the last response.
+     * Returns whether the instance has probably ended, although it is still listed: another instance has its address,
+     * or several connections to it could not be opened since the last response.
      */
     public boolean probablyGone() {
         return replaced || consecutiveUnreachable >= UNREACHABLE_BEFORE_GONE;
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/QueueOrder.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/QueueOrder.java
@@ -13,7 +13,8 @@
     },
     /**
      * By urgency; among requests of the same urgency, those that can still meet their latency target precede those that
-     * cannot, each in the order of arrival. This covers overload: a part of the requests starts in time instead of none.
+     * cannot, each in the order of arrival. This covers overload: a part of the requests starts in time instead of
+     * none.
      */
     REACHABLE_TARGET_FIRST {
         @Override
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/ReturnSchedule.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/ReturnSchedule.java
@@ -5,8 +5,8 @@
 
 /**
  * Spaces the times at which refused callers are told to return, so that no more of them return in a period than slots
- * become free in it. This covers bursts: callers that all return after the same delay find the slots taken again, and most
- * of them do not try a third time. Not thread-safe.
+ * become free in it. This covers bursts: callers that all return after the same delay find the slots taken again, and
+ * most of them do not try a third time. Not thread-safe.
  */
 public final class ReturnSchedule {
 
@@ -15,7 +15,8 @@
     /**
      * Reserves the time at which a refused caller returns.
      *
-     * @param resource the resource that the request needs; callers that need the same resource return one after the other
+     * @param resource the resource that the request needs; callers that need the same resource return one after the
+     *     other
      * @param delayMillis the minimum time until the return
      * @param spacingMillis the minimum time between two returns for the resource
      * @param maximumDelayMillis the time after which the caller would have to give up
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/CostBasedPlacement.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/CostBasedPlacement.java
@@ -23,9 +23,9 @@
  *   <li>A model with a single copy costs the risk that this copy is lost.
  * </ul>
  *
- * <p>The gain of a move, less the cost of the load that it adds to the engine, is weighted with the part of the planning
- * horizon that remains once the load is done. The cost of the evicted copies and of disturbing the engine, which arise at
- * once, is subtracted.
+ * <p>The gain of a move, less the cost of the load that it adds to the engine, is weighted with the part of the
+ * planning horizon that remains once the load is done. The cost of the evicted copies and of disturbing the engine,
+ * which arise at once, is subtracted.
  *
  * <p>This covers demand that shifts between models, sudden requests for rarely used models, engines that restart
  * without models, and batch models that share the capacity that models for live requests leave free. The models that an
@@ -82,13 +82,15 @@
 
     private final EngineProfile profile;
     private final EngineMemory memory;
+    private final Set<PlacementMechanism> mechanisms;
     private final Set<String> knownEngines = new HashSet<>();
     private final Map<String, Integer> initialCopies = new HashMap<>();
     private final Map<String, Long> lastPlacementMillis = new HashMap<>();
     private long firstDemandMillis = Long.MAX_VALUE;
 
-    CostBasedPlacement(EngineProfile profile) {
+    CostBasedPlacement(EngineProfile profile, Set<PlacementMechanism> mechanisms) {
         this.profile = profile;
+        this.mechanisms = mechanisms;
         this.memory = new EngineMemory(profile);
     }
 
@@ -111,7 +113,7 @@
     /** Returns the demand that is expected from the initial copies of a model, 0 if it had fewer than two. */
     private double expectedDemand(String model, long nowMillis) {
         int copies = initialCopies.getOrDefault(model, 0);
-        if (copies < 2) {
+        if (copies < 2 || !mechanisms.contains(PlacementMechanism.EXPECTED_DEMAND)) {
             return 0;
         }
         double ageMillis = Math.max(0, nowMillis - Math.min(nowMillis, firstDemandMillis));
@@ -257,7 +259,9 @@
                     best = betterOf(best, evaluate(allocation, model, costChange, List.of(victim)));
                 }
             }
-            if (!singleVictimSuffices && copies(model) == 0) {
+            if (!singleVictimSuffices
+                    && copies(model) == 0
+                    && mechanisms.contains(PlacementMechanism.SEVERAL_EVICTIONS)) {
                 Optional<List<String>> victims = cheapestVictims(allocation, model);
                 if (victims.isPresent()) {
                     best = betterOf(best, evaluate(allocation, model, costChange, victims.get()));
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/EngineView.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/EngineView.java
@@ -29,19 +29,6 @@
         Set<String> localWeights,
         List<String> remainingVictims) {
 
-    /** Creates a view of an engine that has nothing else to unload for its incoming model. */
-    public EngineView(
-            String id,
-            String failureDomain,
-            boolean readyForOrder,
-            Map<String, Set<String>> models,
-            int load,
-            String incomingModel,
-            boolean memoryFreed,
-            Set<String> localWeights) {
-        this(id, failureDomain, readyForOrder, models, load, incomingModel, memoryFreed, localWeights, List.of());
-    }
-
     int adapterCount() {
         return models.values().stream().mapToInt(Set::size).sum();
     }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ResidencyPlanner.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ResidencyPlanner.java
@@ -3,6 +3,7 @@
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.fleet.EngineProfile;
 import java.util.Collection;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
 
@@ -20,14 +21,19 @@
      * Creates a planner.
      *
      * @param profile the capacity of the engines and the models that they can hold
-     * @param policy the policy by which models are distributed over the engines
+     * @param options how models are placed on the engines
      */
-    public ResidencyPlanner(EngineProfile profile, ResidencyPolicy policy) {
+    public ResidencyPlanner(EngineProfile profile, PlacementOptions options) {
         this.memory = new EngineMemory(profile);
-        this.models = policy.create(profile);
+        this.models = options.policy().create(profile, options.mechanisms());
         this.adapters = new AdapterPlacement(profile);
     }
 
+    /** Creates a planner that uses all mechanisms. */
+    public ResidencyPlanner(EngineProfile profile, ResidencyPolicy policy) {
+        this(profile, new PlacementOptions(policy, EnumSet.allOf(PlacementMechanism.class)));
+    }
+
     /**
      * Plans orders for models and adapters.
      *
@@ -67,8 +73,8 @@
     }
 
     /**
-     * Orders the loads for which memory was freed, and the remaining evictions for them. The loads were counted when the
-     * first eviction was ordered.
+     * Orders the loads for which memory was freed, and the remaining evictions for them. The loads were counted when
+     * the first eviction was ordered.
      */
     private void loadIncomingModels(PlanningRound round) {
         for (EngineView engine : round.engines()) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ThresholdPlacement.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/residency/ThresholdPlacement.java
@@ -106,7 +106,8 @@
                 return Optional.of(new PlacementOption(engine, Optional.empty(), fetchCost + loadCost));
             }
             return engine.models().keySet().stream()
-                    .filter(victim -> memory.fitsAfterEviction(engine, List.of(victim), model) && mayEvict(victim, model))
+                    .filter(victim ->
+                            memory.fitsAfterEviction(engine, List.of(victim), model) && mayEvict(victim, model))
                     .min(Comparator.comparingDouble(this::evictionCost))
                     .map(victim -> new PlacementOption(
                             engine, Optional.of(victim), fetchCost + loadCost + evictionCost(victim) + 1));
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/EnginePlay.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/EnginePlay.java
@@ -15,8 +15,9 @@
 import java.util.SplittableRandom;
 
 /**
- * Plays streams that several entries send to engines of a service under virtual time, and counts what their callers get.
- * An engine generates one token for each of its streams in a step and processes prompts in pieces between the tokens.
+ * Plays streams that several entries send to engines of a service under virtual time, and counts what their callers
+ * get. An engine generates one token for each of its streams in a step and processes prompts in pieces between the
+ * tokens.
  */
 final class EnginePlay {
 
@@ -113,7 +114,8 @@
                 Prompt prompt = new Prompt(queue.getFirst().promptTokens, List.of(), List.of());
                 InstanceQuery query =
                         new InstanceQuery("words", Optional.of(ModelTarget.parse(MODEL)), prompt, Set.of());
-                Optional<UpstreamInstance> chosen = table.choose(query, nowMillis).instance();
+                Optional<UpstreamInstance> chosen =
+                        table.choose(query, nowMillis).instance();
                 if (chosen.isEmpty()) {
                     return;
                 }
@@ -127,7 +129,8 @@
 
         private Map<String, Integer> loads() {
             Map<String, Integer> loads = new HashMap<>();
-            engines.values().forEach(engine -> loads.put(engine.id, state(engine).localLoad()));
+            engines.values()
+                    .forEach(engine -> loads.put(engine.id, state(engine).localLoad()));
             return loads;
         }
     }
@@ -211,8 +214,7 @@
                 sent++;
             }
             for (Entry entry : entries) {
-                if (!entry.queue.isEmpty()
-                        && (nowMillis + entry.phaseMillis) % DISPATCH_INTERVAL_MILLIS == 0) {
+                if (!entry.queue.isEmpty() && (nowMillis + entry.phaseMillis) % DISPATCH_INTERVAL_MILLIS == 0) {
                     entry.dispatch();
                 }
                 if ((nowMillis + entry.phaseMillis) % REPORT_INTERVAL_MILLIS == 0) {
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/CostBasedPlacementTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/CostBasedPlacementTest.java
@@ -44,7 +44,7 @@
             held.put(model, Set.of());
         }
         Set<String> localWeights = Set.of("first", "second", "third", "fourth");
-        return new EngineView(id, "a", incoming.isEmpty(), held, 0, incoming, false, localWeights);
+        return new EngineView(id, "a", incoming.isEmpty(), held, 0, incoming, false, localWeights, List.of());
     }
 
     private List<PlannedOrder> plan(Map<String, Integer> running, EngineView... engines) {
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/ResidencyPlannerTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/residency/ResidencyPlannerTest.java
@@ -35,7 +35,7 @@
     }
 
     private static EngineView engine(String id, Map<String, Set<String>> models, String... localWeights) {
-        return new EngineView(id, "a", true, models, 0, "", false, Set.of(localWeights));
+        return new EngineView(id, "a", true, models, 0, "", false, Set.of(localWeights), List.of());
     }
 
     private void demand(Map<String, Integer> waiting) {
@@ -110,7 +110,8 @@
         @Test
         void loadsIncomingModelAfterMemoryIsFreed() {
             demand(Map.of());
-            EngineView engine = new EngineView("one", "a", true, Map.of("other", Set.of()), 0, "third", true, Set.of());
+            EngineView engine =
+                    new EngineView("one", "a", true, Map.of("other", Set.of()), 0, "third", true, Set.of(), List.of());
             assertThat(plan(0, engine))
                     .singleElement()
                     .satisfies(order -> assertThat(order.target()).isEqualTo(new ModelTarget("third", "")));
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/Setting.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/Setting.java
@@ -5,6 +5,7 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.Optional;
+import java.util.Set;
 import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 
@@ -141,6 +142,19 @@
         return of(name, SettingTypes.choice(type), description);
     }
 
+    /**
+     * Returns a required setting whose value is a list of names of constants, which may be empty.
+     *
+     * @param <E> the enum
+     * @param name {@code section.key}
+     * @param type the enum
+     * @param description one sentence
+     * @return the setting
+     */
+    public static <E extends Enum<E>> Setting<Set<E>> choices(String name, Class<E> type, String description) {
+        return of(name, SettingTypes.choices(type), description);
+    }
+
     /**
      * Returns a required setting whose value is an identifier.
      *
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/SettingTypes.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/SettingTypes.java
@@ -6,8 +6,10 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.Collections;
+import java.util.EnumSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -77,6 +79,22 @@
                         .orElseThrow(() -> new IllegalArgumentException("'" + text + "' must be one of " + names)));
     }
 
+    static <E extends Enum<E>> SettingType<Set<E>> choices(Class<E> type) {
+        SettingType<E> single = choice(type);
+        return new SimpleType<>(
+                "any of " + single.form().replaceFirst("^one of ", "") + ", separated by commas",
+                text -> {
+                    Set<E> chosen = EnumSet.noneOf(type);
+                    if (!text.isBlank()) {
+                        Arrays.stream(text.split(",", -1))
+                                .map(part -> single.parse(part.strip()))
+                                .forEach(chosen::add);
+                    }
+                    return Collections.unmodifiableSet(chosen);
+                },
+                chosen -> chosen.stream().map(Enum::name).collect(Collectors.joining(", ")));
+    }
+
     static <T> SettingType<T> identifier(Function<String, T> type) {
         return new SimpleType<>("identifier", type);
     }
