--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/OutcomeSummary.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/OutcomeSummary.java
@@ -99,33 +99,45 @@
                 .toList();
     }
 
-    /** Prints one table for each property, and how many lines the processes left out. */
+    /** Prints one table for each property and measurement, and how many lines the processes left out. */
     void print(PrintStream output) {
         for (Grouping grouping : Grouping.values()) {
-            Comparator<GroupKey> order = Comparator.comparing(GroupKey::value).thenComparing(GroupKey::outcome);
-            Map<GroupKey, Group> groups = new TreeMap<>(order);
-            outcomes.forEach(line -> count(groups, new GroupKey(event(line), grouping.key.apply(line)), line));
-            Table table = new Table(grouping.title, "outcome", "requests", "example");
-            groups.forEach((key, group) -> table.add(key.value(), key.outcome(), group.count, group.exampleRequest));
-            table.print(output);
+            tableOf(grouping).print(output);
             output.println();
         }
         for (Measurement measurement : Measurement.values()) {
-            Map<Long, Group> groups = new TreeMap<>();
-            outcomes.stream()
-                    .filter(line -> line.has("event", LATE))
-                    .forEach(line -> measurement.rangeStart(line).ifPresent(start -> count(groups, start, line)));
-            Table table = new Table("late " + measurement.field, "requests", "example");
-            groups.forEach((start, group) -> table.add(
-                    start + " to " + (start + measurement.rangeWidth - 1), group.count, group.exampleRequest));
-            table.print(output);
+            tableOf(measurement).print(output);
             output.println();
         }
-        Table table = new Table("lines left out", "requests");
+        tableOfLinesLeftOut().print(output);
+    }
+
+    private Table tableOf(Grouping grouping) {
+        Comparator<GroupKey> order = Comparator.comparing(GroupKey::value).thenComparing(GroupKey::outcome);
+        Map<GroupKey, Group> groups = new TreeMap<>(order);
+        outcomes.forEach(line -> count(groups, new GroupKey(event(line), grouping.key.apply(line)), line));
+        Table table = new Table(grouping.title, "outcome", "requests", "example");
+        groups.forEach((key, group) -> table.add(key.value(), key.outcome(), group.count, group.exampleRequest));
+        return table;
+    }
+
+    private Table tableOf(Measurement measurement) {
+        Map<Long, Group> groups = new TreeMap<>();
+        outcomes.stream()
+                .filter(line -> line.has("event", LATE))
+                .forEach(line -> measurement.rangeStart(line).ifPresent(start -> count(groups, start, line)));
+        Table table = new Table("late " + measurement.field, "requests", "example");
+        groups.forEach((start, group) ->
+                table.add(start + " to " + (start + measurement.rangeWidth - 1), group.count, group.exampleRequest));
+        return table;
+    }
+
+    private Table tableOfLinesLeftOut() {
         Map<String, Integer> counts = new TreeMap<>();
         leftOut.forEach(line -> counts.merge(line.field("kind").orElse(NONE), leftOutCount(line), Integer::sum));
+        Table table = new Table("lines left out", "requests");
         counts.forEach(table::add);
-        table.print(output);
+        return table;
     }
 
     private static <K> void count(Map<K, Group> groups, K key, LogLine line) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
@@ -15,7 +15,7 @@
     private static final long MAXIMUM_BACKOFF_MILLIS = 3_000;
     /** Consecutive lost connections after which an instance is not used during a backoff. */
     private static final int FAILURES_BEFORE_BACKOFF = 3;
-    /** Consecutive connections that could not be opened after which an instance is taken for gone. */
+    /** Consecutive failures to reach an instance, which refuses connections or is silent, before it counts as gone. */
     private static final int UNREACHABLE_BEFORE_GONE = 2;
     /** Weight of the latest result in the failure rate. */
     private static final double FAILURE_RATE_WEIGHT = 0.15;
@@ -139,7 +139,7 @@
 
     /**
      * Returns whether the instance has probably ended, although it is still listed: another instance has its address,
-     * or several connections to it could not be opened since the last response.
+     * or it could repeatedly not be reached since its last complete response.
      */
     public boolean probablyGone() {
         return replaced || consecutiveUnreachable >= UNREACHABLE_BEFORE_GONE;
