Let tests of the entry bind ports that nothing else can take

Two of 40 such ports are the same with a chance of about 3% a test, and other processes may take one in between. The entries are bound to port 0 now and report the address that they got. EntryFixture, whose ports are named in settings and so must be known before, takes them from below the range that the operating system assigns to connections, after a check for TCP and UDP. Not the cause: the exchange itself, which closes its socket with its event loop.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -110,12 +110,21 @@
     /** Binds to an address and starts to send reports periodically. */
     public void start(InetSocketAddress address) {
         bind(address);
+        startReports();
+    }
+
+    /** Starts to send reports periodically. */
+    void startReports() {
         loop.scheduleAtFixedRate(this::tick, TICK_INTERVAL_MILLIS, TICK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    /** Binds to an address without periodic reports; only early reports are sent. */
-    void bind(InetSocketAddress address) {
-        channel = new Bootstrap()
+    /**
+     * Binds to an address without periodic reports; only early reports are sent.
+     *
+     * @return the bound address
+     */
+    InetSocketAddress bind(InetSocketAddress address) {
+        Channel bound = new Bootstrap()
                 .group(loop)
                 .channel(NioDatagramChannel.class)
                 .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAXIMUM_DATAGRAM_BYTES))
@@ -123,6 +132,8 @@
                 .bind(address)
                 .syncUninterruptibly()
                 .channel();
+        channel = bound;
+        return (InetSocketAddress) bound.localAddress();
     }
 
     /** Schedules an early report, because other entries wait for new information. */
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
@@ -9,7 +9,6 @@
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import io.oleandermoor.state.residency.DemandTracker;
-import java.net.DatagramSocket;
 import java.net.InetSocketAddress;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -63,10 +62,10 @@
     @BeforeEach
     void start() throws Exception {
         for (int index = 0; index < ENTRY_COUNT; index++) {
-            try (DatagramSocket socket = new DatagramSocket()) {
-                addresses.put("entry-" + index, new InetSocketAddress("127.0.0.1", socket.getLocalPort()));
-            }
-            entries.add(new TestEntry("entry-" + index));
+            TestEntry entry = new TestEntry("entry-" + index);
+            entries.add(entry);
+            // A port that is chosen before it is bound may be taken in between.
+            addresses.put("entry-" + index, entry.exchange.bind(new InetSocketAddress("127.0.0.1", 0)));
         }
         for (TestEntry entry : entries) {
             loop.submit(() -> prepare(entry)).sync();
@@ -74,7 +73,7 @@
     }
 
     private void startAll() {
-        entries.forEach(entry -> entry.exchange.start(addresses.get(entry.view.entry())));
+        entries.forEach(entry -> entry.exchange.startReports());
     }
 
     private void prepare(TestEntry entry) {
@@ -112,8 +111,7 @@
     /** Guards against requests that wait for the round-robin report of an engine whose models have just changed. */
     @Test
     void changedResidentsAreReportedToAllEntriesEarly() throws Exception {
-        // Binding without starting sends no periodic reports.
-        entries.forEach(entry -> entry.exchange.bind(addresses.get(entry.view.entry())));
+        // Without periodic reports, only early ones are sent.
         TestEntry orderHolder = entries.get(ORDER_HOLDER_INDEX);
         onLoop(() -> {
             orderHolder.view.givesOrders(true);
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
@@ -7,6 +7,7 @@
 import io.oleandermoor.gateway.standin.InstanceStandIn.Behaviour;
 import io.oleandermoor.transport.settings.SettingsReader;
 import java.io.IOException;
+import java.net.BindException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.ServerSocket;
@@ -17,6 +18,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.ThreadLocalRandom;
 
 /** Runs a complete entry with stand-ins for the store and the instances. */
 public final class EntryFixture implements AutoCloseable {
@@ -30,6 +32,11 @@
     /** Path of a route whose requests may be executed repeatedly. */
     public static final String SAFE_PATH = "/safe/x";
 
+    /** Below the ports that the operating system assigns. */
+    private static final int FIRST_PORT = 15_000;
+
+    private static final int LAST_PORT = 32_000;
+    private static final int PORT_ATTEMPTS = 100;
     private static final String MODELS = "[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
 
     private final HttpClient client = HttpClient.newBuilder()
@@ -49,7 +56,7 @@
         callerPort = freePort();
         readyPort = freePort();
         String settings = "[process]\nname = entry-1\nfailure-domain = a\n[listen]\ncaller = 127.0.0.1:" + callerPort
-                + "\nready = 127.0.0.1:" + readyPort + "\npeer = 127.0.0.1:" + freeUdpPort() + "\n[store]\naddress = "
+                + "\nready = 127.0.0.1:" + readyPort + "\npeer = 127.0.0.1:" + freePort() + "\n[store]\naddress = "
                 + store.address() + "\n[limits]\nrevocation = 5000ms\ngrace = 8s\n[retries]\nwindow = 10s\n"
                 + "ratio = 0.2\nfixed = 50\n[orders]\nholder-gap = 3000ms\n";
         gateway = new Gateway(new SettingsReader(GatewaySettings.SCHEMA).read("test", settings, List.of()));
@@ -70,16 +77,22 @@
         return closeable;
     }
 
+    /**
+     * Returns a port that is free for TCP and UDP. The operating system assigns no port of the range to connections, so
+     * that none is taken before the entry binds it.
+     */
     private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
-        }
-    }
-
-    private static int freeUdpPort() throws IOException {
-        try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+        IOException last = new IOException("no port was tried");
+        for (int attempt = 0; attempt < PORT_ATTEMPTS; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            try (ServerSocket tcp = new ServerSocket(port, 1, InetAddress.getLoopbackAddress());
+                    DatagramSocket udp = new DatagramSocket(port, InetAddress.getLoopbackAddress())) {
+                return Math.min(tcp.getLocalPort(), udp.getLocalPort());
+            } catch (BindException exception) {
+                last = exception;
+            }
         }
+        throw last;
     }
 
     /** Starts an instance and registers it in the store. */
