Count the prompts of all entries towards the limit of prompt tokens of an engine

Change: an entry reports a prompt that it sends to an engine, and the end of its processing, to the other entries at once; periodic reports hold the same figures, and what is not repeated within 0.4 s no longer counts. The limit applies to the sum. Each report costs a datagram to each other entry, so it is sent up to 64 of them.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -150,6 +150,7 @@
         membership.start();
         dispatcher.start();
         dispatcher.setShortageListener(peerExchange::reportSoon);
+        dispatcher.setPromptListener(peerExchange::reportLoad);
         orderLease.start();
         placementController.start();
         loop.scheduleAtFixedRate(
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -16,6 +16,7 @@
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.protocol.message.EngineResidents;
 import io.oleandermoor.protocol.message.EntryReport;
+import io.oleandermoor.protocol.message.InstanceLoad;
 import io.oleandermoor.protocol.message.ResidentModel;
 import io.oleandermoor.protocol.message.TargetDemand;
 import io.oleandermoor.state.dispatch.InstanceState;
@@ -23,6 +24,7 @@
 import io.oleandermoor.state.residency.DemandTracker;
 import io.oleandermoor.state.share.ReportRotation;
 import java.net.InetSocketAddress;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -56,6 +58,10 @@
     private static final long EARLY_REPORT_MILLIS_PER_TARGET = 2;
 
     private static final long MINIMUM_EARLY_REPORT_INTERVAL_MILLIS = 20;
+    /**
+     * Number of other entries up to which changed loads are reported at once; the cost of each change grows with it.
+     */
+    private static final int MAXIMUM_LOAD_CHANGE_RECEIVERS = 64;
     /** Time without a report of the order holder after which demand is reported to all entries. */
     private static final long ORDER_HOLDER_TIMEOUT_MILLIS = 2_000;
     /** Maximum size of the reported models and adapters; with the rest of the report, about two network packets. */
@@ -75,6 +81,7 @@
     private final long startedMillis = Timestamp.monotonicNowMillis();
     private final Map<String, Long> peerIncarnations = new HashMap<>();
     private final ReportRotation rotation = new ReportRotation(REPORTS_PER_TICK);
+    private final Set<String> changedLoads = new LinkedHashSet<>();
     private final ResidentReportQueue residentQueue = new ResidentReportQueue(MAXIMUM_RESIDENTS_BYTES);
     private List<EngineResidents> roundResidents = List.of();
     private Optional<String> orderHolder = Optional.empty();
@@ -136,6 +143,41 @@
         return (InetSocketAddress) bound.localAddress();
     }
 
+    /** Reports the load of an instance to other entries at once, because a prompt was sent to it or read by it. */
+    public void reportLoad(String instance) {
+        if (changedLoads.add(instance) && changedLoads.size() == 1) {
+            loop.execute(this::sendChangedLoads);
+        }
+    }
+
+    private void sendChangedLoads() {
+        EntryReport.Builder report =
+                EntryReport.newBuilder().setEntry(view.entry()).setIncarnation(incarnation);
+        for (String id : changedLoads) {
+            view.instances()
+                    .state(id)
+                    .ifPresent(state -> report.addLoadChanges(InstanceLoad.newBuilder()
+                            .setInstance(id)
+                            .setRunning(state.localLoad())
+                            .setUnreadPromptTokens(state.pendingPrefillTokens())));
+        }
+        changedLoads.clear();
+        Map<String, InetSocketAddress> addresses = peers.get();
+        if (report.getLoadChangesCount() > 0 && addresses.size() <= MAXIMUM_LOAD_CHANGE_RECEIVERS) {
+            write(addresses.values(), report.build().toByteArray());
+        }
+    }
+
+    private void write(Collection<InetSocketAddress> receivers, byte[] report) {
+        Channel current = channel;
+        if (current == null) {
+            return;
+        }
+        receivers.forEach(address ->
+                current.write(new DatagramPacket(Unpooled.wrappedBuffer(report), address), current.voidPromise()));
+        current.flush();
+    }
+
     /** Schedules an early report, because other entries wait for new information. */
     public void reportSoon() {
         if (earlyReportScheduled) {
@@ -243,6 +285,9 @@
             if (state.localLoad() > 0) {
                 report.putRunning(state.instance().id(), state.localLoad());
             }
+            if (state.pendingPrefillTokens() > 0) {
+                report.putUnreadPromptTokens(state.instance().id(), state.pendingPrefillTokens());
+            }
         }
         return report;
     }
@@ -280,6 +325,10 @@
         if (peer.equals(view.entry())) {
             return;
         }
+        if (report.getLoadChangesCount() > 0) {
+            applyLoadChanges(report);
+            return;
+        }
         view.refillBuckets();
         Long previousIncarnation = peerIncarnations.put(peer, report.getIncarnation());
         boolean restarted = previousIncarnation == null || previousIncarnation != report.getIncarnation();
@@ -290,7 +339,12 @@
                 .forEach((team, granted) -> view.bucket(team)
                         .ifPresent(bucket -> bucket.recordPeerGrants(peer, granted, restarted, startedEarlier)));
         view.recordReport(peer);
-        view.instances().updatePeerLoads(peer, report.getRunningMap());
+        view.instances()
+                .updatePeerLoads(
+                        peer,
+                        report.getRunningMap(),
+                        report.getUnreadPromptTokensMap(),
+                        Timestamp.monotonicNowMillis());
         if (report.getGivesOrders()) {
             orderHolder = Optional.of(peer);
             orderHolderReportMillis = Timestamp.monotonicNowMillis();
@@ -299,6 +353,22 @@
         applyResidents(report);
     }
 
+    private void applyLoadChanges(EntryReport report) {
+        if (!peers.get().containsKey(report.getEntry())) {
+            return;
+        }
+        long now = Timestamp.monotonicNowMillis();
+        for (InstanceLoad change : report.getLoadChangesList()) {
+            view.instances()
+                    .updatePeerLoad(
+                            report.getEntry(),
+                            change.getInstance(),
+                            change.getRunning(),
+                            change.getUnreadPromptTokens(),
+                            now);
+        }
+    }
+
     /** Replaces the demand of a peer. A report without demand means that the peer sends its demand to another entry. */
     private void applyDemand(String peer, EntryReport report) {
         Map<ModelTarget, DemandTracker.RequestCounts> wanted = new HashMap<>();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -18,6 +18,7 @@
 import java.util.Optional;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 
 /**
  * Holds what all requests of this entry share: the queue, the retry allowances, the demand for models and the forecasts
@@ -46,6 +47,7 @@
     private final MissingTargetTracker missingTargets;
     private final SilenceDetector silenceDetector;
     private Runnable shortageListener = () -> {};
+    private Consumer<String> promptListener = instance -> {};
     private boolean dispatchScheduled;
     private long bufferedBytes;
     private long nextSequenceNumber;
@@ -107,6 +109,18 @@
         shortageListener = listener;
     }
 
+    /** Sets the listener that gets the identifier of an engine when a prompt is sent to it or read by it. */
+    public void setPromptListener(Consumer<String> listener) {
+        promptListener = listener;
+    }
+
+    /** Records that a prompt was sent to an engine or read by it. */
+    void recordPromptChange(String instance) {
+        if (mechanisms.contains(DispatchMechanism.SHARED_PREFILL_LIMIT)) {
+            promptListener.accept(instance);
+        }
+    }
+
     /** Returns the running and waiting requests of this entry for each model and adapter. */
     public Map<ModelTarget, DemandTracker.RequestCounts> demand() {
         Map<ModelTarget, Integer> waiting = queue.immediateDemandByTarget();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -52,6 +52,9 @@
             state.requestSent();
             state.prefillStarted(unreadPromptTokens);
         });
+        if (unreadPromptTokens > 0) {
+            exchange.dispatcher().recordPromptChange(instance.id());
+        }
         target().ifPresent(target -> exchange.dispatcher().changeRunning(target, 1));
     }
 
@@ -63,6 +66,7 @@
             long tokens = unreadPromptTokens;
             unreadPromptTokens = 0;
             instanceState().ifPresent(state -> state.prefillEnded(tokens));
+            exchange.dispatcher().recordPromptChange(instance.id());
             exchange.dispatcher().scheduleDispatch();
         }
     }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
@@ -5,6 +5,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.oleandermoor.gateway.view.DeploymentView;
+import io.oleandermoor.state.dispatch.InstanceState;
 import io.oleandermoor.state.dispatch.InstanceTable;
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.fleet.UpstreamInstance;
@@ -123,6 +124,23 @@
         }
     }
 
+    /** Guards against entries that send prompts to an engine together because they hear of each other's too late. */
+    @Test
+    void sentPromptIsReportedToAllEntriesAtOnce() throws Exception {
+        TestEntry sender = entries.get(0);
+        onLoop(() -> {
+            InstanceState state = sender.view.instances().state("engine-7").orElseThrow();
+            state.requestSent();
+            state.prefillStarted(700);
+            sender.exchange.reportLoad("engine-7");
+            return true;
+        });
+        for (TestEntry entry : entries.subList(1, ENTRY_COUNT)) {
+            await().atMost(Duration.ofSeconds(20))
+                    .until(() -> onLoop(() -> entry.view.instances().load("engine-7") == 1));
+        }
+    }
+
     /** Guards against loads that reach only some entries when there are more entries than reports per tick. */
     @Test
     void everyEntryReceivesLoadsOfAllOthers() {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/DispatchMechanism.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/DispatchMechanism.java
@@ -4,6 +4,8 @@
 public enum DispatchMechanism {
     /** Limits the prompt tokens that this entry lets an engine process at a time. */
     PREFILL_TOKEN_LIMIT,
+    /** Counts the prompts that other entries have sent to an engine towards the limit of prompt tokens. */
+    SHARED_PREFILL_LIMIT,
     /** Sends no prompt to an engine whose streams pause because it processes another prompt. */
     PREFILL_PAUSE_DETECTION,
     /** Lets all entries prefer the same instance for prompts with the same shared prefix. */
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -76,6 +76,7 @@
     /** The load of all other entries on each instance, kept as a sum so that a choice does not iterate over entries. */
     private final Map<String, Integer> totalPeerLoads = new HashMap<>();
 
+    private final PeerPrompts peerPrompts = new PeerPrompts();
     private final Map<String, EventIntervalAverage> serviceIntervals = new HashMap<>();
 
     /**
@@ -168,16 +169,42 @@
         return Collections.unmodifiableCollection(states.values());
     }
 
-    /** Replaces the loads that another entry reports for instances. */
-    public void updatePeerLoads(String entry, Map<String, Integer> loads) {
-        Map<String, Integer> next = Map.copyOf(loads);
+    /**
+     * Replaces what another entry reports for all instances.
+     *
+     * @param entry the name of the other entry
+     * @param loads the number of its requests in flight by instance
+     * @param unreadPromptTokens the prompt tokens that it has sent and that are not read yet, by instance
+     * @param nowMillis the current time
+     */
+    public void updatePeerLoads(
+            String entry, Map<String, Integer> loads, Map<String, Long> unreadPromptTokens, long nowMillis) {
         removePeer(entry);
-        peerLoads.put(entry, next);
-        next.forEach((id, load) -> totalPeerLoads.merge(id, load, Integer::sum));
+        peerLoads.put(entry, new HashMap<>(loads));
+        loads.forEach((id, load) -> totalPeerLoads.merge(id, load, Integer::sum));
+        unreadPromptTokens.forEach((id, tokens) -> peerPrompts.update(entry, id, tokens, nowMillis));
+    }
+
+    /**
+     * Replaces what another entry reports for one instance.
+     *
+     * @param entry the name of the other entry
+     * @param id the identifier of the instance
+     * @param load the number of its requests in flight at the instance
+     * @param unreadPromptTokens the prompt tokens that it has sent to the instance and that are not read yet
+     * @param nowMillis the current time
+     */
+    public void updatePeerLoad(String entry, String id, int load, long unreadPromptTokens, long nowMillis) {
+        Integer previous =
+                peerLoads.computeIfAbsent(entry, key -> new HashMap<>()).put(id, load);
+        totalPeerLoads.merge(id, load - (previous == null ? 0 : previous), Integer::sum);
+        totalPeerLoads.remove(id, 0);
+        peerPrompts.update(entry, id, unreadPromptTokens, nowMillis);
     }
 
     /** Removes the loads of an entry that no longer reports. */
     public void removePeer(String entry) {
+        peerPrompts.removeEntry(entry);
         Map<String, Integer> previous = peerLoads.remove(entry);
         if (previous != null) {
             previous.forEach((id, load) ->
@@ -269,10 +296,14 @@
     }
 
     private boolean mayPrefill(InstanceState state, Prompt prompt, long nowMillis) {
-        if (mechanisms.contains(DispatchMechanism.PREFILL_TOKEN_LIMIT)
-                && state.pendingPrefillTokens() > 0
-                && state.pendingPrefillTokens() + prompt.tokens() > MAXIMUM_PENDING_PREFILL_TOKENS) {
-            return false;
+        if (mechanisms.contains(DispatchMechanism.PREFILL_TOKEN_LIMIT)) {
+            long unreadTokens = state.pendingPrefillTokens();
+            if (mechanisms.contains(DispatchMechanism.SHARED_PREFILL_LIMIT)) {
+                unreadTokens += peerPrompts.unreadTokens(state.instance().id(), nowMillis);
+            }
+            if (unreadTokens > 0 && unreadTokens + prompt.tokens() > MAXIMUM_PENDING_PREFILL_TOKENS) {
+                return false;
+            }
         }
         return !mechanisms.contains(DispatchMechanism.PREFILL_PAUSE_DETECTION)
                 || !state.streamPauses().isAnyPausing(nowMillis);
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/EnginePlay.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/EnginePlay.java
@@ -33,11 +33,13 @@
     private static final long FIRST_EVENT_TARGET_MILLIS = 800;
     private static final long DISPATCH_INTERVAL_MILLIS = 25;
     private static final long REPORT_INTERVAL_MILLIS = 100;
+    private static final long NETWORK_DELAY_MILLIS = 2;
     private static final String MODEL = "m";
 
     private final SplittableRandom random;
     private final List<Entry> entries = new ArrayList<>();
     private final Map<String, Engine> engines = new HashMap<>();
+    private final Deque<LoadChange> changesOnTheWay = new ArrayDeque<>();
     private long nowMillis;
     private long nextStream;
     private int sent;
@@ -57,6 +59,8 @@
         }
     }
 
+    private record LoadChange(long arrivalMillis, String entry, String engine, int load, long unreadPromptTokens) {}
+
     private final class Stream {
 
         private final long number = nextStream++;
@@ -124,15 +128,32 @@
                 state(engine).requestSent();
                 state(engine).prefillStarted(stream.promptTokens);
                 engine.waiting.addLast(stream);
+                reportLoad(engine);
             }
         }
 
+        private void reportLoad(Engine engine) {
+            changesOnTheWay.addLast(new LoadChange(
+                    nowMillis + NETWORK_DELAY_MILLIS,
+                    name,
+                    engine.id,
+                    state(engine).localLoad(),
+                    state(engine).pendingPrefillTokens()));
+        }
+
         private Map<String, Integer> loads() {
             Map<String, Integer> loads = new HashMap<>();
             engines.values()
                     .forEach(engine -> loads.put(engine.id, state(engine).localLoad()));
             return loads;
         }
+
+        private Map<String, Long> unreadPromptTokens() {
+            Map<String, Long> tokens = new HashMap<>();
+            engines.values()
+                    .forEach(engine -> tokens.put(engine.id, state(engine).pendingPrefillTokens()));
+            return tokens;
+        }
     }
 
     private final class Engine {
@@ -195,6 +216,7 @@
             InstanceState state = stream.entry.state(this);
             if (stream.tokens == 1) {
                 state.prefillEnded(stream.promptTokens);
+                stream.entry.reportLoad(this);
                 totalFirstEventMillis += nowMillis - stream.arrivedMillis;
                 stream.late = nowMillis - stream.arrivedMillis > FIRST_EVENT_TARGET_MILLIS;
             } else {
@@ -213,6 +235,7 @@
                 entry.queue.addLast(new Stream(entry));
                 sent++;
             }
+            deliverChanges();
             for (Entry entry : entries) {
                 if (!entry.queue.isEmpty() && (nowMillis + entry.phaseMillis) % DISPATCH_INTERVAL_MILLIS == 0) {
                     entry.dispatch();
@@ -220,7 +243,8 @@
                 if ((nowMillis + entry.phaseMillis) % REPORT_INTERVAL_MILLIS == 0) {
                     entries.stream()
                             .filter(other -> other != entry)
-                            .forEach(other -> other.table.updatePeerLoads(entry.name, entry.loads()));
+                            .forEach(other -> other.table.updatePeerLoads(
+                                    entry.name, entry.loads(), entry.unreadPromptTokens(), nowMillis));
                 }
             }
             engines.values().forEach(Engine::advance);
@@ -228,6 +252,18 @@
         }
     }
 
+    private void deliverChanges() {
+        while (!changesOnTheWay.isEmpty() && changesOnTheWay.getFirst().arrivalMillis() <= nowMillis) {
+            LoadChange change = changesOnTheWay.removeFirst();
+            for (Entry entry : entries) {
+                if (!entry.name.equals(change.entry())) {
+                    entry.table.updatePeerLoad(
+                            change.entry(), change.engine(), change.load(), change.unreadPromptTokens(), nowMillis);
+                }
+            }
+        }
+    }
+
     private boolean isIdle(Engine engine) {
         return engine.running.isEmpty()
                 && engine.waiting.isEmpty()
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
@@ -51,7 +51,7 @@
         void choosesTheInstanceWithTheLowerLoad() {
             table.put(instance("one", false, 1), 0);
             table.put(instance("two", false, 1), 0);
-            table.updatePeerLoads("other-entry", Map.of("one", 3));
+            table.updatePeerLoads("other-entry", Map.of("one", 3), Map.of(), 0);
             assertThat(chosen(query("m"))).contains("two");
         }
 
@@ -69,6 +69,41 @@
             assertThat(chosen(query)).contains("one");
         }
 
+        /** Guards against prompts of several entries that together pause the streams of an engine. */
+        @Test
+        void reportsFullWhilePromptOfAnotherEntryIsPrefilled() {
+            InstanceQuery query = queryWithPromptOf(700);
+            table.put(instance("one", false, 1), 0);
+            table.updatePeerLoad("other-entry", "one", 1, 700, 0);
+            assertThat(table.choose(query, 1).shortage()).contains(Shortage.FULL);
+            table.updatePeerLoad("other-entry", "one", 1, 0, 2);
+            assertThat(table.choose(query, 2).instance()).isPresent();
+        }
+
+        /** Guards against an engine that is blocked for good by the prompt of an entry that has ended. */
+        @Test
+        void ignoresPromptOfAnEntryThatReportsNoLonger() {
+            InstanceQuery query = queryWithPromptOf(700);
+            table.put(instance("one", false, 1), 0);
+            table.updatePeerLoad("other-entry", "one", 1, 700, 0);
+            assertThat(table.choose(query, 1_000).instance()).isPresent();
+        }
+
+        /** Guards against an engine that is blocked because the report that a prompt was read was lost. */
+        @Test
+        void periodicReportReplacesPromptsReportedBefore() {
+            InstanceQuery query = queryWithPromptOf(700);
+            table.put(instance("one", false, 1), 0);
+            table.updatePeerLoad("other-entry", "one", 1, 700, 0);
+            table.updatePeerLoads("other-entry", Map.of("one", 1), Map.of(), 1);
+            assertThat(table.choose(query, 1).instance()).isPresent();
+        }
+
+        private InstanceQuery queryWithPromptOf(long tokens) {
+            Prompt prompt = new Prompt(tokens, List.of(), List.of());
+            return new InstanceQuery("words", Optional.of(ModelTarget.parse("m")), prompt, Set.of());
+        }
+
         /** Guards against a prompt above the prefill limit that is never accepted by any instance. */
         @Test
         void acceptsAPromptAboveTheLimitWhenNoPrefillIsPending() {
@@ -85,7 +120,7 @@
             table.put(instance("one", false, 1), 0);
             table.put(instance("two", false, 1), 0);
             table.state("one").orElseThrow().recordCachedPrefixes(new Prompt(700, List.of(1L), List.of(100L)));
-            table.updatePeerLoads("other-entry", Map.of("one", 1));
+            table.updatePeerLoads("other-entry", Map.of("one", 1), Map.of(), 0);
             InstanceQuery query = new InstanceQuery("words", Optional.of(ModelTarget.parse("m")), prompt, Set.of());
             assertThat(chosen(query)).contains("two");
         }
@@ -114,7 +149,7 @@
             for (String id : List.of("one", "two", "three", "four")) {
                 table.put(instance(id, false, 1, 12), 0);
             }
-            table.updatePeerLoads("other-entry", Map.of("two", 1, "three", 1, "four", 1));
+            table.updatePeerLoads("other-entry", Map.of("two", 1, "three", 1, "four", 1), Map.of(), 0);
             long idleInstanceCount = 0;
             for (long prefix = 0; prefix < 100; prefix++) {
                 idleInstanceCount +=
@@ -143,7 +178,7 @@
             assertThat(table.choose(query("other"), 0).shortage()).contains(Shortage.NOT_RESIDENT);
             assertThat(table.choose(query("m/a2"), 0).shortage()).contains(Shortage.NOT_RESIDENT);
             assertThat(chosen(query("m/a1"))).contains("one");
-            table.updatePeerLoads("other-entry", Map.of("one", 4));
+            table.updatePeerLoads("other-entry", Map.of("one", 4), Map.of(), 0);
             assertThat(table.choose(query("m"), 0).shortage()).contains(Shortage.FULL);
         }
 
@@ -197,7 +232,7 @@
         void prefersLoadedInstancesOverASlowOne() {
             addThreeInstances();
             slowDownInstanceOne();
-            table.updatePeerLoads("other-entry", Map.of("two", 4, "three", 4));
+            table.updatePeerLoads("other-entry", Map.of("two", 4, "three", 4), Map.of(), 0);
             assertThat(table.slowdownRatio("one", 0).orElseThrow()).isBetween(3.0, 5.0);
             assertThat(chosen(query("m"))).isNotEqualTo(Optional.of("one"));
         }
@@ -207,7 +242,7 @@
         void choosesASlowInstanceAgainAfterTheDecay() {
             addThreeInstances();
             slowDownInstanceOne();
-            table.updatePeerLoads("other-entry", Map.of("two", 4, "three", 4));
+            table.updatePeerLoads("other-entry", Map.of("two", 4, "three", 4), Map.of(), 0);
             assertThat(table.slowdownRatio("one", 20_000)).isEmpty();
             assertThat(table.choose(query("m"), 20_000).instance().map(UpstreamInstance::id))
                     .contains("one");
@@ -230,14 +265,14 @@
         @Test
         void sumTheLatestReportOfEachPeer() {
             table.put(instance("one", false, 1), 0);
-            table.updatePeerLoads("a", Map.of("one", 2));
-            table.updatePeerLoads("b", Map.of("one", 3));
-            table.updatePeerLoads("a", Map.of("one", 1));
+            table.updatePeerLoads("a", Map.of("one", 2), Map.of(), 0);
+            table.updatePeerLoads("b", Map.of("one", 3), Map.of(), 0);
+            table.updatePeerLoads("a", Map.of("one", 1), Map.of(), 0);
             assertThat(table.load("one")).isEqualTo(4);
             table.removePeer("b");
             table.removePeer("b");
             assertThat(table.load("one")).isEqualTo(1);
-            table.updatePeerLoads("b", Map.of("one", 5));
+            table.updatePeerLoads("b", Map.of("one", 5), Map.of(), 0);
             table.retainPeers(Set.of("b"));
             assertThat(table.load("one")).isEqualTo(5);
             table.retainPeers(Set.of());
