--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -5,7 +5,6 @@
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
-import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
@@ -23,7 +22,6 @@
 final class UpstreamConnection extends ChannelInboundHandlerAdapter implements UpstreamPool.InFlightRequest {
 
     private static final int FIRST_FINAL_STATUS = 200;
-    private static final long MILLIS_PER_SECOND = 1_000;
     /**
      * Limit for data that arrives before the response and is not part of it. One late response to an earlier request
      * fits; an instance that exceeds the limit may never stop sending.
@@ -31,8 +29,6 @@
     private static final long MAXIMUM_UNMATCHED_BYTES = 256 << 10;
     /** Size that each skipped response head counts towards that limit. */
     private static final long UNMATCHED_HEAD_BYTES = 8 << 10;
-    /** An idle connection is discarded this long before the instance would close it. */
-    private static final long KEEP_ALIVE_MARGIN_MILLIS = 400;
 
     private final UpstreamPool pool;
     private final String instanceId;
@@ -165,23 +161,10 @@
         if (!HttpUtil.isKeepAlive(response) || delimitedByClose) {
             reusable = false;
         }
-        keepAliveMillis = keepAliveMillis(response);
+        keepAliveMillis = RequestHeaders.keepAliveMillis(response);
         current.onHead(head, response);
     }
 
-    private static long keepAliveMillis(HttpResponse response) {
-        String value = response.headers().get(HttpHeaderNames.KEEP_ALIVE, "");
-        int start = value.indexOf("timeout=");
-        if (start < 0) {
-            return Integer.MAX_VALUE;
-        }
-        String digits = value.substring(start + "timeout=".length()).split("[^0-9]", 2)[0];
-        if (digits.isEmpty() || digits.length() > 6) {
-            return Integer.MAX_VALUE;
-        }
-        return Long.parseLong(digits) * MILLIS_PER_SECOND - KEEP_ALIVE_MARGIN_MILLIS;
-    }
-
     private void handleContent(ResponseListener current, HttpContent content) {
         if (content.decoderResult().isFailure()) {
             fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "malformed response body");
