--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -89,10 +89,6 @@
         this.prompt = admitted.target().isPresent() ? Prompt.of(admitted.caller()) : Prompt.NONE;
     }
 
-    int urgency() {
-        return admitted.urgency();
-    }
-
     /** Returns what determines the place of the request in the queue. */
     QueueOrder.Position position() {
         return position;
