--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -59,7 +59,8 @@
 
     private static final long MINIMUM_EARLY_REPORT_INTERVAL_MILLIS = 20;
     /**
-     * Number of other entries up to which changed loads are reported at once; the cost of each change grows with it.
+     * Maximum number of other entries to which changed loads are reported at once; with more of them, they are reported
+     * in rotation only, because the cost of each change grows with their number.
      */
     private static final int MAXIMUM_LOAD_CHANGE_RECEIVERS = 64;
     /** Time without a report of the order holder after which demand is reported to all entries. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -114,8 +114,8 @@
         promptListener = listener;
     }
 
-    /** Records that a prompt was sent to an engine or read by it. */
-    void recordPromptChange(String instance) {
+    /** Reports to the listener that a prompt was sent to an engine or read by it. */
+    void reportPromptChange(String instance) {
         if (mechanisms.contains(DispatchMechanism.SHARED_PREFILL_LIMIT)) {
             promptListener.accept(instance);
         }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -53,7 +53,7 @@
             state.prefillStarted(unreadPromptTokens);
         });
         if (unreadPromptTokens > 0) {
-            exchange.dispatcher().recordPromptChange(instance.id());
+            exchange.dispatcher().reportPromptChange(instance.id());
         }
         target().ifPresent(target -> exchange.dispatcher().changeRunning(target, 1));
     }
@@ -66,7 +66,7 @@
             long tokens = unreadPromptTokens;
             unreadPromptTokens = 0;
             instanceState().ifPresent(state -> state.prefillEnded(tokens));
-            exchange.dispatcher().recordPromptChange(instance.id());
+            exchange.dispatcher().reportPromptChange(instance.id());
             exchange.dispatcher().scheduleDispatch();
         }
     }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/DispatchMechanism.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/DispatchMechanism.java
@@ -2,7 +2,7 @@
 
 /** Mechanisms of dispatch, which can be disabled one by one to measure what each is worth. */
 public enum DispatchMechanism {
-    /** Limits the prompt tokens that this entry lets an engine process at a time. */
+    /** Limits the prompt tokens that an engine is given to process at a time. */
     PREFILL_TOKEN_LIMIT,
     /** Counts the prompts that other entries have sent to an engine towards the limit of prompt tokens. */
     SHARED_PREFILL_LIMIT,
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -44,7 +44,7 @@
      */
     private static final double CACHED_PREFIX_BONUS = 0.08;
     /**
-     * Maximum number of prompt tokens that an entry lets an engine process at a time. An engine processes prompts
+     * Maximum number of prompt tokens that all entries let an engine process at a time. An engine processes prompts
      * between the tokens of its streams; several prompts of a thousand tokens at once pause all streams for longer than
      * callers accept.
      */
