Compare the placement policies over 100 seeds, with the same rounding on all machines

Cause: Math.exp and Math.pow may round differently by platform, and with 20 seeds the difference of the means is within chance. The test takes the strict functions and 100 seeds, which run in parallel; the bounds are unchanged.

--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/placement/PolicyComparisonTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/placement/PolicyComparisonTest.java
@@ -12,11 +12,14 @@
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 
 /** Compares DEMAND with the baseline policies in virtual time, under the same demand and the same engine failures. */
 class PolicyComparisonTest {
-    private static final int SEEDS = 20;
+    /** So many that the means of the policies differ by more than chance. */
+    private static final int SEEDS = 100;
+
     private static final int TICK_SECONDS = 20;
     private static final int START_MINUTE = 8 * 60;
     private static final int RUN_MINUTES = 120;
@@ -28,7 +31,7 @@
     private record Profile(double level, double peakMinute, double width) {
         double at(double minute) {
             double distance = (minute - peakMinute) / width;
-            return level * (0.1 + 0.9 * Math.exp(-distance * distance));
+            return level * (0.1 + 0.9 * StrictMath.exp(-distance * distance));
         }
     }
 
@@ -38,10 +41,12 @@
         for (int[] size : new int[][] {{14, 6, 3}, {40, 24, 4}}) {
             Map<PlacementPolicy, List<Score>> scores = new EnumMap<>(PlacementPolicy.class);
             for (PlacementPolicy policy : PlacementPolicy.values()) {
-                scores.put(policy, new ArrayList<>());
-                for (int seed = 0; seed < SEEDS; seed++) {
-                    scores.get(policy).add(run(policy, size, seed));
-                }
+                scores.put(
+                        policy,
+                        IntStream.range(0, SEEDS)
+                                .parallel()
+                                .mapToObj(seed -> run(policy, size, seed))
+                                .toList());
                 System.out.println(size[0] + "/" + size[1] + " " + policy + ": " + describe(scores.get(policy)));
             }
             double demand = mean(scores.get(PlacementPolicy.DEMAND), Score::attainment);
@@ -78,7 +83,7 @@
         }
         double meanLevel = 1.6 * size[1] * PlacementSimulation.ENGINE_TOKENS_PER_SECOND / size[0];
         for (ModelName model : simulation.models.keySet()) {
-            double level = meanLevel * Math.pow(random.nextDouble(), 2) * 3;
+            double level = meanLevel * StrictMath.pow(random.nextDouble(), 2) * 3;
             double peak = START_MINUTE - 60 + random.nextDouble(RUN_MINUTES + 120);
             profiles.put(model, new Profile(level, peak, 30 + random.nextDouble(40)));
         }
