Log how far a request had got when its connection to an instance was lost

The lines could not tell a request that ends its engine from orders or load that do. No logic changes.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -35,6 +35,7 @@
     private boolean runRecorded;
     private boolean paused;
     private int ticksWithoutEvent;
+    private long firstEventMillis = -1;
     private long lastEventMillis = -1;
 
     SendAttempt(RequestExchange exchange, UpstreamInstance instance) {
@@ -210,6 +211,7 @@
                 if (!paused) {
                     recordProgress(now);
                 }
+                firstEventMillis = firstEventMillis < 0 ? now : firstEventMillis;
                 lastEventMillis = now;
                 exchange.latency().recordEvents(now);
                 exchange.response().writeEvents(newEvents);
@@ -330,7 +332,24 @@
             return;
         }
         recordPossibleRun();
+        logLoss(now);
         instanceState().ifPresent(state -> state.recordConnectionLoss(now));
         exchange.retryOrFail(reason + " of " + instance.id());
     }
+
+    /** Logs how far the request had got, from which the request that ended an instance can be told. */
+    private void logLoss(long now) {
+        exchange.dispatcher()
+                .eventLog()
+                .log(
+                        "attempt_lost",
+                        "request={} instance={} target={} sent_ms={} head={} first_event_ms={} shared_parts={}",
+                        exchange.admitted().caller().id(),
+                        instance.id(),
+                        target().map(ModelTarget::toString).orElse("-"),
+                        now - sentMillis,
+                        responseHead != null,
+                        firstEventMillis < 0 ? -1 : now - firstEventMillis,
+                        exchange.admitted().caller().sharedPartIds());
+    }
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/CallerRequest.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/CallerRequest.java
@@ -49,6 +49,17 @@
      */
     public record PromptPart(String id, long tokens) {}
 
+    /**
+     * Returns the identifiers of the prompt parts that other requests may share: all but the last one, which is
+     * specific to the request or its session.
+     */
+    public List<String> sharedPartIds() {
+        return promptParts.stream()
+                .limit(Math.max(0, promptParts.size() - 1))
+                .map(PromptPart::id)
+                .toList();
+    }
+
     /** Returns the sum of prompt and output tokens, or -1 if the caller declared none. */
     public long declaredTokens() {
         return tokens.map(size -> size.prompt() + size.output()).orElse(-1L);
