--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
@@ -5,6 +5,7 @@
 import io.oleandermoor.gateway.Gateway;
 import io.oleandermoor.gateway.settings.GatewaySettings;
 import io.oleandermoor.gateway.standin.InstanceStandIn.Behaviour;
+import io.oleandermoor.state.finding.InvalidInputException;
 import io.oleandermoor.transport.settings.SettingsReader;
 import java.io.IOException;
 import java.net.BindException;
@@ -52,10 +53,16 @@
 
     /** Starts an entry and a store, without instances. */
     public EntryFixture() throws Exception {
-        store = closeLater(new StoreStandIn());
+        this("entry-1", new StoreStandIn());
+        closeLater(store);
+    }
+
+    private EntryFixture(String name, StoreStandIn store) throws IOException, InvalidInputException {
+        this.store = store;
         callerPort = freePort();
         readyPort = freePort();
-        String settings = "[process]\nname = entry-1\nfailure-domain = a\n[listen]\ncaller = 127.0.0.1:" + callerPort
+        String settings = "[process]\nname = " + name + "\nfailure-domain = a\n[listen]\ncaller = 127.0.0.1:"
+                + callerPort
                 + "\nready = 127.0.0.1:" + readyPort + "\npeer = 127.0.0.1:" + freePort() + "\n[store]\naddress = "
                 + store.address() + "\n[limits]\nrevocation = 5000ms\ngrace = 8s\n[retries]\nwindow = 10s\n"
                 + "ratio = 0.2\nfixed = 50\n[orders]\nholder-gap = 3000ms\n";
@@ -64,6 +71,13 @@
         gateway.listen();
     }
 
+    /** Starts another entry with the same store, without a configuration or instances of its own. */
+    public EntryFixture startPeer(String name) throws Exception {
+        EntryFixture peer = new EntryFixture(name, store);
+        await().atMost(Duration.ofSeconds(20)).until(peer::isReady);
+        return peer;
+    }
+
     @Override
     public void close() throws Exception {
         gateway.stop();
@@ -138,13 +152,26 @@
 
     /** Sends a request to the entry and returns the response. */
     public HttpResponse<String> call(String path, String key) throws Exception {
+        return call(path, key, "", "question");
+    }
+
+    /**
+     * Sends a request to the entry and returns the response.
+     *
+     * @param path the path
+     * @param key the API key
+     * @param promptParts the parts of the prompt, as ID:TOKENS separated by commas
+     * @param body the body
+     */
+    public HttpResponse<String> call(String path, String key, String promptParts, String body) throws Exception {
         HttpRequest request = HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + callerPort + path))
-                .header("Request-Id", "id-" + nextRequestId++)
+                .header("Request-Id", "id-" + callerPort + "-" + nextRequestId++)
                 .header("Authorization", "Token " + key)
                 .header("Tenant", "forged")
                 .header("Model", path.equals(STREAM_PATH) ? "m" : "none")
                 .header("Deadline-Ms", "4000")
-                .POST(HttpRequest.BodyPublishers.ofString("question"))
+                .header("Prompt-Prefix", promptParts)
+                .POST(HttpRequest.BodyPublishers.ofString(body))
                 .build();
         return client.send(request, HttpResponse.BodyHandlers.ofString());
     }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -15,6 +15,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.Predicate;
 
 /** Stand-in for an instance with a selectable behaviour, which includes failures and unsolicited responses. */
 public final class InstanceStandIn implements AutoCloseable {
@@ -70,6 +71,7 @@
     private final List<Socket> openSockets = new CopyOnWriteArrayList<>();
     private final AtomicLong writtenBytes = new AtomicLong();
     private volatile Behaviour behaviour;
+    private volatile Predicate<Map<String, String>> crashCondition = request -> false;
 
     /** Starts an instance on a free loopback port. */
     public InstanceStandIn(String id, Behaviour behaviour) throws IOException {
@@ -93,6 +95,16 @@
         behaviour = next;
     }
 
+    /** Sets the requests at which the instance begins an answer and then ends, as a process that crashes. */
+    public void crashOn(Predicate<Map<String, String>> condition) {
+        crashCondition = condition;
+    }
+
+    /** Returns whether the instance has ended. */
+    public boolean hasEnded() {
+        return serverSocket.isClosed();
+    }
+
     /**
      * Returns the received requests: headers by lower-case name, the request line as "line", the body as "body", and
      * the port from which the connection was opened as "connection".
@@ -133,6 +145,11 @@
                 }
                 request.put("connection", Integer.toString(socket.getPort()));
                 receivedRequests.add(request);
+                if (crashCondition.test(request)) {
+                    writeStreamHead(socket.getOutputStream(), request.getOrDefault("request-id", ""));
+                    close();
+                    return;
+                }
                 if (!respond(socket, request)) {
                     return;
                 }
