End a resumed stream that goes on with something that is no event of it

What callers saw, as other operators report: a stream had begun and broke off, and the text of the next instance's error stood in the middle of it, and it ended as if complete. Here errors with a status were kept out already; a success whose body is a text with an empty line at its end was passed on as an event, and the stream ended as complete.

Cause: events without an id were passed on whatever came before. What resumes a stream has to begin with an event of it, which has an id; comments may come before.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ResumableEventStream.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ResumableEventStream.java
@@ -11,10 +11,13 @@
 final class ResumableEventStream {
 
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
+    private static final byte COMMENT = ':';
     private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
 
     private final ByteBuf buffer = Unpooled.buffer(256);
     private long lastEventId;
+    private boolean resuming;
+    private boolean foreignEventSeen;
 
     /**
      * Creates a stream that has received no bytes.
@@ -37,6 +40,13 @@
     /** Resumes at another instance: discards the incomplete event. */
     void resume() {
         buffer.clear();
+        resuming = lastEventId >= 0;
+        foreignEventSeen = false;
+    }
+
+    /** Returns whether what should resume the stream began with something that has no id, and so is no event of it. */
+    boolean isForeignEventSeen() {
+        return foreignEventSeen;
     }
 
     /** Returns whether the incomplete event exceeds the maximum size. */
@@ -51,6 +61,12 @@
         int end = findEventEnd();
         while (end >= 0) {
             long id = parseEventId(buffer.readerIndex(), end);
+            boolean comment = buffer.getByte(buffer.readerIndex()) == COMMENT;
+            foreignEventSeen |= resuming && id < 0 && !comment;
+            resuming &= comment;
+            if (foreignEventSeen) {
+                break;
+            }
             if (id < 0 || id > lastEventId) {
                 newEvents.writeBytes(buffer, buffer.readerIndex(), end - buffer.readerIndex());
                 lastEventId = Math.max(id, lastEventId);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -235,6 +235,8 @@
             }
             if (events.isEventTooLarge()) {
                 fail("event_too_large");
+            } else if (events.isForeignEventSeen()) {
+                fail("foreign_event");
             }
         });
     }
