Keep following the list of instances when another writer leaves an odd entry in it

Here an entry that reads null ended the watch of all instances for good, with no line in the log; so did one nested 990 levels deep, by a stack overflow on the 256 KB of an event loop (20,000 levels, too: the reader's own limit is 1,000). An identifier with a line end added header lines to requests; a host name was looked up on the event loop; slots beyond 2^31 became another number; an instance whose entry had become unreadable was still sent to, though it names none.

Cause: what the decoder did not foresee was thrown through the subscription of the watch, which was then never started again. Class: an unchecked failure inside a callback that schedules its own continuation. Looked for elsewhere: the planning of models catches it; the watches of entries and of the order lease go through the same follower and are covered.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -174,6 +174,8 @@
                 }
             } catch (DecodeException exception) {
                 LOG.warn("event=instance_unreadable revision={} cause=\"{}\"", item.revision(), exception.getMessage());
+                // An unreadable entry names no instance to use, even if an earlier version of it did.
+                removeInstance(instanceId(item));
             }
         }
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
@@ -94,7 +94,7 @@
     private void handleList(StoreReadResult reading, Timestamp requestedAt) {
         resetFailures();
         revision = reading.storeRevision();
-        listener.onSnapshot(reading, requestedAt);
+        deliver(() -> listener.onSnapshot(reading, requestedAt));
         scheduleNext(0);
     }
 
@@ -106,10 +106,19 @@
         for (StoreItem item : reading.items()) {
             revision = Math.max(revision, item.revision());
         }
-        listener.onChanges(reading, confirmedAt(reading, requestedAt));
+        deliver(() -> listener.onChanges(reading, confirmedAt(reading, requestedAt)));
         scheduleNext(timing.batchDelayMillis().getAsLong());
     }
 
+    /** Keeps following the store if a listener fails; the next full read delivers all items again. */
+    private void deliver(Runnable delivery) {
+        try {
+            delivery.run();
+        } catch (RuntimeException | StackOverflowError cause) {
+            LOG.error("event=items_not_applied prefix={} revision={}", prefix, revision, cause);
+        }
+    }
+
     /**
      * Returns the time at which the items were current according to a response: the end of a watch that timed out
      * without changes, otherwise the start of the request.
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
@@ -21,6 +21,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests a complete entry with instances and callers that are faulty or malicious. */
 class MisbehavingPeersTest {
@@ -109,6 +110,104 @@
             assertThat(shop.receivedRequests()).hasSize(2);
         }
 
+        /**
+         * Guards against an error in the middle of a stream, and against a stream that ends as if complete, because the
+         * instance that should resume it answers with an error.
+         */
+        @ParameterizedTest
+        @EnumSource(
+                value = Behaviour.class,
+                names = {"ERROR", "ERROR_TEXT", "DECLINE", "RESET"})
+        void errorOfTheNextInstanceDoesNotReachTheStream(Behaviour behaviour) throws Exception {
+            entry.startInstance("i-1", "words", Behaviour.TEAR_STREAM);
+            entry.awaitReady();
+            entry.startInstance("i-2", "words", behaviour);
+            awaitInstances();
+            int begun = 0;
+            for (int request = 0; request < 6; request++) {
+                String received = readUntilClosed(STREAM_PATH, "e-" + request);
+                if (received.contains("id: 2")) {
+                    begun++;
+                    assertThat(received).doesNotContain("error: overloaded", "500 failure");
+                    assertThat(received).doesNotContain("\r\n0\r\n");
+                    assertThat(received.split("HTTP/1.1", -1)).hasSize(2);
+                }
+            }
+            assertThat(begun).as("streams that had begun").isPositive();
+        }
+
+        /** Guards against an answer that breaks off, or one that is complete, being taken for the other. */
+        @Test
+        void responseWithoutLengthEndsWithItsConnection() throws Exception {
+            entry.startInstance("i-1", "shop", Behaviour.UNFRAMED);
+            entry.startInstance("i-2", "words", Behaviour.UNFRAMED_STREAM);
+            entry.awaitReady();
+            assertThat(entry.call(SAFE_PATH, "key-1").body()).isEqualTo("done by i-1");
+            assertThat(events(entry.call(STREAM_PATH, "key-1").body())).isEqualTo(ALL_EVENTS);
+        }
+
+        @Test
+        void streamWithoutChunksThatEndsWithinAnEventResumesOnAnotherInstance() throws Exception {
+            entry.startInstance("i-1", "words", Behaviour.TORN_UNFRAMED_STREAM);
+            entry.awaitReady();
+            entry.startInstance("i-2", "words", Behaviour.STREAM);
+            awaitInstances();
+            for (int request = 0; request < 3; request++) {
+                assertThat(events(entry.call(STREAM_PATH, "key-1").body())).isEqualTo(ALL_EVENTS);
+            }
+        }
+
+        /** Guards against an entry of another writer that ends the process, or the reading of the list. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "[[[[",
+                    "null",
+                    "{\"service\":\"shop\",\"address\":\"127.0.0.1:70000\",\"slots\":8,\"state\":\"ready\"}",
+                    "{\"service\":\"shop\",\"address\":\"127.0.0.1:80\",\"slots\":1e999,\"state\":\"ready\"}",
+                    "{\"service\":\"shop\",\"address\":\"no.host:80\",\"slots\":8,\"state\":\"ready\"}"
+                })
+        void oddInstanceDoesNotKeepTheOthersFromBeingFollowed(String registration) throws Exception {
+            entry.startInstance("i-1", "shop", Behaviour.ANSWER);
+            entry.awaitReady();
+            entry.store().put("servers/odd", registration);
+            entry.store().put("servers/odd\r\nX: y", registration);
+            awaitInstances();
+            InstanceStandIn later = entry.startInstance("i-2", "shop", Behaviour.ANSWER);
+            awaitInstances();
+            for (int request = 0; request < 10; request++) {
+                assertThat(entry.call(SAFE_PATH, "key-1").statusCode()).isEqualTo(200);
+            }
+            assertThat(later.receivedRequests()).isNotEmpty();
+        }
+
+        /** Guards against sending requests to the address of an instance whose entry was overwritten. */
+        @Test
+        void instanceWhoseEntryBecomesUnreadableIsNotUsed() throws Exception {
+            InstanceStandIn overwritten = entry.startInstance("i-1", "shop", Behaviour.ANSWER);
+            entry.startInstance("i-2", "shop", Behaviour.ANSWER);
+            entry.awaitReady();
+            entry.store().put("servers/i-1", "[[[[");
+            awaitInstances();
+            int receivedBefore = overwritten.receivedRequests().size();
+            for (int request = 0; request < 10; request++) {
+                assertThat(entry.call(SAFE_PATH, "key-1").body()).isEqualTo("done by i-2");
+            }
+            assertThat(overwritten.receivedRequests()).hasSize(receivedBefore);
+        }
+
+        private String readUntilClosed(String path, String id) throws IOException {
+            String keepAlive = new String(request(path, id), StandardCharsets.US_ASCII);
+            byte[] request = keepAlive
+                    .replace("\r\n\r\n", "\r\nConnection: close\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII);
+            try (Socket socket = new Socket("127.0.0.1", entry.callerPort())) {
+                socket.setSoTimeout(6_000);
+                socket.getOutputStream().write(request);
+                return new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+            }
+        }
+
         private List<String> events(String body) {
             return body.lines().filter(line -> line.startsWith("id: ")).toList();
         }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -55,7 +55,17 @@
         /** Streams five events with a long pause after the second. */
         PAUSE_STREAM,
         /** Streams large events, up to 64 MiB in total. */
-        FLOOD_STREAM
+        FLOOD_STREAM,
+        /** Answers with an internal error and a text. */
+        ERROR,
+        /** Answers with success and a text that is no event of the stream. */
+        ERROR_TEXT,
+        /** Sends a complete response without a length, which ends with its connection. */
+        UNFRAMED,
+        /** Streams all events without chunks and ends with the connection. */
+        UNFRAMED_STREAM,
+        /** Streams two events and a part of the third without chunks and ends with the connection. */
+        TORN_UNFRAMED_STREAM
     }
 
     private static final long SLOW_RESPONSE_NANOS = 4_000_000_000L;
@@ -71,6 +81,7 @@
     private final List<Socket> openSockets = new CopyOnWriteArrayList<>();
     private final AtomicLong writtenBytes = new AtomicLong();
     private volatile Behaviour behaviour;
+    private volatile String extraHeaders = "";
     private volatile Predicate<Map<String, String>> crashCondition = request -> false;
 
     /** Starts an instance on a free loopback port. */
@@ -95,6 +106,11 @@
         behaviour = next;
     }
 
+    /** Sets header lines of all responses from the next request on, each with its line end. */
+    public void setExtraHeaders(String lines) {
+        extraHeaders = lines;
+    }
+
     /** Sets the requests at which the instance begins an answer and then ends, as a process that crashes. */
     public void crashOn(Predicate<Map<String, String>> condition) {
         crashCondition = condition;
@@ -246,6 +262,42 @@
                     writeChunk(output, "id: " + event + "\ndata: " + padding + "\n\n");
                 }
             }
+            default -> {
+                return respondUnusually(socket, request);
+            }
+        }
+        return true;
+    }
+
+    private boolean respondUnusually(Socket socket, Map<String, String> request) throws IOException {
+        String requestId = request.getOrDefault("request-id", "");
+        OutputStream output = socket.getOutputStream();
+        switch (behaviour) {
+            case ERROR ->
+                write(
+                        output,
+                        responseText(
+                                requestId,
+                                "500 Internal Server Error",
+                                "Response-Stamp: s\r\n",
+                                "HTTP/1.1 500 failure\n\n"));
+            case ERROR_TEXT ->
+                write(output, responseText(requestId, "200 OK", "Response-Stamp: s\r\n", "error: overloaded\n\n"));
+            case UNFRAMED -> {
+                write(output, unframedHead(requestId) + "done by " + id);
+                return false;
+            }
+            case UNFRAMED_STREAM -> {
+                write(output, unframedHead(requestId));
+                for (int event = firstRequestedEvent(request); event <= EVENT_COUNT; event++) {
+                    write(output, eventText(event));
+                }
+                return false;
+            }
+            case TORN_UNFRAMED_STREAM -> {
+                write(output, unframedHead(requestId) + eventText(1) + eventText(2) + "id: 3\nda");
+                return false;
+            }
             default -> {
                 // SILENT: the connection stays open.
             }
@@ -308,7 +360,11 @@
                 output,
                 "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nResponse-Stamp: s\r\n"
                         + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                        + "Keep-Alive: timeout=1\r\n\r\n");
+                        + extraHeaders + "Keep-Alive: timeout=1\r\n\r\n");
+    }
+
+    private static String unframedHead(String requestId) {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nResponse-Stamp: s\r\n\r\n";
     }
 
     private static String eventText(int number) {
@@ -319,9 +375,9 @@
         write(output, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
     }
 
-    private static String responseText(String requestId, String status, String headerLines, String body) {
-        return "HTTP/1.1 " + status + "\r\nRequest-Id: " + requestId + "\r\n" + headerLines + "Content-Length: "
-                + body.length() + "\r\n\r\n" + body;
+    private String responseText(String requestId, String status, String headerLines, String body) {
+        return "HTTP/1.1 " + status + "\r\nRequest-Id: " + requestId + "\r\n" + extraHeaders + headerLines
+                + "Content-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
     private void write(OutputStream output, String text) throws IOException {
