Do not send a refused request again on the connection of its refusal

What callers saw, as other operators report: 'not run, try again' for requests that an instance had run or was running, because it wrote an earlier refusal once more on a kept connection.

Cause: a connection remembered only its last request. If another request had used it in between, the refused request could be sent on it again, and the second copy of its refusal would have had the right identifier. A connection now remembers all requests that ended without success, which are the only ones that are sent again, and is not kept beyond 64 of them.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -12,6 +12,8 @@
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.RequestHeaders;
 import io.oleandermoor.platform.RequestHeaders.ResponseHead;
+import java.util.HashSet;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -29,12 +31,16 @@
     private static final long MAXIMUM_UNMATCHED_BYTES = 256 << 10;
     /** Size that each skipped response head counts towards that limit. */
     private static final long UNMATCHED_HEAD_BYTES = 8 << 10;
+    /** Requests without success after which a connection is not reused, because their ids have to be remembered. */
+    private static final int MAXIMUM_UNSUCCESSFUL_REQUESTS = 64;
 
     private final UpstreamPool pool;
     private final String instanceId;
     private @Nullable Channel channel;
     private @Nullable ResponseListener listener;
+    private final Set<String> unsuccessfulIds = new HashSet<>();
     private String requestId = "";
+    private boolean successful;
     private long unmatchedBytes;
     private boolean skippingResponse;
     private boolean receivingResponse;
@@ -61,9 +67,12 @@
                 && Timestamp.monotonicNowMillis() < usableUntilMillis;
     }
 
-    /** Returns whether the last request on this connection had this id, so that its duplicate response may arrive. */
-    boolean lastServed(String id) {
-        return servedRequest && requestId.equals(id);
+    /**
+     * Returns whether a response to an earlier send of a request may still arrive on this connection: the request was
+     * the last one, or the instance declined it or failed.
+     */
+    boolean mayRepeatResponseTo(String id) {
+        return servedRequest && (requestId.equals(id) || unsuccessfulIds.contains(id));
     }
 
     void send(FullHttpRequest request, String id, ResponseListener responseListener) {
@@ -156,6 +165,7 @@
             return;
         }
         receivingResponse = true;
+        successful = head.success();
         if (!HttpUtil.isKeepAlive(response) || head.delimitedByClose()) {
             reusable = false;
         }
@@ -183,6 +193,11 @@
             setAutoRead(true);
             listener = null;
             servedRequest = true;
+            if (!successful) {
+                // Only these requests may be sent again.
+                unsuccessfulIds.add(requestId);
+                reusable &= unsuccessfulIds.size() < MAXIMUM_UNSUCCESSFUL_REQUESTS;
+            }
             // The instance counts the idle time from the end of its response.
             usableUntilMillis = Timestamp.monotonicNowMillis() + keepAliveMillis;
             pool.release(this);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
@@ -129,7 +129,7 @@
         while (connections != null && !connections.isEmpty()) {
             UpstreamConnection connection = connections.pollLast();
             // A duplicate response to an earlier send of the same request would match the id of this send.
-            if (connection.isIdle() && !connection.lastServed(id)) {
+            if (connection.isIdle() && !connection.mayRepeatResponseTo(id)) {
                 return Optional.of(connection);
             }
             connection.close();
