Send nothing to instances that leave or ask for a pause

Requests went to an instance whose answers said that it leaves until the list said so, and to one that had asked for a pause; if all had, callers waited in the queue for what could not come.

Cause: neither Server-Leaving nor Retry-After of an instance was read. Both are facts about one run of an instance that an entry learns from a response; InstanceNotices holds them beside the list, with reason, since and until, and is the one place that the choice of an instance, the planning of orders and a request whose connection has just been opened ask. Notices are read from every head, also of errors, refusals, orders, reports and late answers to others (of these only that the instance leaves). A pause of over 10 minutes counts as 10; a value that is no positive number is logged and changes nothing. After a pause the load may rise to the slots within a second. If no other instance can run a request, its caller is refused at once and told the earliest end.

The state of suspects, quarantines and notices meets in two places: an instance that leaves is not examined for a crash, and refusals of all kinds go the same way. Counters of crashes, quarantines, notices and unserved requests are served at /metrics of the readiness address.

Measured: four of eleven tests of WithdrawnInstancesTest fail on the code before (leaving in an answer and a stream, all leaving, pause) and pass now, as do InstanceNoticesTest, RequestHeadersTest and UpstreamPoolTest. The first run of WithdrawnInstancesTest failed once because it did not wait for the second instance, whose entry the watch batches for 0.7 s; it waits now.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.oleandermoor.gateway.follow.EntryMembership;
 import io.oleandermoor.gateway.follow.FleetFollower;
+import io.oleandermoor.gateway.metrics.GatewayMetrics;
 import io.oleandermoor.gateway.order.OrderLease;
 import io.oleandermoor.gateway.order.PlacementController;
 import io.oleandermoor.gateway.peer.PeerExchange;
@@ -13,6 +14,7 @@
 import io.oleandermoor.gateway.request.ReadinessServer;
 import io.oleandermoor.gateway.request.RequestDispatcher;
 import io.oleandermoor.gateway.settings.GatewaySettings;
+import io.oleandermoor.gateway.upstream.NoticeRecorder;
 import io.oleandermoor.gateway.upstream.UpstreamPool;
 import io.oleandermoor.gateway.view.DeploymentView;
 import io.oleandermoor.gateway.view.Timestamp;
@@ -74,7 +76,8 @@
     private final OrderLease orderLease;
     private final PlacementController placementController;
     private final PeerExchange peerExchange;
-    private final QuarantineCoordinator quarantine = new QuarantineCoordinator();
+    private final GatewayMetrics metrics = new GatewayMetrics();
+    private final QuarantineCoordinator quarantine = new QuarantineCoordinator(metrics);
     private final StoreClient store;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private boolean wasReady;
@@ -93,6 +96,8 @@
                         settings.get(GatewaySettings.FAILURE_DOMAIN), System.nanoTime(), dispatchMechanisms()));
         store = new StoreClient(
                 loop, settings.get(GatewaySettings.STORE_ADDRESS).toSocketAddress(), STORE_TIMEOUT_MILLIS);
+        NoticeRecorder noticeRecorder = new NoticeRecorder(view, metrics);
+        pool.setNoticeListener(noticeRecorder);
         dispatcher = new RequestDispatcher(
                 loop,
                 view,
@@ -103,7 +108,8 @@
                         settings.get(GatewaySettings.RETRY_FIXED),
                         settings.get(GatewaySettings.RETRY_WINDOW).toMillis()),
                 dispatchMechanisms(),
-                quarantine);
+                quarantine,
+                metrics);
         callerServer = new CallerServer(loop, dispatcher);
         DemandTracker demands = new DemandTracker();
         membership = new EntryMembership(loop, store, view, settings.get(GatewaySettings.PEER_ADDRESS));
@@ -115,7 +121,7 @@
                 view,
                 demands,
                 orderLease,
-                new EngineClient(loop, ORDER_TIMEOUT_MILLIS),
+                new EngineClient(loop, ORDER_TIMEOUT_MILLIS, noticeRecorder),
                 peerExchange,
                 placementOptions());
     }
@@ -169,7 +175,8 @@
     /** Starts listening. Must not run on the event loop, because the event loop completes the binding. */
     public void listen() {
         peerExchange.start(settings.get(GatewaySettings.PEER_ADDRESS).toSocketAddress());
-        ReadinessServer.start(loop, settings.get(GatewaySettings.READY_ADDRESS).toSocketAddress(), this::isReady);
+        ReadinessServer.start(
+                loop, settings.get(GatewaySettings.READY_ADDRESS).toSocketAddress(), this::isReady, metrics::text);
         callerServer.start(settings.get(GatewaySettings.CALLER_ADDRESS).toSocketAddress());
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/PlacementController.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/PlacementController.java
@@ -128,7 +128,9 @@
         List<EngineView> views = new ArrayList<>();
         for (InstanceState state : view.instances().states()) {
             UpstreamInstance instance = state.instance();
-            if (instance.service().equals(service) && !instance.draining() && !state.probablyGone()) {
+            if (instance.service().equals(service)
+                    && !view.instances().isWithdrawn(instance, now)
+                    && !state.probablyGone()) {
                 EngineOrderSender sender = senders.computeIfAbsent(
                         instance.id() + "@" + instance.startedMillis(),
                         key -> new EngineOrderSender(
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/quarantine/QuarantineCoordinator.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/quarantine/QuarantineCoordinator.java
@@ -1,5 +1,7 @@
 package io.oleandermoor.gateway.quarantine;
 
+import io.oleandermoor.gateway.metrics.GatewayMetrics;
+import io.oleandermoor.gateway.metrics.GatewayMetrics.QuarantineChange;
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.state.quarantine.CrashReport;
 import io.oleandermoor.state.quarantine.RequestQuarantine;
@@ -21,18 +23,29 @@
  */
 public final class QuarantineCoordinator {
 
+    private static final String SELF = "self";
     private static final Logger LOG = LogManager.getLogger(QuarantineCoordinator.class);
     /** Time for which disproved traits are reported; each other entry gets a report within it. */
     private static final long DISPROOF_REPORT_MILLIS = 1_000;
     /** Time after a disproof in which quarantines of other entries, which may not have heard of it, are ignored. */
     private static final long DISPROOF_PRECEDENCE_MILLIS = 5_000;
 
+    private final GatewayMetrics metrics;
     private final RequestQuarantine quarantine = new RequestQuarantine();
     private final Map<String, Long> disprovedMillis = new HashMap<>();
     private final List<Consumer<Quarantine>> beginListeners = new ArrayList<>();
     private Consumer<CrashReport> reportListener = report -> {};
     private Runnable changeListener = () -> {};
 
+    /**
+     * Creates a coordinator that knows of no crashes.
+     *
+     * @param metrics counts crashes and quarantines
+     */
+    public QuarantineCoordinator(GatewayMetrics metrics) {
+        this.metrics = metrics;
+    }
+
     /** Sets the listener that sends the crash reports of this entry to the others. */
     public void setReportListener(Consumer<CrashReport> listener) {
         reportListener = listener;
@@ -51,7 +64,7 @@
     /** Records that an instance has ended, as this entry observed. */
     public void recordOwnCrash(CrashReport report) {
         reportListener.accept(report);
-        List<Quarantine> begun = recordCrash(report, "self");
+        List<Quarantine> begun = recordCrash(report, SELF);
         begun.forEach(each -> beginListeners.forEach(listener -> listener.accept(each)));
     }
 
@@ -72,7 +85,11 @@
                 report.startedMillis(),
                 observer,
                 report.suspects());
-        begun.forEach(each -> logBegin(each, "crash of " + report.instance(), now));
+        metrics.countCrash(observer.equals(SELF));
+        for (Quarantine each : begun) {
+            metrics.countQuarantine(QuarantineChange.BEGUN);
+            logBegin(each, "crash of " + report.instance(), now);
+        }
         if (!begun.isEmpty()) {
             changeListener.run();
         }
@@ -90,7 +107,7 @@
 
     /** Records that an instance has answered a request. */
     public void recordAnswer(RequestTraits traits) {
-        recordDisproved(quarantine.recordAnswer(traits, Timestamp.monotonicNowMillis()), "self");
+        recordDisproved(quarantine.recordAnswer(traits, Timestamp.monotonicNowMillis()), SELF);
     }
 
     /** Records that requests with some traits were answered, as another entry observed. */
@@ -100,6 +117,7 @@
 
     private void recordDisproved(List<String> traits, String observer) {
         for (String trait : traits) {
+            metrics.countQuarantine(QuarantineChange.DISPROVED);
             disprovedMillis.put(trait, Timestamp.monotonicNowMillis());
             LOG.info("event=suspicion_ended trait={} observer={}", trait, observer);
         }
@@ -118,6 +136,7 @@
     /** Puts a quarantine in force that another entry, or this one before its restart, has begun. */
     public void restore(Quarantine restored, String source) {
         if (!disprovedMillis.containsKey(restored.trait()) && quarantine.restore(restored)) {
+            metrics.countQuarantine(QuarantineChange.RESTORED);
             logBegin(restored, "known to " + source, Timestamp.monotonicNowMillis());
             changeListener.run();
         }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargetTracker.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/MissingTargetTracker.java
@@ -80,23 +80,24 @@
     long expectedAvailableMillis(String service, ModelTarget target, long nowMillis) {
         MissingPeriod period = missingPeriods.get(target);
         long missingMillis = period == null ? 0 : nowMillis - period.firstMillis();
-        if (target.isAdapter() && isModelResident(service, target.model())) {
+        if (target.isAdapter() && isModelResident(service, target.model(), nowMillis)) {
             return WaitPolicy.expectedAdapterLoadMillis(missingMillis);
         }
-        return WaitPolicy.expectedLoadMillis(expectedModelLoadMillis(service, target.model()), missingMillis);
+        return WaitPolicy.expectedLoadMillis(
+                expectedModelLoadMillis(service, target.model(), nowMillis), missingMillis);
     }
 
-    private boolean isModelResident(String service, String model) {
+    private boolean isModelResident(String service, String model, long nowMillis) {
         return view.instances().states().stream()
                 .anyMatch(state -> state.instance().service().equals(service)
-                        && !state.instance().draining()
+                        && !view.instances().isWithdrawn(state.instance(), nowMillis)
                         && state.models().containsKey(model));
     }
 
-    private long expectedModelLoadMillis(String service, String model) {
+    private long expectedModelLoadMillis(String service, String model, long nowMillis) {
         boolean weightsLocal = view.instances().states().stream()
                 .anyMatch(state -> state.instance().service().equals(service)
-                        && !state.instance().draining()
+                        && !view.instances().isWithdrawn(state.instance(), nowMillis)
                         && state.instance().modelsWithLocalWeights().contains(model));
         return view.document()
                 .flatMap(document -> document.service(service))
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ReadinessServer.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ReadinessServer.java
@@ -17,17 +17,28 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 
-/** Answers the readiness checks of the load balancer. */
+/** Answers the readiness checks of the load balancer, and requests for the metrics of this process. */
 @SuppressWarnings("FutureReturnValueIgnored") // Failures reach the channel handlers; tasks run on the loop.
 public final class ReadinessServer {
 
     private static final int MAXIMUM_BODY_BYTES = 1 << 10;
+    private static final String METRICS_PATH = "/metrics";
+    private static final String METRICS_TYPE = "text/plain; version=0.0.4; charset=utf-8";
 
     private ReadinessServer() {}
 
-    /** Starts listening on an address. */
-    public static void start(EventLoop loop, InetSocketAddress address, BooleanSupplier ready) {
+    /**
+     * Starts listening.
+     *
+     * @param loop the event loop
+     * @param address the address to listen on
+     * @param ready whether this process accepts requests of callers
+     * @param metrics the metrics of this process as text
+     */
+    public static void start(
+            EventLoop loop, InetSocketAddress address, BooleanSupplier ready, Supplier<byte[]> metrics) {
         new ServerBootstrap()
                 .group(loop)
                 .channel(NioServerSocketChannel.class)
@@ -37,7 +48,7 @@
                         channel.pipeline()
                                 .addLast(new HttpServerCodec())
                                 .addLast(new HttpObjectAggregator(MAXIMUM_BODY_BYTES))
-                                .addLast(new Responder(ready));
+                                .addLast(new Responder(ready, metrics));
                     }
                 })
                 .bind(address)
@@ -47,13 +58,24 @@
     private static final class Responder extends SimpleChannelInboundHandler<FullHttpRequest> {
 
         private final BooleanSupplier ready;
+        private final Supplier<byte[]> metrics;
 
-        Responder(BooleanSupplier ready) {
+        Responder(BooleanSupplier ready, Supplier<byte[]> metrics) {
             this.ready = ready;
+            this.metrics = metrics;
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            if (request.uri().equals(METRICS_PATH)) {
+                DefaultFullHttpResponse text = new DefaultFullHttpResponse(
+                        HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(metrics.get()));
+                text.headers().set(HttpHeaderNames.CONTENT_TYPE, METRICS_TYPE);
+                text.headers()
+                        .set(HttpHeaderNames.CONTENT_LENGTH, text.content().readableBytes());
+                context.writeAndFlush(text, context.voidPromise());
+                return;
+            }
             HttpResponseStatus status =
                     ready.getAsBoolean() ? HttpResponseStatus.OK : HttpResponseStatus.SERVICE_UNAVAILABLE;
             DefaultFullHttpResponse response =
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -1,6 +1,7 @@
 package io.oleandermoor.gateway.request;
 
 import io.netty.channel.EventLoop;
+import io.oleandermoor.gateway.metrics.GatewayMetrics;
 import io.oleandermoor.gateway.quarantine.CrashDetector;
 import io.oleandermoor.gateway.quarantine.QuarantineCoordinator;
 import io.oleandermoor.gateway.upstream.UpstreamPool;
@@ -52,6 +53,7 @@
     private final MissingTargetTracker missingTargets;
     private final SilenceDetector silenceDetector;
     private final QuarantineCoordinator quarantine;
+    private final GatewayMetrics metrics;
     private final CrashDetector crashDetector;
     private final Set<RequestExchange> openRequests = new LinkedHashSet<>();
     private Runnable shortageListener = () -> {};
@@ -81,6 +83,7 @@
      * @param limits the limits of the deployment
      * @param mechanisms the mechanisms of dispatch to use
      * @param quarantine knows the requests that must not be sent, because they end instances
+     * @param metrics counts what becomes of requests
      */
     public RequestDispatcher(
             EventLoop loop,
@@ -88,7 +91,8 @@
             UpstreamPool pool,
             Limits limits,
             Set<DispatchMechanism> mechanisms,
-            QuarantineCoordinator quarantine) {
+            QuarantineCoordinator quarantine,
+            GatewayMetrics metrics) {
         this.loop = loop;
         this.view = view;
         this.pool = pool;
@@ -101,6 +105,7 @@
         this.missingTargets = new MissingTargetTracker(view);
         this.silenceDetector = new SilenceDetector(view);
         this.quarantine = quarantine;
+        this.metrics = metrics;
         this.crashDetector = new CrashDetector(loop, pool, this::handleCrash);
     }
 
@@ -204,6 +209,10 @@
         return quarantine;
     }
 
+    GatewayMetrics metrics() {
+        return metrics;
+    }
+
     CrashDetector crashDetector() {
         return crashDetector;
     }
@@ -237,8 +246,18 @@
         target.ifPresent(missingTargets::recordPresent);
     }
 
-    /** Returns the tokens of a request that has not run to the bucket of its team. */
-    void refundRateTokens(AdmittedRequest admitted) {
+    /**
+     * Records that a request is refused: returns its tokens to the bucket of its team, and counts it as demand for a
+     * limited time if its target is not loaded.
+     */
+    void recordRefusal(RequestExchange exchange, Shortage shortage) {
+        refundRateTokens(exchange.admitted());
+        if (shortage == Shortage.NOT_RESIDENT) {
+            exchange.target().ifPresent(target -> missingTargets.recordRefusal(target, Timestamp.monotonicNowMillis()));
+        }
+    }
+
+    private void refundRateTokens(AdmittedRequest admitted) {
         admitted.team()
                 .filter(TeamLimits::rateLimited)
                 .ifPresent(team -> view.bucket(team.name())
@@ -251,11 +270,6 @@
         missingTargets.recordRun(runMillis);
     }
 
-    /** Records that a request was refused because its target is not loaded; it counts as demand for a limited time. */
-    void recordRefusal(ModelTarget target) {
-        missingTargets.recordRefusal(target, Timestamp.monotonicNowMillis());
-    }
-
     /** Returns the expected time until the request can be assigned to an instance. */
     long expectedWaitMillis(RequestExchange exchange, Shortage shortage) {
         return exchange.target()
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -147,6 +147,10 @@
             return;
         }
         InstanceSelection selection = selectInstance();
+        if (selection.shortage().filter(Shortage.WITHDRAWN::equals).isPresent()) {
+            refuseWithdrawn(selection);
+            return;
+        }
         Optional<Shortage> waitReason =
                 WaitPolicy.reasonToWait(selection.shortage(), dispatcher.queue().countAhead(this));
         if (waitReason.isPresent()) {
@@ -181,6 +185,15 @@
         return dispatcher.view().instances().choose(query, Timestamp.monotonicNowMillis());
     }
 
+    /** Refuses the request until the first instance that could run it ends its pause. */
+    private void refuseWithdrawn(InstanceSelection selection) {
+        shortage = Shortage.WITHDRAWN;
+        selection
+                .pauseEndMillis()
+                .ifPresent(end -> retryAfterMillis = Math.max(1, end - Timestamp.monotonicNowMillis()));
+        refuseOrFail("no_place_" + shortage);
+    }
+
     private void assign(UpstreamInstance instance) {
         dispatcher.recordAssignment(capacityKey(), target());
         sendTo(instance);
@@ -227,6 +240,11 @@
         InstanceSelection selection = selectInstance();
         if (selection.instance().isEmpty()) {
             shortage = selection.shortage().orElse(Shortage.FULL);
+            if (shortage == Shortage.WITHDRAWN) {
+                leaveQueue();
+                refuseWithdrawn(selection);
+                return true;
+            }
             dispatcher.recordShortage(this, shortage);
             return false;
         }
@@ -317,18 +335,12 @@
         } else if (sends.mayHaveRun()) {
             respond(BAD_GATEWAY, EmptyHttpHeaders.INSTANCE);
         } else {
-            dispatcher.refundRateTokens(admitted);
-            if (shortage == Shortage.NOT_RESIDENT) {
-                target().ifPresent(dispatcher::recordRefusal);
-            }
-            HttpHeaders headers = ResponseWriter.newHeaders();
             long maximumDelayMillis = Math.max(0, deadlineMillis - Timestamp.monotonicNowMillis()) / RETURN_SHARE;
-            RequestHeaders.setRetryAfter(
-                    headers,
-                    spaceReturn
-                            ? dispatcher.reserveReturn(this, retryAfterMillis, maximumDelayMillis)
-                            : retryAfterMillis);
-            respond(SERVICE_UNAVAILABLE, headers);
+            long returnMillis = spaceReturn
+                    ? dispatcher.reserveReturn(this, retryAfterMillis, maximumDelayMillis)
+                    : retryAfterMillis;
+            dispatcher.recordRefusal(this, shortage);
+            respond(SERVICE_UNAVAILABLE, ResponseWriter.retryAfterHeaders(returnMillis));
         }
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestOutcomeLog.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestOutcomeLog.java
@@ -16,10 +16,12 @@
 
     /** Logs that the request is refused, or that it failed because it may have run. */
     void logFailureOrRefusal(RequestExchange exchange, boolean mayHaveRun, String reason) {
+        String outcome = mayHaveRun ? "failed" : "refused";
+        dispatcher.metrics().countUnserved(outcome, reason);
         dispatcher
                 .eventLog()
                 .log(
-                        mayHaveRun ? "failed" : "refused",
+                        outcome,
                         "request={} route={} team={} target={} reason={} after_ms={} sends={} waiting={} version={}",
                         exchange.admitted().caller().id(),
                         exchange.admitted().route().name(),
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ResponseWriter.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ResponseWriter.java
@@ -3,6 +3,7 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.handler.codec.http.DefaultHttpHeaders;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.oleandermoor.platform.RequestHeaders;
 
 /** Writes the response to one request. */
 interface ResponseWriter {
@@ -12,6 +13,13 @@
         return new DefaultHttpHeaders(false);
     }
 
+    /** Returns headers that tell the caller when to return. */
+    static HttpHeaders retryAfterHeaders(long millis) {
+        HttpHeaders headers = newHeaders();
+        RequestHeaders.setRetryAfter(headers, millis);
+        return headers;
+    }
+
     /** Returns whether a stream has started, after which no other response can be written. */
     boolean isStreamStarted();
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -136,6 +136,11 @@
         return exchange.target();
     }
 
+    @Override
+    public boolean maySend() {
+        return !exchange.dispatcher().view().instances().isWithdrawn(instance, Timestamp.monotonicNowMillis());
+    }
+
     @Override
     public void onHead(ResponseHead head, HttpResponse response) {
         if (!exchange.isCurrentAttempt(this)) {
@@ -348,8 +353,10 @@
         }
         exchange.closeCurrentAttempt();
         long now = Timestamp.monotonicNowMillis();
-        if (how == FailureKind.NOT_SENT) {
-            instanceState().ifPresent(state -> state.recordUnreachable(now));
+        if (how != FailureKind.OUTCOME_UNKNOWN) {
+            if (how == FailureKind.NOT_SENT) {
+                instanceState().ifPresent(state -> state.recordUnreachable(now));
+            }
             exchange.onNotSent();
             return;
         }
@@ -365,8 +372,7 @@
         logLoss(now);
         instanceState().ifPresent(state -> state.recordConnectionLoss(now));
         Runnable retry = () -> exchange.retryOrFail(reason + " of " + instance.id());
-        boolean leaving =
-                instanceState().map(state -> state.instance().draining()).orElse(false);
+        boolean leaving = exchange.dispatcher().view().instances().isWithdrawn(instance, now);
         if (answerProven || leaving) {
             retry.run();
             return;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/ResponseListener.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/ResponseListener.java
@@ -14,10 +14,15 @@
     enum FailureKind {
         /** No part of the request was sent, so the instance did not execute it. */
         NOT_SENT,
+        /** No part of the request was sent, because {@link #maySend} no longer permitted it. */
+        WITHDRAWN,
         /** The request was sent, and the instance may have executed it. */
         OUTCOME_UNKNOWN
     }
 
+    /** Returns whether the request may still be sent once its connection has been opened. */
+    boolean maySend();
+
     /** Called when the response head has been received. */
     void onHead(ResponseHead head, HttpResponse response);
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -12,6 +12,7 @@
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.RequestHeaders;
 import io.oleandermoor.platform.RequestHeaders.ResponseHead;
+import io.oleandermoor.state.fleet.UpstreamInstance;
 import java.util.HashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -35,7 +36,7 @@
     private static final int MAXIMUM_UNSUCCESSFUL_REQUESTS = 64;
 
     private final UpstreamPool pool;
-    private final String instanceId;
+    private final UpstreamInstance instance;
     private @Nullable Channel channel;
     private @Nullable ResponseListener listener;
     private final Set<String> unsuccessfulIds = new HashSet<>();
@@ -50,13 +51,13 @@
     private long keepAliveMillis = Integer.MAX_VALUE;
     private long usableUntilMillis = Long.MAX_VALUE;
 
-    UpstreamConnection(UpstreamPool pool, String instanceId) {
+    UpstreamConnection(UpstreamPool pool, UpstreamInstance instance) {
         this.pool = pool;
-        this.instanceId = instanceId;
+        this.instance = instance;
     }
 
     String instanceId() {
-        return instanceId;
+        return instance.id();
     }
 
     boolean isIdle() {
@@ -159,6 +160,7 @@
         boolean matches =
                 head.requestId().equals(requestId) || (head.requestId().isEmpty() && !servedRequest);
         skippingResponse = !matches;
+        pool.reportNotice(instance, RequestHeaders.decodeNotice(response), matches);
         if (!matches) {
             reusable = false;
             countUnmatched(UNMATCHED_HEAD_BYTES);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
@@ -12,6 +12,8 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.util.concurrent.Future;
+import io.oleandermoor.platform.EngineClient;
+import io.oleandermoor.platform.ResponseNotice;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import java.net.ConnectException;
 import java.util.ArrayDeque;
@@ -19,6 +21,7 @@
 import java.util.HashMap;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.Set;
 import java.util.function.Consumer;
 
@@ -38,6 +41,7 @@
     private static final int RECEIVE_BUFFER_BYTES = 256 << 10;
 
     private final EventLoop loop;
+    private EngineClient.NoticeListener noticeListener = (instance, notice) -> {};
     private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
 
     /**
@@ -139,7 +143,7 @@
 
     private InFlightRequest connect(
             UpstreamInstance instance, FullHttpRequest request, String id, ResponseListener listener) {
-        UpstreamConnection connection = new UpstreamConnection(this, instance.id());
+        UpstreamConnection connection = new UpstreamConnection(this, instance);
         ConnectingRequest connecting = new ConnectingRequest(connection);
         new Bootstrap()
                 .group(loop)
@@ -161,6 +165,10 @@
                     if (connecting.cancelled) {
                         request.release();
                         connection.close();
+                    } else if (future.isSuccess() && !listener.maySend()) {
+                        request.release();
+                        connection.close();
+                        listener.onFailure(ResponseListener.FailureKind.WITHDRAWN, "instance accepts nothing now");
                     } else if (future.isSuccess()) {
                         connection.send(request, id, listener);
                     } else {
@@ -172,6 +180,20 @@
         return connecting;
     }
 
+    /** Sets the listener that gets what instances say in their responses about further requests. */
+    public void setNoticeListener(EngineClient.NoticeListener listener) {
+        noticeListener = listener;
+    }
+
+    /** Passes on a notice. A pause in a late response to an earlier request may be over and is not passed on. */
+    void reportNotice(UpstreamInstance instance, ResponseNotice notice, boolean current) {
+        if (current) {
+            noticeListener.noticed(instance, notice);
+        } else if (notice.leaving()) {
+            noticeListener.noticed(instance, new ResponseNotice(true, OptionalLong.empty(), Optional.empty()));
+        }
+    }
+
     void release(UpstreamConnection connection) {
         if (connection.isIdle()) {
             idleConnections
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/EngineOrderSenderTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/EngineOrderSenderTest.java
@@ -57,7 +57,10 @@
                 "e", "words", "127.0.0.1", closedPort(), "a", 8, false, OptionalLong.empty(), Map.of(), Set.of(), 1);
         table.put(engine, 0);
         EngineOrderSender sender = new EngineOrderSender(
-                loop, new EngineClient(loop, TIMEOUT_MILLIS), table.state("e").orElseThrow(), models -> {});
+                loop,
+                new EngineClient(loop, TIMEOUT_MILLIS, (instance, notice) -> {}),
+                table.state("e").orElseThrow(),
+                models -> {});
         PlannedOrder load = new PlannedOrder("e", false, new ModelTarget("m", ""), true, "test", "m");
         loop.submit(() -> sender.send(
                         load, new EngineOrderSender.LeaseHolder("entry", 1), PROFILE, Timestamp.monotonicNowMillis()))
@@ -108,7 +111,8 @@
                             1),
                     0);
             state = table.state("e").orElseThrow();
-            sender = new EngineOrderSender(loop, new EngineClient(loop, TIMEOUT_MILLIS), state, models -> {});
+            sender = new EngineOrderSender(
+                    loop, new EngineClient(loop, TIMEOUT_MILLIS, (instance, notice) -> {}), state, models -> {});
             loop.submit(() -> sender.refresh(state, Timestamp.monotonicNowMillis()))
                     .sync();
             awaitReadyForOrder(true);
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
@@ -4,6 +4,7 @@
 
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.oleandermoor.gateway.metrics.GatewayMetrics;
 import io.oleandermoor.gateway.quarantine.QuarantineCoordinator;
 import io.oleandermoor.gateway.view.DeploymentView;
 import io.oleandermoor.state.dispatch.InstanceState;
@@ -50,7 +51,7 @@
                     loop,
                     view,
                     demands,
-                    new QuarantineCoordinator(),
+                    new QuarantineCoordinator(new GatewayMetrics()),
                     () -> others(name),
                     () -> Map.of(TARGET, new DemandTracker.RequestCounts(1, 0)));
         }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/UpstreamPoolTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/UpstreamPoolTest.java
@@ -53,8 +53,8 @@
     }
 
     /** Sends a request and returns how it ended: the status, or the kind of failure. */
-    private String send(String id) throws Exception {
-        RecordingListener listener = new RecordingListener();
+    private String send(String id, boolean maySend) throws Exception {
+        RecordingListener listener = new RecordingListener(maySend);
         loop.execute(() -> {
             FullHttpRequest request =
                     new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.POST, "/x", Unpooled.EMPTY_BUFFER);
@@ -67,8 +67,18 @@
     private static final class RecordingListener implements ResponseListener {
 
         private final CompletableFuture<String> result = new CompletableFuture<>();
+        private final boolean maySend;
         private int status;
 
+        RecordingListener(boolean maySend) {
+            this.maySend = maySend;
+        }
+
+        @Override
+        public boolean maySend() {
+            return maySend;
+        }
+
         @Override
         public void onHead(ResponseHead head, HttpResponse response) {
             status = head.status();
@@ -98,10 +108,10 @@
         @Test
         void refusedRequestIsNotSentAgainOnTheConnectionOfItsRefusal() throws Exception {
             standIn.setBehaviour(Behaviour.DECLINE);
-            assertThat(send("refused")).isEqualTo("503");
+            assertThat(send("refused", true)).isEqualTo("503");
             standIn.setBehaviour(Behaviour.ANSWER);
-            assertThat(send("other")).isEqualTo("200");
-            assertThat(send("refused")).isEqualTo("200");
+            assertThat(send("other", true)).isEqualTo("200");
+            assertThat(send("refused", true)).isEqualTo("200");
             assertThat(standIn.receivedRequests())
                     .extracting(request -> request.get("connection"))
                     .satisfies(connections -> {
@@ -109,5 +119,12 @@
                         assertThat(connections.get(2)).isNotEqualTo(connections.get(0));
                     });
         }
+
+        /** Guards against a request that was decided before its instance withdrew, and sent after it. */
+        @Test
+        void requestIsNotSentIfItsInstanceWithdrewWhileConnecting() throws Exception {
+            assertThat(send("late", false)).isEqualTo("WITHDRAWN");
+            assertThat(standIn.receivedRequests()).isEmpty();
+        }
     }
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
@@ -132,9 +132,9 @@
         return pendingPrefillTokens;
     }
 
-    /** Returns whether new requests may be sent to the instance. */
-    public boolean usable(long nowMillis) {
-        return !instance.draining() && !replaced && nowMillis >= backoffUntilMillis;
+    /** Returns whether the instance can probably be reached. */
+    boolean usable(long nowMillis) {
+        return !replaced && nowMillis >= backoffUntilMillis;
     }
 
     /**
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -76,6 +76,7 @@
     /** The load of all other entries on each instance, kept as a sum so that a choice does not iterate over entries. */
     private final Map<String, Integer> totalPeerLoads = new HashMap<>();
 
+    private final InstanceNotices notices = new InstanceNotices();
     private final PeerPrompts peerPrompts = new PeerPrompts();
     private final Map<String, EventIntervalAverage> serviceIntervals = new HashMap<>();
 
@@ -119,7 +120,9 @@
         /** At least one instance is usable, but none holds the model or adapter. */
         NOT_RESIDENT,
         /** Every instance that could run the request is at capacity. */
-        FULL
+        FULL,
+        /** Every instance that could run the request is leaving or has asked for a pause. */
+        WITHDRAWN
     }
 
     /**
@@ -127,8 +130,11 @@
      *
      * @param instance the chosen instance, empty if there is none
      * @param shortage the reason why there is none, empty if there is one
+     * @param pauseEndMillis the time at which the first instance that could run the request ends its pause, empty if
+     *     none has asked for one
      */
-    public record InstanceSelection(Optional<UpstreamInstance> instance, Optional<Shortage> shortage) {}
+    public record InstanceSelection(
+            Optional<UpstreamInstance> instance, Optional<Shortage> shortage, OptionalLong pauseEndMillis) {}
 
     /** Adds an instance or updates its description. A restart under the same identifier resets its state. */
     public void put(UpstreamInstance instance, long nowMillis) {
@@ -164,6 +170,18 @@
         return Optional.ofNullable(states.get(id));
     }
 
+    /** Returns what instances have said about further requests. */
+    public InstanceNotices notices() {
+        return notices;
+    }
+
+    /** Returns whether an instance is leaving, as its description or its responses say, or has asked for a pause. */
+    public boolean isWithdrawn(UpstreamInstance instance, long nowMillis) {
+        boolean draining =
+                state(instance.id()).map(state -> state.instance().draining()).orElse(false);
+        return draining || notices.current(instance, nowMillis).isPresent();
+    }
+
     /** Returns the states of all instances. */
     public Collection<InstanceState> states() {
         return Collections.unmodifiableCollection(states.values());
@@ -260,26 +278,33 @@
 
     /** Chooses the instance for a request. */
     public InstanceSelection choose(InstanceQuery query, long nowMillis) {
-        boolean usable = false;
-        boolean resident = false;
+        ShortageFinder shortage = new ShortageFinder();
         double bestCost = Double.MAX_VALUE;
         @Nullable UpstreamInstance best = null;
         for (InstanceState state : states.values()) {
             UpstreamInstance instance = state.instance();
-            if (!instance.service().equals(query.service()) || !state.usable(nowMillis)) {
+            if (!instance.service().equals(query.service())) {
+                continue;
+            }
+            boolean holds =
+                    query.target().isEmpty() || state.holds(query.target().get(), nowMillis);
+            Optional<InstanceNotices.Notice> notice = notices.current(instance, nowMillis);
+            if (instance.draining() || notice.isPresent()) {
+                shortage.addWithdrawn(holds, notice);
                 continue;
             }
-            if (query.excluded().contains(instance.id())) {
+            if (query.excluded().contains(instance.id()) || !state.usable(nowMillis)) {
+                shortage.addUnusable();
                 continue;
             }
-            usable = true;
-            if (query.target().isPresent() && !state.holds(query.target().get(), nowMillis)) {
+            shortage.addUsable(holds);
+            if (!holds) {
                 continue;
             }
-            resident = true;
             int load = load(instance.id());
             double capacityRatio = query.target().isPresent() ? 1.0 : PLAIN_SERVICE_CAPACITY_RATIO;
-            if (load >= instance.slots() * capacityRatio || !mayPrefill(state, query.prompt(), nowMillis)) {
+            double capacity = instance.slots() * capacityRatio * notices.usableShare(instance, nowMillis);
+            if (load >= capacity || !mayPrefill(state, query.prompt(), nowMillis)) {
                 continue;
             }
             double cost = cost(state, query, load, nowMillis);
@@ -289,10 +314,9 @@
             }
         }
         if (best != null) {
-            return new InstanceSelection(Optional.of(best), Optional.empty());
+            return new InstanceSelection(Optional.of(best), Optional.empty(), OptionalLong.empty());
         }
-        Shortage shortage = resident ? Shortage.FULL : usable ? Shortage.NOT_RESIDENT : Shortage.NO_INSTANCE;
-        return new InstanceSelection(Optional.empty(), Optional.of(shortage));
+        return shortage.selection(nowMillis);
     }
 
     private boolean mayPrefill(InstanceState state, Prompt prompt, long nowMillis) {
