Refuse only requests with all traits that may be the cause of the crashes

What callers saw: while a crashing part was quarantined, sound requests of the subject from which all requests with the part came were refused for 30 s, too, and would have been for 10 minutes after the next crash.

Cause: of two traits that were present at the same crashes, both were quarantined by themselves, and no request with the sound one could pass any more to disprove it.

A quarantine now names its companions, the quarantined traits that were present at each of its crashes; a request is refused if it has the trait and all of its companions. Requests with the sound trait alone pass, their answer disproves it, and the other one stands alone. Companions are told to the other entries and kept in the store. Identifiers of parts that are no header token are not tracked.

Measured: two new tests of RequestQuarantineTest pass (refusesOnlyRequestsWithAllPartsThatMayBeTheCause and refusesAllRequestsWithThePartThatWasPresentAtMoreCrashes), CrashingRequestsTest, PeerExchangeTest and WithdrawnInstancesTest pass.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/QuarantineMessages.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/QuarantineMessages.java
@@ -6,6 +6,7 @@
 import io.oleandermoor.protocol.message.TraitQuarantine;
 import io.oleandermoor.state.quarantine.CrashReport;
 import io.oleandermoor.state.quarantine.RequestQuarantine.Quarantine;
+import java.util.Set;
 
 /** Converts crashes and quarantines to and from the reports that entries send to each other. */
 final class QuarantineMessages {
@@ -36,11 +37,16 @@
                 .setTrait(quarantine.trait())
                 .setRemainingMillis(quarantine.untilMillis() - nowMillis)
                 .setAfterFirst(quarantine.repeated())
+                .addAllCompanions(quarantine.companions())
                 .build();
     }
 
     static Quarantine decode(TraitQuarantine message, long nowMillis) {
-        return new Quarantine(message.getTrait(), nowMillis + message.getRemainingMillis(), message.getAfterFirst());
+        return new Quarantine(
+                message.getTrait(),
+                Set.copyOf(message.getCompanionsList()),
+                nowMillis + message.getRemainingMillis(),
+                message.getAfterFirst());
     }
 
     /** Adds to a regular report what other entries may have missed. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/quarantine/QuarantineCoordinator.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/quarantine/QuarantineCoordinator.java
@@ -98,8 +98,9 @@
 
     private static void logBegin(Quarantine begun, String cause, long now) {
         LOG.warn(
-                "event=quarantine_begun trait={} cause=\"{}\" duration_ms={} repeated={}",
+                "event=quarantine_begun trait={} companions={} cause=\"{}\" duration_ms={} repeated={}",
                 begun.trait(),
+                begun.companions(),
                 cause,
                 begun.untilMillis() - now,
                 begun.repeated());
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/quarantine/QuarantineStore.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/quarantine/QuarantineStore.java
@@ -10,6 +10,7 @@
 import io.reactivex.rxjava3.core.Single;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -60,12 +61,14 @@
 
     private void restore(StoreReadResult reading) {
         for (StoreItem item : reading.items()) {
-            String[] fields = new String(item.value(), StandardCharsets.UTF_8).split(" ", 2);
+            List<String> fields = List.of(new String(item.value(), StandardCharsets.UTF_8).split(" "));
             try {
-                long untilMillis = Timestamp.monotonicNowMillis() + Long.parseLong(fields[0]);
-                boolean repeated = fields.length > 1 && fields[1].equals(REPEATED);
+                long untilMillis = Timestamp.monotonicNowMillis() + Long.parseLong(fields.get(0));
+                boolean repeated = fields.contains(REPEATED);
+                Set<String> companions = Set.copyOf(fields.subList(Math.min(2, fields.size()), fields.size()));
                 coordinator.restore(
-                        new Quarantine(item.key().substring(KEY_PREFIX.length()), untilMillis, repeated), "store");
+                        new Quarantine(item.key().substring(KEY_PREFIX.length()), companions, untilMillis, repeated),
+                        "store");
             } catch (NumberFormatException exception) {
                 LOG.warn("event=quarantine_unreadable key={} cause=\"{}\"", item.key(), exception.getMessage());
             }
@@ -80,7 +83,8 @@
         }
         String key = KEY_PREFIX + quarantine.trait();
         String kind = quarantine.repeated() ? REPEATED : FIRST;
-        byte[] value = (remainingMillis + " " + kind).getBytes(StandardCharsets.UTF_8);
+        String companions = String.join(" ", quarantine.companions());
+        byte[] value = (remainingMillis + " " + kind + " " + companions).trim().getBytes(StandardCharsets.UTF_8);
         store.read(key)
                 .flatMap(item -> item.filter(known -> isOfKind(known, kind)).isPresent()
                         ? Single.just(item.get().revision())
@@ -95,7 +99,7 @@
     }
 
     private static boolean isOfKind(StoreItem item, String kind) {
-        return new String(item.value(), StandardCharsets.UTF_8).endsWith(kind);
+        return new String(item.value(), StandardCharsets.UTF_8).contains(" " + kind);
     }
 
     private void handleFailure(Quarantine quarantine, Throwable cause) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/RequestQuarantine.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/RequestQuarantine.java
@@ -6,6 +6,7 @@
 import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -18,7 +19,8 @@
  * is quarantined when instances ended repeatedly under different requests with it and no request with it was answered
  * since the first of these crashes. A single answer to a request with the trait disproves it. The first quarantine is
  * short, because a rare trait may have been present at several crashes by chance; the next crash under the trait
- * quarantines it for long. Not thread-safe.
+ * quarantines it for long. Of traits that were present at the same crashes, any one may be the cause: only requests
+ * with all of them are refused, so that the answers to the others tell which one it is. Not thread-safe.
  */
 public final class RequestQuarantine {
 
@@ -47,13 +49,24 @@
      * A trait whose requests are not sent.
      *
      * @param trait the trait
+     * @param companions the traits that were present at each of its crashes, so that they may be the cause in its
+     *     place; a request is refused only if it has all of them, too
      * @param untilMillis the time at which its requests may be sent again
      * @param repeated whether an instance ended under the trait after its first quarantine
      */
-    public record Quarantine(String trait, long untilMillis, boolean repeated) {
+    public record Quarantine(String trait, Set<String> companions, long untilMillis, boolean repeated) {
+
+        /** Copies the companions. */
+        public Quarantine {
+            companions = Set.copyOf(companions);
+        }
 
         private Quarantine extendedTo(long millis) {
-            return new Quarantine(trait, Math.max(untilMillis, millis), repeated);
+            return new Quarantine(trait, companions, Math.max(untilMillis, millis), repeated);
+        }
+
+        private Quarantine withCompanions(Set<String> newCompanions) {
+            return new Quarantine(trait, newCompanions, untilMillis, repeated);
         }
     }
 
@@ -110,17 +123,40 @@
      * @return the quarantines that begin
      */
     public List<Quarantine> recordCrash(CrashReport report, long nowMillis) {
-        List<Quarantine> begun = new ArrayList<>();
+        Set<String> begun = new LinkedHashSet<>();
         for (CrashReport.Suspect suspect : report.suspects()) {
             if (knownReports.put(reportId(report, suspect), true) != null) {
                 continue;
             }
             for (String trait : suspect.traits()) {
-                recordSuspect(report.runId(), suspect.requestId(), trait, nowMillis)
-                        .ifPresent(begun::add);
+                if (recordSuspect(report.runId(), suspect.requestId(), trait, nowMillis)) {
+                    begun.add(trait);
+                }
+            }
+        }
+        quarantines.replaceAll((trait, quarantine) -> quarantine.withCompanions(companions(quarantine)));
+        return begun.stream()
+                .flatMap(trait -> Optional.ofNullable(quarantines.get(trait)).stream())
+                .toList();
+    }
+
+    /** Returns the quarantined traits that were present at each crash of a trait. */
+    private Set<String> companions(Quarantine quarantine) {
+        Suspicion suspicion = suspicions.get(quarantine.trait());
+        if (suspicion == null) {
+            // The evidence is that of another entry.
+            return quarantine.companions();
+        }
+        Set<String> companions = new HashSet<>();
+        for (String other : quarantines.keySet()) {
+            Suspicion otherSuspicion = suspicions.get(other);
+            boolean explainsCrashes = otherSuspicion != null
+                    && otherSuspicion.crashMillisByRun.keySet().containsAll(suspicion.crashMillisByRun.keySet());
+            if (explainsCrashes && !other.equals(quarantine.trait())) {
+                companions.add(other);
             }
         }
-        return begun;
+        return companions;
     }
 
     /** Returns whether a report holds nothing that was not reported before. */
@@ -132,7 +168,8 @@
         return report.runId() + " " + suspect.requestId();
     }
 
-    private Optional<Quarantine> recordSuspect(String runId, String requestId, String trait, long nowMillis) {
+    /** Records a crash under a trait; returns whether a quarantine of the trait begins. */
+    private boolean recordSuspect(String runId, String requestId, String trait, long nowMillis) {
         Suspicion suspicion =
                 suspicions.computeIfAbsent(trait, key -> new Suspicion(requiredCrashes(trait, nowMillis)));
         suspicion.crashMillisByRun.putIfAbsent(runId, nowMillis);
@@ -141,12 +178,11 @@
         boolean repeated = previous != null;
         boolean inForce = previous != null && previous.untilMillis() > nowMillis;
         if (inForce || !(repeated || suspicion.isSufficient())) {
-            return Optional.empty();
+            return false;
         }
-        Quarantine begun = new Quarantine(
-                trait, nowMillis + (repeated ? REPEATED_QUARANTINE_MILLIS : FIRST_QUARANTINE_MILLIS), repeated);
-        quarantines.put(trait, begun);
-        return Optional.of(begun);
+        long durationMillis = repeated ? REPEATED_QUARANTINE_MILLIS : FIRST_QUARANTINE_MILLIS;
+        quarantines.put(trait, new Quarantine(trait, Set.of(), nowMillis + durationMillis, repeated));
+        return true;
     }
 
     private int requiredCrashes(String trait, long nowMillis) {
@@ -189,9 +225,17 @@
                 disproved.add(trait);
             }
         }
+        if (!disproved.isEmpty()) {
+            quarantines.replaceAll((trait, quarantine) -> without(quarantine, disproved));
+        }
         return disproved;
     }
 
+    private static Quarantine without(Quarantine quarantine, Collection<String> disproved) {
+        Set<String> companions = new HashSet<>(quarantine.companions());
+        return companions.removeAll(disproved) ? quarantine.withCompanions(companions) : quarantine;
+    }
+
     /**
      * Adds a quarantine that another entry, or this one before its restart, has begun.
      *
@@ -217,19 +261,22 @@
         if (quarantines.isEmpty()) {
             return Optional.empty();
         }
-        for (String part : traits.parts()) {
-            Optional<Quarantine> found = find(part, nowMillis);
+        boolean fingerprintsQuarantined = quarantines.keySet().stream().anyMatch(RequestTraits::isFingerprint);
+        List<String> present = fingerprintsQuarantined ? traits.all() : traits.parts();
+        for (String trait : present) {
+            Optional<Quarantine> found = find(trait, present, nowMillis);
             if (found.isPresent()) {
                 return found;
             }
         }
-        boolean fingerprintsQuarantined = quarantines.keySet().stream().anyMatch(RequestTraits::isFingerprint);
-        return fingerprintsQuarantined ? find(traits.fingerprint(), nowMillis) : Optional.empty();
+        return Optional.empty();
     }
 
-    private Optional<Quarantine> find(String trait, long nowMillis) {
+    private Optional<Quarantine> find(String trait, List<String> present, long nowMillis) {
         Quarantine quarantine = quarantines.get(trait);
-        if (quarantine == null || quarantine.untilMillis() <= nowMillis) {
+        if (quarantine == null
+                || quarantine.untilMillis() <= nowMillis
+                || !present.containsAll(quarantine.companions())) {
             return Optional.empty();
         }
         if (quarantine.repeated()) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/RequestTraits.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/RequestTraits.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Optional;
 import java.util.function.Supplier;
+import java.util.regex.Pattern;
 
 /**
  * The properties of a request by which other requests that end instances are recognized: each prompt part that other
@@ -15,8 +16,8 @@
     private static final String PART_PREFIX = "part:";
     private static final String REQUEST_PREFIX = "request:";
 
-    /** Identifiers of parts that are longer are not tracked; traits are kept as keys in the store. */
-    private static final int MAXIMUM_PART_ID_LENGTH = 64;
+    /** Other identifiers are not tracked; traits are kept as keys and in lists in the store. */
+    private static final Pattern TRACKED_PART_ID = Pattern.compile("[!-~]{1,64}");
 
     private final List<String> parts;
     private final Supplier<String> fingerprintSource;
@@ -30,7 +31,7 @@
      */
     public RequestTraits(List<String> sharedPartIds, Supplier<String> fingerprintSource) {
         this.parts = sharedPartIds.stream()
-                .filter(id -> id.length() <= MAXIMUM_PART_ID_LENGTH)
+                .filter(id -> TRACKED_PART_ID.matcher(id).matches())
                 .map(PART_PREFIX::concat)
                 .toList();
         this.fingerprintSource = fingerprintSource;
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/quarantine/RequestQuarantineTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/quarantine/RequestQuarantineTest.java
@@ -5,6 +5,7 @@
 import io.oleandermoor.state.quarantine.RequestQuarantine.Quarantine;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -68,6 +69,27 @@
                     .isEmpty();
         }
 
+        /** Guards against refusing sound requests that share another part with all the requests that end instances. */
+        @Test
+        void refusesOnlyRequestsWithAllPartsThatMayBeTheCause() {
+            quarantine.recordCrash(crash(1, "r1", "a", "subject", "bad"), 0);
+            quarantine.recordAnswer(traits("a"), 1);
+            quarantine.recordCrash(crash(2, "r2", "a", "subject", "bad"), SECOND);
+            assertThat(isRefused(SECOND, "a", "subject", "bad")).isTrue();
+            assertThat(isRefused(SECOND, "a", "subject")).isFalse();
+            quarantine.recordAnswer(traits("a", "subject"), 2 * SECOND);
+            assertThat(isRefused(2 * SECOND, "b", "bad")).isTrue();
+        }
+
+        @Test
+        void refusesAllRequestsWithThePartThatWasPresentAtMoreCrashes() {
+            quarantine.recordCrash(crash(1, "r1", "subject", "bad"), 0);
+            quarantine.recordCrash(crash(2, "r2", "subject", "bad"), SECOND);
+            quarantine.recordCrash(crash(3, "r3", "other", "bad"), 2 * SECOND);
+            assertThat(isRefused(2 * SECOND, "another", "bad")).isTrue();
+            assertThat(isRefused(2 * SECOND, "subject")).isFalse();
+        }
+
         @Test
         void ignoresRepeatedReports() {
             quarantine.recordCrash(crash(1, "r1", "a"), 0);
@@ -146,9 +168,9 @@
 
         @Test
         void takesOverAQuarantineThatItDoesNotKnow() {
-            assertThat(quarantine.restore(new Quarantine("part:bad", SECOND, false)))
+            assertThat(quarantine.restore(new Quarantine("part:bad", Set.of(), SECOND, false)))
                     .isTrue();
-            assertThat(quarantine.restore(new Quarantine("part:bad", 2 * SECOND, false)))
+            assertThat(quarantine.restore(new Quarantine("part:bad", Set.of(), 2 * SECOND, false)))
                     .isFalse();
             assertThat(isRefused(0, "bad")).isTrue();
             assertThat(isRefused(SECOND, "bad")).isFalse();
