--- a/review/standin/review/Http.java
+++ b/review/standin/review/Http.java
@@ -16,7 +16,7 @@
 import java.util.concurrent.CopyOnWriteArrayList;
 
 /** A small HTTP/1.1 server on a free loopback port, with a thread for each connection. */
-public abstract class Http implements AutoCloseable {
+public abstract class Http implements Server {
 
     /** A request: headers by lower-case name. */
     public record Request(String method, String uri, Map<String, String> headers, byte[] body, long arrivedMillis) {
@@ -56,6 +56,7 @@
         server = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
     }
 
+    @Override
     public void start() {
         daemon(this::accept);
     }
--- a/review/standin/review/Store.java
+++ b/review/standin/review/Store.java
@@ -101,6 +101,15 @@
 
     @Override
     protected boolean handle(Request request, Socket socket) throws IOException {
+        return respond(request, socket, Map.of());
+    }
+
+    /**
+     * Carries out a call and answers it.
+     *
+     * @param addresses the addresses to name in place of those that replicas have registered
+     */
+    boolean respond(Request request, Socket socket, Map<String, String> addresses) throws IOException {
         Answer answer = answerTo(request);
         if (!request.path().equals("/api/kv-watch") && !request.path().startsWith("/api/kv-keep")) {
             record.write(
@@ -111,10 +120,34 @@
             sleep(120_000);
             return false;
         }
-        answer(socket, answer.status(), "Content-Type: application/json\r\n", Json.write(answer.body()));
+        answer(socket, answer.status(), "Content-Type: application/json\r\n", Json.write(replaceAddresses(answer.body(), addresses)));
         return true;
     }
 
+    private static Map<String, Object> replaceAddresses(Map<String, Object> body, Map<String, String> addresses) {
+        Map<String, Object> replaced = new LinkedHashMap<>(body);
+        for (String field : List.of("items", "events")) {
+            if (body.get(field) instanceof List<?> rows && !addresses.isEmpty()) {
+                List<Object> newRows = new ArrayList<>();
+                for (Object row : rows) {
+                    Map<String, Object> item = new LinkedHashMap<>();
+                    ((Map<?, ?>) row).forEach((key, value) -> item.put(String.valueOf(key), value));
+                    if (item.get("value") instanceof String value
+                            && String.valueOf(item.get("key")).startsWith("servers/")) {
+                        String text = new String(Base64.getDecoder().decode(value), StandardCharsets.UTF_8);
+                        for (Map.Entry<String, String> entry : addresses.entrySet()) {
+                            text = text.replace(entry.getKey() + "\"", entry.getValue() + "\"");
+                        }
+                        item.put("value", Base64.getEncoder().encodeToString(text.getBytes(StandardCharsets.UTF_8)));
+                    }
+                    newRows.add(item);
+                }
+                replaced.put(field, newRows);
+            }
+        }
+        return replaced;
+    }
+
     private static String summary(Request request) {
         if (!request.path().equals("/api/kv-txn")) {
             return request.text();
