--- a/review/standin/review/Deployment.java
+++ b/review/standin/review/Deployment.java
@@ -120,6 +120,11 @@
 
     /** Returns the engine part of a service: models m0, m1 and so on, each with adapters a1, a2 and so on. */
     public static Map<String, Object> engine(int modelCount, int adapters, int adapterSlots, double loadSeconds) {
+        return engine(modelCount, adapters, adapterSlots, loadSeconds, 200_000);
+    }
+
+    public static Map<String, Object> engine(
+            int modelCount, int adapters, int adapterSlots, double loadSeconds, int weightsMegabytes) {
         List<Object> models = new ArrayList<>();
         for (int index = 0; index < modelCount; index++) {
             Map<String, Object> model = new LinkedHashMap<>();
@@ -133,7 +138,7 @@
         Map<String, Object> engine = new LinkedHashMap<>();
         engine.put("slots", 16);
         engine.put("kv-capacity", 90000);
-        engine.put("weights-mb", 200000);
+        engine.put("weights-mb", weightsMegabytes);
         engine.put("adapter-slots", adapterSlots);
         engine.put("loads-per-s", 1.4);
         engine.put("models", models);
--- a/review/standin/review/Drafts.java
+++ b/review/standin/review/Drafts.java
@@ -1,18 +1,20 @@
 package review;
 
+import java.util.List;
 import java.util.concurrent.ThreadLocalRandom;
-import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 
-/** A client that asks for drafts by any of the adapters, one after the other. */
+/** A client that asks for drafts by any adapter of some models, one after the other. */
 final class Drafts {
 
     private Drafts() {}
 
-    static void call(Deployment deployment, int caller, int adapters, AtomicBoolean ended) {
-        for (int number = 0; !ended.get(); number++) {
+    static void call(
+            Deployment deployment, int caller, List<String> models, int adapters, BooleanSupplier ended) {
+        for (int number = 0; !ended.getAsBoolean(); number++) {
             Entry entry = deployment.entries.get(ThreadLocalRandom.current().nextInt(deployment.entries.size()));
             String id = String.format("c%02d-%05d", caller, number);
-            String model = "m" + number % 2 + "/a" + (1 + ThreadLocalRandom.current().nextInt(adapters));
+            String model = models.get(number % models.size()) + "/a" + (1 + ThreadLocalRandom.current().nextInt(adapters));
             String more = "Model: " + model + "\r\nToken-Count: 100,48\r\nPrompt-Prefix: "
                     + Integer.toHexString(id.hashCode()) + ":100\r\n";
             try {
--- a/review/standin/review/LargeBodies.java
+++ b/review/standin/review/LargeBodies.java
@@ -22,9 +22,11 @@
 
     private static final int PIECES = 50;
     private static final int USERS = 24;
-    /** 1.7 times the usual. */
+    /** 1.7 times the usual, for 3 s. */
     private static final int MORE_USERS = 17;
 
+    private static final long BURST_MILLIS = 3_000;
+
     private static final int BOOKERS = 12;
     private static final int TIMEOUT_MILLIS = 4_000;
 
@@ -72,9 +74,14 @@
         Http.sleep(6_000);
         if (deployment.trouble) {
             record.tell("%d more users come at once", MORE_USERS);
+            long burstEnd = record.millis() + BURST_MILLIS;
             for (int user = 0; user < MORE_USERS; user++) {
                 int number = user;
-                Http.daemon(() -> upload(deployment, entry, "more" + number, served, failed));
+                Http.daemon(() -> {
+                    for (int call = 0; record.millis() < burstEnd; call++) {
+                        upload(deployment, entry, "more" + number + "-" + call, served, failed);
+                    }
+                });
             }
         }
         Http.sleep(14_000);
--- a/review/standin/review/StaleOrder.java
+++ b/review/standin/review/StaleOrder.java
@@ -29,12 +29,21 @@
         List<Engine> engines = new ArrayList<>();
         for (int index = 0; index < 3; index++) {
             engines.add(deployment.addServer(new Engine(
-                    record, deployment.store, "replica-" + index, "llm", 3_400, 8, 8, 30, "m0", "m1")));
+                    record,
+                    deployment.store,
+                    "replica-" + index,
+                    "llm",
+                    3_400,
+                    8,
+                    8,
+                    30,
+                    index < 2 ? "m0" : "m2",
+                    index < 2 ? "m1" : "m3")));
         }
         deployment.configure(
                 3,
                 List.of(Deployment.route("r", "/draft/", "streaming", "llm", 12_000, 2)),
-                List.of(Deployment.service("llm", Deployment.engine(2, ADAPTERS, 8, 3.4))),
+                List.of(Deployment.service("llm", Deployment.engine(4, ADAPTERS, 8, 3.4, 90_000))),
                 List.of("key-1"));
         Map<String, StoreFront> fronts = new HashMap<>();
         Map<String, List<Link>> links = new HashMap<>();
@@ -50,9 +59,15 @@
         }
         deployment.startEntries();
         AtomicBoolean ended = new AtomicBoolean();
-        for (int caller = 0; caller < 9; caller++) {
+        AtomicBoolean left = new AtomicBoolean();
+        for (int caller = 0; caller < 6; caller++) {
             int number = caller;
-            Http.daemon(() -> Drafts.call(deployment, number, ADAPTERS, ended));
+            Http.daemon(() -> Drafts.call(deployment, number, List.of("m0", "m1"), ADAPTERS, ended::get));
+        }
+        // The users of the third replica leave soon after the cut, so that its next holder has no order for it.
+        for (int caller = 6; caller < 10; caller++) {
+            int number = caller;
+            Http.daemon(() -> Drafts.call(deployment, number, List.of("m2", "m3"), ADAPTERS, left::get));
         }
         Http.sleep(8_000);
         List<Engine.Order> before = orders(engines);
@@ -66,7 +81,9 @@
             fronts.get(holder).setCut(true);
             links.get(holder).forEach(Link::cut);
         }
-        Http.sleep(CUT_MILLIS);
+        Http.sleep(800);
+        left.set(true);
+        Http.sleep(CUT_MILLIS - 800);
         links.get(holder).forEach(Link::heal);
         fronts.get(holder).setCut(false);
         long healed = record.millis();
@@ -74,7 +91,7 @@
         Http.sleep(8_000);
         ended.set(true);
         Http.sleep(500);
-        return judge(deployment, engines, healed);
+        return judge(deployment, engines, holder, healed);
     }
 
     static List<Engine.Order> orders(List<Engine> engines) {
@@ -84,11 +101,13 @@
         return all;
     }
 
-    private static int judge(Deployment deployment, List<Engine> engines, long healed) {
+    private static int judge(Deployment deployment, List<Engine> engines, String cutHolder, long healed) {
         boolean broken = false;
         Map<String, Engine.Order> highest = new HashMap<>();
+        long newestToken = 0;
         for (Engine.Order order : orders(engines)) {
             Engine.Order before = highest.get(order.engine());
+            newestToken = Math.max(newestToken, order.token());
             if (before != null && order.token() < before.token()) {
                 long afterHeal = order.millis() - healed;
                 boolean counts = afterHeal > THAW_SLACK_MILLIS;
@@ -99,7 +118,13 @@
                         order.engine(), order.holder(), order.token(), order.text(), order.millis(), afterHeal,
                         order.millis() - before.millis(), before.token(), before.holder(), order.status(),
                         counts ? "" : " (excused)");
-            } else if (before == null || order.token() > before.token()) {
+            } else if (order.holder().equals(cutHolder) && order.token() < newestToken) {
+                deployment.record.tell(
+                        "%s: order of %s (token %d, %s) at %d ms, %d ms after the cut; answered %d",
+                        order.engine(), order.holder(), order.token(), order.text(), order.millis(),
+                        order.millis() - healed, order.status());
+            }
+            if (before == null || order.token() > before.token()) {
                 highest.put(order.engine(), order);
             }
         }
