--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Needs the build of the deploy file and review/build.sh. TROUBLE=0 plays it without the cut.
+# Needs the build of the deploy file and review/build.sh. TROUBLE=0 plays it without the larger limit.
 set -euo pipefail
 here=$(cd "$(dirname "$0")" && pwd)
-exec java -Xmx128m -cp "$here/../target/classes" review.StaleOrder "$here/../.." "$here"
+exec java -Xmx128m -cp "$here/../target/classes" review.RevokedKey "$here/../.." "$here"
--- a/review/standin/review/Deployment.java
+++ b/review/standin/review/Deployment.java
@@ -157,9 +157,15 @@
 
     /** Writes a version of the configuration, as the operator does. */
     public void configure(long version, List<Object> routes, List<Object> services, List<String> keys) {
+        configure(version, routes, services, keys, 4_194_304);
+    }
+
+    /** Writes a version of the configuration with a limit on the bodies of requests. */
+    public void configure(
+            long version, List<Object> routes, List<Object> services, List<String> keys, long maximumBodyBytes) {
         Map<String, Object> limits = new LinkedHashMap<>();
         limits.put("max-header-bytes", 16384);
-        limits.put("max-body-bytes", 4194304);
+        limits.put("max-body-bytes", maximumBodyBytes);
         limits.put("header-timeout-ms", 6000);
         limits.put("idle-timeout-ms", 15000);
         Map<String, Object> tenant = new LinkedHashMap<>();
@@ -187,5 +193,13 @@
                 // It is closed already.
             }
         }
+        try (var files = Files.list(directory)) {
+            for (Path file : files.toList()) {
+                Files.deleteIfExists(file);
+            }
+            Files.deleteIfExists(directory);
+        } catch (IOException exception) {
+            // The temporary folder stays.
+        }
     }
 }
--- a/review/standin/review/Entry.java
+++ b/review/standin/review/Entry.java
@@ -159,6 +159,11 @@
     public void close() {
         if (process != null) {
             process.destroyForcibly();
+            try {
+                process.waitFor(2, TimeUnit.SECONDS);
+            } catch (InterruptedException exception) {
+                Thread.currentThread().interrupt();
+            }
         }
     }
 
