--- /dev/null
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/ConfigurationChangesTest.java
@@ -0,0 +1,67 @@
+package io.oleandermoor.gateway;
+
+import static io.oleandermoor.gateway.standin.EntryFixture.SAFE_PATH;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import io.oleandermoor.gateway.standin.EntryFixture;
+import io.oleandermoor.gateway.standin.InstanceStandIn.Behaviour;
+import java.time.Duration;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests a complete entry while the operators change the configuration. */
+class ConfigurationChangesTest {
+
+    private static final String OLD_KEY = "key-1";
+    private static final String NEW_KEY = "key-2";
+    /** Within this time a revoked key must be refused, and an entry must be ready after its start. */
+    private static final Duration REVOCATION = Duration.ofSeconds(5);
+
+    private EntryFixture entry;
+
+    @BeforeEach
+    void start() throws Exception {
+        entry = new EntryFixture();
+        entry.startInstance("i-1", "shop", Behaviour.ANSWER);
+        entry.awaitReady();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        entry.close();
+    }
+
+    private void awaitStatus(EntryFixture caller, String key, int status) {
+        await().atMost(REVOCATION)
+                .untilAsserted(() ->
+                        assertThat(caller.call(SAFE_PATH, key).statusCode()).isEqualTo(status));
+    }
+
+    @Nested
+    class WhenBoundExceedsAnInteger {
+
+        private static final long MAXIMUM_BODY_BYTES = 1L << 32;
+
+        /** Guards against a revoked key that stays in use, because the version that revokes it cannot be applied. */
+        @Test
+        void versionThatRevokesKeyIsInForce() throws Exception {
+            entry.configure(7, "\"" + NEW_KEY + "\"", MAXIMUM_BODY_BYTES);
+            awaitStatus(entry, OLD_KEY, 401);
+            assertThat(entry.call(SAFE_PATH, NEW_KEY).statusCode()).isEqualTo(200);
+            assertThat(entry.isReady()).isTrue();
+        }
+
+        /** Guards against an entry that never becomes ready after a restart. */
+        @Test
+        void entryThatStartsLaterIsReadyAndServes() throws Exception {
+            entry.configure(7, "\"" + NEW_KEY + "\"", MAXIMUM_BODY_BYTES);
+            try (EntryFixture started = entry.startPeer("entry-2")) {
+                awaitStatus(started, NEW_KEY, 200);
+                assertThat(started.call(SAFE_PATH, OLD_KEY).statusCode()).isEqualTo(401);
+            }
+        }
+    }
+}
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
@@ -37,6 +37,7 @@
     private static final int FIRST_PORT = 15_000;
 
     private static final int LAST_PORT = 32_000;
+    private static final long MAXIMUM_BODY_BYTES = 64 << 10;
     private static final int PORT_ATTEMPTS = 100;
     private static final String MODELS = "[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
 
@@ -125,6 +126,11 @@
 
     /** Writes a configuration to the store. */
     public void configure(int version, String keys) {
+        configure(version, keys, MAXIMUM_BODY_BYTES);
+    }
+
+    /** Writes a configuration with a limit on the size of bodies to the store. */
+    public void configure(int version, String keys, long maximumBodyBytes) {
         store.put(
                 "op/config",
                 "{\"version\":" + version + ",\"routes\":[" + route("stream", "streaming", "words", 5_000, true) + ","
@@ -132,7 +138,7 @@
                         + route("safe", "safe", "shop", 5_000, false)
                         + "],\"services\":[{\"name\":\"words\",\"engine\":{\"slots\":8,\"kv-capacity\":1000,"
                         + "\"models\":[{\"name\":\"m\",\"weights-mb\":1,\"load-time-s\":1}]}},{\"name\":\"shop\"}],"
-                        + "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":65536,"
+                        + "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":" + maximumBodyBytes + ","
                         + "\"header-timeout-ms\":6000,\"idle-timeout-ms\":15000},\"tenants\":[{\"name\":\"team-1\","
                         + "\"api-keys\":[" + keys + "]}]}");
     }
