Confirm the configuration in force only while it is the newest one in the store

What callers saw: a key that a newer version of the configuration took away stayed in use for good at every entry that could not apply that version, and such entries kept saying that they were ready.

Only a DecodeException marked the newest version as unreadable. Any other exception passed the mark by, and from then on each watch that ended without changes, and each full read, confirmed the version before as the newest one. The age of that confirmation is what decides whether keys are accepted. Class: a belief that is confirmed by the absence of news although the last news was not understood.

The list of instances and of entries has no confirmation.

The mark is now withdrawn before a version is tried, and set only if the version read is the one in force. Without it keys are refused within the revocation time, the entry says that it is not ready, and the next version that can be applied ends that.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -9,7 +9,6 @@
 import io.oleandermoor.platform.StoreItem;
 import io.oleandermoor.platform.StoreReadResult;
 import io.oleandermoor.platform.UpstreamInstanceDecoder;
-import io.oleandermoor.state.fleet.FleetDocument;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import java.util.HashSet;
 import java.util.Set;
@@ -23,8 +22,6 @@
 public final class FleetFollower {
 
     private static final Logger LOG = LogManager.getLogger(FleetFollower.class);
-    private static final String CONFIGURATION_PREFIX = "op/";
-    private static final String CONFIGURATION_KEY = "op/config";
     private static final String INSTANCE_PREFIX = "servers/";
     /** Interval of full reads, which find changes that a watch missed even if the store reports no loss of history. */
     private static final long RELIST_INTERVAL_MILLIS = 15_000;
@@ -58,7 +55,9 @@
     public static void start(EventLoop loop, StoreClient store, DeploymentView view, long drainMillis) {
         long batchDelayMillis = (long) (drainMillis * BATCH_DELAY_DRAIN_RATIO);
         FleetFollower follower = new FleetFollower(view);
-        new StoreFollower(loop, store, CONFIGURATION_PREFIX, CONFIGURATION_TIMING, follower.new ConfigurationListener())
+        ConfigurationListener configurationListener = new ConfigurationListener(view, FleetDocumentDecoder::decode);
+        new StoreFollower(
+                        loop, store, ConfigurationListener.KEY_PREFIX, CONFIGURATION_TIMING, configurationListener)
                 .start();
         StoreFollower.WatchTiming instanceTiming = new StoreFollower.WatchTiming(
                 INSTANCE_WATCH_TIMEOUT_MILLIS,
@@ -69,43 +68,6 @@
         new StoreFollower(loop, store, INSTANCE_PREFIX, instanceTiming, follower.new InstanceListener()).start();
     }
 
-    private final class ConfigurationListener implements StoreFollower.Listener {
-
-        private boolean latestReadable;
-
-        @Override
-        public void onSnapshot(StoreReadResult reading, Timestamp confirmedAt) {
-            onChanges(reading, confirmedAt);
-        }
-
-        @Override
-        public void onChanges(StoreReadResult reading, Timestamp confirmedAt) {
-            reading.items().stream()
-                    .filter(item -> item.key().equals(CONFIGURATION_KEY) && !item.removed())
-                    .forEach(this::applyConfiguration);
-            // An unreadable version may revoke a key, so no configuration is confirmed until a readable one arrives.
-            if (latestReadable) {
-                view.confirmDocument(confirmedAt);
-            }
-        }
-
-        private void applyConfiguration(StoreItem item) {
-            try {
-                FleetDocument document = FleetDocumentDecoder.decode(item.value());
-                latestReadable = true;
-                if (view.applyDocument(document)) {
-                    LOG.info("event=configuration version={} revision={}", document.version(), item.revision());
-                }
-            } catch (DecodeException exception) {
-                latestReadable = false;
-                LOG.error(
-                        "event=configuration_unreadable revision={} cause=\"{}\"",
-                        item.revision(),
-                        exception.getMessage());
-            }
-        }
-    }
-
     private final class InstanceListener implements StoreFollower.Listener {
 
         @Override
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/ConfigurationChangesTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/ConfigurationChangesTest.java
@@ -64,4 +64,19 @@
             }
         }
     }
+
+    @Nested
+    class WhenNewestVersionIsUnreadable {
+
+        /** Guards against a revoked key that stays in use, because the version before is confirmed as the newest. */
+        @Test
+        void noKeyIsAcceptedUntilReadableVersionArrives() throws Exception {
+            entry.store().put("op/config", "{\"version\":7,\"routes\":5}");
+            awaitStatus(entry, OLD_KEY, 503);
+            assertThat(entry.isReady()).isFalse();
+            entry.configure(8, "\"" + NEW_KEY + "\"");
+            awaitStatus(entry, NEW_KEY, 200);
+            assertThat(entry.call(SAFE_PATH, OLD_KEY).statusCode()).isEqualTo(401);
+        }
+    }
 }
