Deliver items again after a listener failed to apply them

What callers could see: what a watch reported while its listener failed was lost until the next full read, up to 15 s later: an instance that leaves still got requests, a version of the configuration was not in force.

Cause, found while walking the paths beside the revoked key: StoreFollower advanced its revision before it delivered the items, logged a failure of the listener and went on watching behind them. An error other than a stack overflow, such as a lack of memory, ended the follower for good, since the next request was scheduled after the delivery only. One entry of the list of instances whose handling fails kept all others, and the removals, from being applied, and an entry that starts from becoming ready. The failure of a change listener made a version that was in force unconfirmed.

After a failed delivery of any kind the next request is a full read, 0.8 s later. The handling of each instance is guarded by itself, and so is each change listener. No input is known that makes an instance's description fail so: DecodersTest tries all fields.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -138,6 +138,10 @@
                 LOG.warn("event=instance_unreadable revision={} cause=\"{}\"", item.revision(), exception.getMessage());
                 // An unreadable entry names no instance to use, even if an earlier version of it did.
                 removeInstance(instanceId(item));
+            } catch (RuntimeException cause) {
+                // One entry must not keep the others, and the removal of instances, from being applied.
+                LOG.error("event=instance_not_applied revision={}", item.revision(), cause);
+                removeInstance(instanceId(item));
             }
         }
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
@@ -22,13 +22,15 @@
     private static final Logger LOG = LogManager.getLogger(StoreFollower.class);
     private static final long INITIAL_BACKOFF_MILLIS = 100;
     private static final long MAXIMUM_BACKOFF_MILLIS = 800;
+    /** The revision before the first full read, which is followed by a full read. */
+    private static final long UNKNOWN_REVISION = -1;
 
     private final EventLoop loop;
     private final StoreClient store;
     private final String prefix;
     private final WatchTiming timing;
     private final Listener listener;
-    private long revision = -1;
+    private long revision = UNKNOWN_REVISION;
     private long consecutiveFailures;
     private long lastListMillis;
 
@@ -94,8 +96,7 @@
     private void handleList(StoreReadResult reading, Timestamp requestedAt) {
         resetFailures();
         revision = reading.storeRevision();
-        deliver(() -> listener.onSnapshot(reading, requestedAt));
-        scheduleNext(0);
+        deliver(() -> listener.onSnapshot(reading, requestedAt), 0);
     }
 
     private void handleChanges(StoreReadResult reading, Timestamp requestedAt) {
@@ -106,16 +107,23 @@
         for (StoreItem item : reading.items()) {
             revision = Math.max(revision, item.revision());
         }
-        deliver(() -> listener.onChanges(reading, confirmedAt(reading, requestedAt)));
-        scheduleNext(timing.batchDelayMillis().getAsLong());
+        deliver(
+                () -> listener.onChanges(reading, confirmedAt(reading, requestedAt)),
+                timing.batchDelayMillis().getAsLong());
     }
 
-    /** Keeps following the store if a listener fails; the next full read delivers all items again. */
-    private void deliver(Runnable delivery) {
+    /**
+     * Delivers items and schedules the next request. If the listener fails, it may have applied only a part of the
+     * items, and a watch would not deliver them again, so the next request is a full read.
+     */
+    private void deliver(Runnable delivery, long nextDelayMillis) {
         try {
             delivery.run();
-        } catch (RuntimeException | StackOverflowError cause) {
+            scheduleNext(nextDelayMillis);
+        } catch (RuntimeException | Error cause) {
             LOG.error("event=items_not_applied prefix={} revision={}", prefix, revision, cause);
+            revision = UNKNOWN_REVISION;
+            scheduleNext(MAXIMUM_BACKOFF_MILLIS);
         }
     }
 
@@ -139,7 +147,7 @@
     private void handleFailure(Throwable cause) {
         if (cause instanceof StoreStatusException exception && exception.historyCompacted()) {
             LOG.info("event=history_gone prefix={} revision={}", prefix, revision);
-            revision = -1;
+            revision = UNKNOWN_REVISION;
             scheduleNext(INITIAL_BACKOFF_MILLIS);
             return;
         }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
@@ -76,9 +76,15 @@
         changeListeners.add(listener);
     }
 
-    /** Runs all change listeners. */
+    /** Runs all change listeners. The failure of one affects neither the others nor the change, which has been made. */
     public void notifyChangeListeners() {
-        changeListeners.forEach(Runnable::run);
+        for (Runnable listener : changeListeners) {
+            try {
+                listener.run();
+            } catch (RuntimeException cause) {
+                LOG.error("event=change_listener_failed entry={}", entry, cause);
+            }
+        }
     }
 
     /** Puts a configuration in force if it is newer than the current one; returns whether it was. */
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/ConfigurationListenerTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/ConfigurationListenerTest.java
@@ -83,6 +83,16 @@
             assertThat(view.confirmationAgeMillis()).isLessThan(OLD_MILLIS);
         }
 
+        /** Guards against refusing all keys because something that uses the configuration fails when it changes. */
+        @Test
+        void failureOfChangeListenerDoesNotPreventConfirmation() {
+            view.addChangeListener(() -> {
+                throw new IllegalStateException("the listener fails");
+            });
+            listener.onChanges(reading(document(7)), Timestamp.now());
+            assertThat(view.confirmationAgeMillis()).isLessThan(OLD_MILLIS);
+        }
+
         @Test
         void laterReadableVersionIsConfirmedAfterUnreadableOne() {
             listener.onChanges(reading("{", document(7)), Timestamp.now());
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/StoreFollowerTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/StoreFollowerTest.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.ConcurrentSkipListSet;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -68,6 +69,14 @@
         awaitValue("unheard");
     }
 
+    /** Guards against a change that is lost until the next full read, because the listener failed to apply it once. */
+    @Test
+    void deliversItemsAgainAfterListenerFails() {
+        store.put("a/2", RecordingListener.FAILING_VALUE);
+        awaitValue(RecordingListener.FAILING_VALUE);
+        assertThat(listener.failures).as("failed deliveries").hasValue(1);
+    }
+
     /** Guards against a confirmed state that counts as older than it is, which doubles the requests to the store. */
     @Test
     void watchWithoutChangesConfirmsStateAtItsTimeout() {
@@ -81,7 +90,11 @@
      */
     private static final class RecordingListener implements StoreFollower.Listener {
 
+        /** A value at whose first delivery the listener fails. */
+        private static final String FAILING_VALUE = "failing";
+
         private final Set<String> values = new ConcurrentSkipListSet<>();
+        private final AtomicInteger failures = new AtomicInteger();
         private final List<Long> emptyWatchDelays = new CopyOnWriteArrayList<>();
         private long receivedMillis = Timestamp.monotonicNowMillis();
 
@@ -97,7 +110,11 @@
             }
             receivedMillis = Timestamp.monotonicNowMillis();
             for (StoreItem item : reading.items()) {
-                values.add(new String(item.value(), StandardCharsets.UTF_8));
+                String value = new String(item.value(), StandardCharsets.UTF_8);
+                if (value.equals(FAILING_VALUE) && failures.compareAndSet(0, 1)) {
+                    throw new IllegalStateException("the first delivery fails");
+                }
+                values.add(value);
             }
         }
     }
