Read all items anew when the changes that a watch returns cannot be taken in

Cause: a watch returns each missed version in full. Beyond 4 MiB the answer failed, was taken for a lost connection, and the same watch was requested again from the same revision, which could only grow. Class: a failure that repeats because the request that causes it is repeated unchanged. An answer that exceeds no limit but takes longer than the watch's time on a narrow link is the same.

The client tells an answer that cannot be used from a connection that was lost. After such an answer, and after any second failure in a row, the follower reads all items, of which each comes once.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
@@ -2,10 +2,12 @@
 
 import io.netty.channel.EventLoop;
 import io.oleandermoor.gateway.view.Timestamp;
+import io.oleandermoor.platform.DecodeException;
 import io.oleandermoor.platform.StoreClient;
 import io.oleandermoor.platform.StoreItem;
 import io.oleandermoor.platform.StoreReadResult;
 import io.oleandermoor.platform.StoreStatusException;
+import io.oleandermoor.platform.UnusableResponseException;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
@@ -154,6 +156,11 @@
         if (consecutiveFailures == 0) {
             LOG.warn("event=store_lost prefix={} revision={} cause=\"{}\"", prefix, revision, cause.getMessage());
         }
+        // What is too large, or too slow on this link, is so again when the same changes are requested, whereas a full
+        // read returns each item once.
+        if (cause instanceof UnusableResponseException || cause instanceof DecodeException || consecutiveFailures > 0) {
+            revision = UNKNOWN_REVISION;
+        }
         long backoffMillis =
                 Math.min(MAXIMUM_BACKOFF_MILLIS, INITIAL_BACKOFF_MILLIS << Math.min(consecutiveFailures, 3));
         consecutiveFailures++;
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/StoreFollowerTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/StoreFollowerTest.java
@@ -77,6 +77,18 @@
         assertThat(listener.failures).as("failed deliveries").hasValue(1);
     }
 
+    /** Guards against a follower that stays behind, because it requests changes again that exceed what it can take. */
+    @Test
+    void readsAllItemsWhenChangesAreTooLarge() {
+        store.setUnavailable(true);
+        String large = "x".repeat(1 << 20);
+        for (int change = 0; change < 5; change++) {
+            store.put("a/1", large + change);
+        }
+        store.setUnavailable(false);
+        awaitValue(large + 4);
+    }
+
     /** Guards against a confirmed state that counts as older than it is, which doubles the requests to the store. */
     @Test
     void watchWithoutChangesConfirmsStateAtItsTimeout() {
