Apply changed limits on requests to open connections

What callers could see: after a version that raises max-body-bytes, requests on connections that had been opened before got 413 for as long as the connection was kept; after one that lowers it they were still accepted.

Cause, found while walking the other uses of the limits: a connection took the limits that were in force when it was opened. The time-outs are read at each check and were right.

A handler before the aggregator looks at the limits when a request begins, replaces the aggregator if the limit on bodies has changed, and refuses a head that is too large. The decoder itself keeps a bound of its own, of 64 KiB to 1 MiB, so that a head limit may be raised up to 64 KiB on an open connection.

Measured: ConfigurationChangesTest.WhenLimitOnBodiesChanges failed before (413 in place of 200) and passes. The limit on heads has no test of its own.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
@@ -10,7 +10,6 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpServerCodec;
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.state.fleet.CallerLimits;
@@ -27,6 +26,10 @@
 
     private static final int MAXIMUM_REQUEST_LINE_BYTES = 8 << 10;
     private static final int MAXIMUM_CHUNK_BYTES = 64 << 10;
+    /** Header size that the decoder of a connection accepts if the configured limit is lower, as that may be raised. */
+    private static final int MINIMUM_HEADER_BUFFER_BYTES = 64 << 10;
+    /** Header size that the decoder accepts at most, since it is kept for each connection. */
+    private static final int MAXIMUM_HEADER_BUFFER_BYTES = 1 << 20;
     private static final int MAXIMUM_PENDING_CONNECTIONS = 1_024;
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 500;
     /** Limits that apply until the first configuration is known. */
@@ -74,7 +77,8 @@
     }
 
     private void configurePipeline(SocketChannel channel) {
-        CallerLimits limits = limits();
+        int maximumHeaderBytes =
+                Math.max(MINIMUM_HEADER_BUFFER_BYTES, Math.min(MAXIMUM_HEADER_BUFFER_BYTES, limits().maximumHeaderBytes()));
         CallerConnection connection = new CallerConnection(this, admission);
         channel.pipeline()
                 .addLast(new ChannelInboundHandlerAdapter() {
@@ -86,9 +90,8 @@
                         context.fireChannelRead(message);
                     }
                 })
-                .addLast(new HttpServerCodec(
-                        MAXIMUM_REQUEST_LINE_BYTES, limits.maximumHeaderBytes(), MAXIMUM_CHUNK_BYTES))
-                .addLast(new HttpObjectAggregator(limits.maximumBodyBytes(), true))
+                .addLast(new HttpServerCodec(MAXIMUM_REQUEST_LINE_BYTES, maximumHeaderBytes, MAXIMUM_CHUNK_BYTES))
+                .addLast(new RequestLimitHandler(this::limits))
                 .addLast(connection);
     }
 
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/ConfigurationChangesTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/ConfigurationChangesTest.java
@@ -6,6 +6,9 @@
 
 import io.oleandermoor.gateway.standin.EntryFixture;
 import io.oleandermoor.gateway.standin.InstanceStandIn.Behaviour;
+import java.io.IOException;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -65,6 +68,41 @@
         }
     }
 
+    @Nested
+    class WhenLimitOnBodiesChanges {
+
+        private static final int LARGE_BODY_BYTES = 100 << 10;
+
+        private String post(Socket socket, int bodyBytes) throws IOException {
+            String head = "POST " + SAFE_PATH + " HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: c-" + bodyBytes
+                    + "\r\nAuthorization: Token " + OLD_KEY + "\r\nContent-Length: " + bodyBytes + "\r\n\r\n";
+            socket.getOutputStream().write((head + "x".repeat(bodyBytes)).getBytes(StandardCharsets.US_ASCII));
+            byte[] status = socket.getInputStream().readNBytes("HTTP/1.1 200".length());
+            socket.getInputStream().skipNBytes(socket.getInputStream().available());
+            return new String(status, StandardCharsets.US_ASCII);
+        }
+
+        /** Guards against a limit of an older version that stays in force for connections that are kept open. */
+        @Test
+        void newLimitAppliesToOpenConnection() throws Exception {
+            try (Socket raised = new Socket("127.0.0.1", entry.callerPort());
+                    Socket lowered = new Socket("127.0.0.1", entry.callerPort())) {
+                assertThat(post(raised, 1)).endsWith("200");
+                assertThat(post(lowered, 1)).endsWith("200");
+                entry.configure(7, "\"" + OLD_KEY + "\"", 2 * LARGE_BODY_BYTES);
+                awaitPolls();
+                assertThat(post(raised, LARGE_BODY_BYTES)).endsWith("200");
+                entry.configure(8, "\"" + OLD_KEY + "\"", 10);
+                awaitPolls();
+                assertThat(post(lowered, 11)).endsWith("413");
+            }
+        }
+
+        private void awaitPolls() {
+            await().pollDelay(Duration.ofMillis(500)).until(() -> true);
+        }
+    }
+
     @Nested
     class WhenNewestVersionIsUnreadable {
 
