Bound the memory of all request bodies together

Bookings of other callers, some of which had run, got no answer. A limit of 4 GiB, which entries apply now, would have let one caller do the same.

Cause: each body is kept whole until its request ends, in direct memory, and only each by itself was bounded, by the operators' limit. At the limit of the direct memory each allocation sleeps for up to half a second on the only event loop before it fails.

All bodies together are bounded by 64 MiB, half of the direct memory that the deploy file now gives. A body that exceeds it is refused with 503 at once, as not run, and its rest discarded; one of up to 16 KiB is always accepted. Parts of a body are copied into buffers of their size, because a part otherwise keeps the larger buffer that it was received with. The digest of a repeated request reads the parts one by one in place of a copy of the whole body on the heap.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
@@ -32,6 +32,8 @@
     private static final int MAXIMUM_PIPELINED_REQUESTS = 16;
 
     private static final int BAD_REQUEST = 400;
+    private static final int SERVICE_UNAVAILABLE = 503;
+    private static final long UNAVAILABLE_RETRY_AFTER_MILLIS = 1_000;
 
     private final CallerServer server;
     private final Admission admission;
@@ -44,6 +46,11 @@
     private boolean closing;
     private long idleSinceMillis = Timestamp.monotonicNowMillis();
     private long receivingSinceMillis = -1;
+    /** The size of the body that is being received. */
+    private long receivingBodyBytes;
+    /** The size of the bodies of all requests that have been received and not been answered. */
+    private long unansweredBodyBytes;
+    private long currentBodyBytes;
 
     CallerConnection(CallerServer server, Admission admission) {
         this.server = server;
@@ -83,6 +90,47 @@
         }
     }
 
+    /** Releases what was received of a body that was not completed. */
+    void beginBody() {
+        server.bodies().release(receivingBodyBytes);
+        receivingBodyBytes = 0;
+    }
+
+    /** Returns the size of the body that is being received, as far as it has arrived. */
+    long receivingBodyBytes() {
+        return receivingBodyBytes;
+    }
+
+    /** Reserves memory for a part of the body that is being received. Returns whether there is enough. */
+    boolean reserveBody(int bytes) {
+        if (!server.bodies().tryReserve(bytes, receivingBodyBytes + bytes)) {
+            return false;
+        }
+        receivingBodyBytes += bytes;
+        return true;
+    }
+
+    /**
+     * Refuses the request that is being received, and closes the connection after the rest of it has been discarded. If
+     * a response to an earlier request is due, the connection closes after that response instead.
+     */
+    void refuseUnread() {
+        server.logRefusedBody(receivingBodyBytes);
+        closing = true;
+        if (!responding) {
+            writeFullResponse(
+                    SERVICE_UNAVAILABLE,
+                    ResponseWriter.retryAfterHeaders(UNAVAILABLE_RETRY_AFTER_MILLIS),
+                    Unpooled.EMPTY_BUFFER);
+        }
+    }
+
+    /** Records that the rest of a refused request has been discarded. */
+    void unreadDiscarded() {
+        receivingSinceMillis = -1;
+        closeWhenIdle();
+    }
+
     /** Returns whether a request has been received in part. */
     boolean isReceiving() {
         return receivingSinceMillis >= 0;
@@ -114,6 +162,8 @@
             rejectMalformed(handlerContext);
             return;
         }
+        unansweredBodyBytes += receivingBodyBytes;
+        receivingBodyBytes = 0;
         pendingRequests.addLast(request);
         if (pendingRequests.size() >= MAXIMUM_PIPELINED_REQUESTS) {
             handlerContext.channel().config().setAutoRead(false);
@@ -148,6 +198,7 @@
             currentContext.channel().config().setAutoRead(true);
         }
         responding = true;
+        currentBodyBytes = request.content().readableBytes();
         streamStarted = false;
         keepAlive = HttpUtil.isKeepAlive(request);
         RequestExchange admitted = admission.admit(request, this).orElse(null);
@@ -185,12 +236,16 @@
 
     @Override
     public void writeResponse(int status, HttpHeaders headers, ByteBuf body) {
+        writeFullResponse(status, headers, body);
+        responseCompleted();
+    }
+
+    private void writeFullResponse(int status, HttpHeaders headers, ByteBuf body) {
         DefaultFullHttpResponse response = new DefaultFullHttpResponse(
                 HttpVersion.HTTP_1_1, HttpResponseStatus.valueOf(status), body, headers, EmptyHttpHeaders.INSTANCE);
         response.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.readableBytes());
         setConnectionHeader(response.headers());
         write(response, true);
-        responseCompleted();
     }
 
     @Override
@@ -232,6 +287,9 @@
     private void responseCompleted() {
         exchange = null;
         responding = false;
+        server.bodies().release(currentBodyBytes);
+        unansweredBodyBytes -= currentBodyBytes;
+        currentBodyBytes = 0;
         idleSinceMillis = Timestamp.monotonicNowMillis();
         ChannelHandlerContext currentContext = context;
         if (currentContext == null) {
@@ -263,6 +321,10 @@
         server.connectionClosed(this);
         pendingRequests.forEach(ReferenceCountUtil::release);
         pendingRequests.clear();
+        server.bodies().release(receivingBodyBytes + unansweredBodyBytes);
+        receivingBodyBytes = 0;
+        unansweredBodyBytes = 0;
+        currentBodyBytes = 0;
         RequestExchange current = exchange;
         exchange = null;
         if (current != null) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
@@ -38,6 +38,7 @@
     private final EventLoop loop;
     private final RequestDispatcher dispatcher;
     private final Admission admission;
+    private final RequestBodyBudget bodies = new RequestBodyBudget();
     private final Set<CallerConnection> connections = new HashSet<>();
     private @Nullable Channel serverChannel;
 
@@ -91,7 +92,7 @@
                     }
                 })
                 .addLast(new HttpServerCodec(MAXIMUM_REQUEST_LINE_BYTES, maximumHeaderBytes, MAXIMUM_CHUNK_BYTES))
-                .addLast(new RequestLimitHandler(this::limits))
+                .addLast(new RequestLimitHandler(this::limits, connection))
                 .addLast(connection);
     }
 
@@ -129,6 +130,17 @@
         new ArrayList<>(connections).forEach(CallerConnection::closeNow);
     }
 
+    RequestBodyBudget bodies() {
+        return bodies;
+    }
+
+    /** Logs that a body was refused because no memory is left for it. */
+    void logRefusedBody(long receivedBytes) {
+        dispatcher
+                .eventLog()
+                .log("body_refused", "received_bytes={} all_bodies_bytes={}", receivedBytes, bodies.reservedBytes());
+    }
+
     boolean isStopping() {
         return dispatcher.view().isStopping();
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/InstanceRequests.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/InstanceRequests.java
@@ -8,6 +8,7 @@
 import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import io.oleandermoor.state.quarantine.RequestTraits;
+import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.security.MessageDigest;
 import java.security.NoSuchAlgorithmException;
@@ -42,7 +43,9 @@
                 request.uri(),
                 "");
         digest.update(head.getBytes(StandardCharsets.UTF_8));
-        digest.update(request.content().nioBuffer());
+        for (ByteBuffer part : request.content().nioBuffers()) {
+            digest.update(part);
+        }
         return HexFormat.of().formatHex(digest.digest());
     }
 
--- /dev/null
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestBodyBudget.java
@@ -0,0 +1,43 @@
+package io.oleandermoor.gateway.request;
+
+/**
+ * Bounds the memory for the bodies of requests that are being received, queued or run, over all connections. Not
+ * thread-safe.
+ */
+final class RequestBodyBudget {
+
+    /** Half of the direct memory of an entry; the rest is for partly used buffers and for what is sent. */
+    private static final long MAXIMUM_BYTES = 64 << 20;
+    /**
+     * Size up to which a body is accepted even beyond that maximum, so that large bodies do not affect the requests of
+     * other callers.
+     */
+    private static final long GUARANTEED_BODY_BYTES = 16 << 10;
+
+    private long reservedBytes;
+
+    /**
+     * Reserves memory for a part of a body.
+     *
+     * @param bytes the size of the part
+     * @param bodyBytes the size of the body up to and including the part
+     * @return whether the part may be kept; if not, nothing is reserved
+     */
+    boolean tryReserve(long bytes, long bodyBytes) {
+        if (reservedBytes + bytes > MAXIMUM_BYTES && bodyBytes > GUARANTEED_BODY_BYTES) {
+            return false;
+        }
+        reservedBytes += bytes;
+        return true;
+    }
+
+    /** Releases memory that was reserved. */
+    void release(long bytes) {
+        reservedBytes -= bytes;
+    }
+
+    /** Returns the reserved memory in bytes. */
+    long reservedBytes() {
+        return reservedBytes;
+    }
+}
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestLimitHandler.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestLimitHandler.java
@@ -1,19 +1,23 @@
 package io.oleandermoor.gateway.request;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
 import io.oleandermoor.state.fleet.CallerLimits;
 import java.util.Map;
 import java.util.function.Supplier;
 
 /**
- * Applies the limits that are in force when a request begins, although its connection may have been opened under others.
- * Precedes the aggregator of the request body, which it installs. Used on the event loop only.
+ * Applies the limits that are in force when a request begins, although its connection may have been opened under others,
+ * and refuses bodies for which no memory is left. Precedes the aggregator of the request body, which it installs. Used
+ * on the event loop only.
  */
 final class RequestLimitHandler extends ChannelInboundHandlerAdapter {
 
@@ -21,10 +25,13 @@
     private static final int HEADER_SEPARATOR_BYTES = 4;
 
     private final Supplier<CallerLimits> limits;
+    private final CallerConnection connection;
     private HttpObjectAggregator aggregator;
+    private boolean refused;
 
-    RequestLimitHandler(Supplier<CallerLimits> limits) {
+    RequestLimitHandler(Supplier<CallerLimits> limits, CallerConnection connection) {
         this.limits = limits;
+        this.connection = connection;
         this.aggregator = newAggregator(limits.get());
     }
 
@@ -40,9 +47,43 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpRequest request) {
+            connection.beginBody();
             applyLimits(context, request);
         }
-        context.fireChannelRead(message);
+        if (message instanceof HttpContent content) {
+            handleContent(context, content);
+        } else {
+            context.fireChannelRead(message);
+        }
+    }
+
+    private void handleContent(ChannelHandlerContext context, HttpContent content) {
+        if (!refused && !connection.reserveBody(content.content().readableBytes())) {
+            refused = true;
+            connection.refuseUnread();
+        }
+        if (!refused) {
+            context.fireChannelRead(isCompleteBody(content) ? content : compact(context, content));
+            return;
+        }
+        content.release();
+        if (content instanceof LastHttpContent) {
+            connection.unreadDiscarded();
+        }
+    }
+
+    private boolean isCompleteBody(HttpContent content) {
+        return content instanceof LastHttpContent
+                && connection.receivingBodyBytes() == content.content().readableBytes();
+    }
+
+    /** Copies a part of a body, which otherwise keeps the larger buffer that it was received with. */
+    private static HttpContent compact(ChannelHandlerContext context, HttpContent content) {
+        ByteBuf part = content.content();
+        HttpContent copy = content.replace(
+                context.alloc().buffer(part.readableBytes(), part.readableBytes()).writeBytes(part));
+        content.release();
+        return copy;
     }
 
     private void applyLimits(ChannelHandlerContext context, HttpRequest request) {
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
@@ -14,6 +14,7 @@
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -218,6 +219,10 @@
 
         /** Exceeds the sum of the send buffers of both connections, which the operating system may enlarge. */
         private static final long MAXIMUM_BUFFERED_BYTES = 32L << 20;
+        /** The bound on the bodies of all requests together. */
+        private static final int MAXIMUM_BODIES_BYTES = 64 << 20;
+
+        private static final int LARGE_BODY_BYTES = 1 << 20;
 
         /** Guards against buffering a response without limit for a caller that stops reading. */
         @Test
@@ -244,6 +249,38 @@
             socket.getInputStream().skipNBytes(bytes / 2);
         }
 
+        /**
+         * Guards against an event loop that stops, and requests of all callers that get no answer, because the bodies of
+         * many requests together exceed the memory of the process.
+         */
+        @Test
+        void bodiesBeyondTheirCommonBoundAreRefused() throws Exception {
+            entry.startInstance("i-1", "shop", Behaviour.ANSWER);
+            entry.awaitReady();
+            entry.configure(7, "\"key-1\"", 2 * LARGE_BODY_BYTES);
+            awaitInstances();
+            byte[] head = ("POST " + SAFE_PATH + " HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: large\r\n"
+                            + "Authorization: Token key-1\r\nContent-Length: " + (LARGE_BODY_BYTES + 1) + "\r\n\r\n")
+                    .getBytes(StandardCharsets.US_ASCII);
+            List<Socket> sockets = new ArrayList<>();
+            for (int caller = 0; caller < MAXIMUM_BODIES_BYTES / LARGE_BODY_BYTES + 8; caller++) {
+                Socket socket = new Socket("127.0.0.1", entry.callerPort());
+                sockets.add(socket);
+                socket.getOutputStream().write(head);
+                socket.getOutputStream().write(new byte[LARGE_BODY_BYTES]);
+            }
+            assertThat(entry.call(SAFE_PATH, "key-1").statusCode()).isEqualTo(200);
+            Socket last = sockets.get(sockets.size() - 1);
+            last.setSoTimeout(4_000);
+            assertThat(new String(last.getInputStream().readNBytes(12), StandardCharsets.US_ASCII))
+                    .isEqualTo("HTTP/1.1 503");
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+            await().atMost(Duration.ofSeconds(5))
+                    .until(() -> entry.call(SAFE_PATH, "key-1", "", "x".repeat(LARGE_BODY_BYTES)).statusCode() == 200);
+        }
+
         /**
          * Guards against cutting off a partially received request because no other request is in flight at shutdown.
          */
