Bound the incomplete events of all streams together

Report of other operators: a faulty replica sent bytes that were no answer, without end, in a head or in a body; the machine that had called it kept them all and ran out of memory, and the requests of other clients ended with it.

Looked for here, each with a test on a complete entry: heads, interim answers, answers to others, plain bodies without end and empty lines before an answer end the attempt (they did before; empty lines are new in the test). Each read also searched the whole event again.

Incomplete events now count towards the 16 MiB of all buffered answers, and one may have 256 KiB. What has been searched is not searched again, and nothing is copied before an event is complete. An answer or event of up to 16 KiB is kept even when the total is used up, so that a faulty instance doesn't fail the answers of sound ones.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -36,8 +36,13 @@
     /** Maximum interval between dispatches of queued requests; released capacity triggers a dispatch immediately. */
     private static final long DISPATCH_INTERVAL_MILLIS = 25;
 
-    /** Maximum size of all unary responses that are buffered until they are complete: a sixth of the heap. */
+    /** Maximum size of all unary responses and stream events that are buffered until complete: a sixth of the heap. */
     private static final long MAXIMUM_BUFFERED_BYTES = 16 << 20;
+    /**
+     * Size up to which each of them is buffered even beyond that maximum, so that a faulty instance, which can reach it,
+     * does not affect the responses of the others.
+     */
+    private static final long GUARANTEED_BUFFER_BYTES = 16 << 10;
 
     private final EventLoop loop;
     private final DeploymentView view;
@@ -314,14 +319,15 @@
     }
 
     /**
-     * Counts bytes of responses that are buffered until the response is complete.
+     * Counts bytes that are buffered until a response or a stream event is complete.
      *
      * @param bytes the number of bytes added, or a negative number if they are released
-     * @return whether the total is within the limit
+     * @param totalBytes the resulting size of the response or event
+     * @return whether the response or event may be buffered
      */
-    boolean addBufferedBytes(long bytes) {
+    boolean addBufferedBytes(long bytes, long totalBytes) {
         bufferedBytes += bytes;
-        return bufferedBytes <= MAXIMUM_BUFFERED_BYTES;
+        return bufferedBytes <= MAXIMUM_BUFFERED_BYTES || totalBytes <= GUARANTEED_BUFFER_BYTES;
     }
 
     long nextSequenceNumber() {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ResumableEventStream.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ResumableEventStream.java
@@ -12,12 +12,14 @@
 
     private static final byte[] ID_FIELD = "id:".getBytes(StandardCharsets.US_ASCII);
     private static final byte COMMENT = ':';
-    private static final int MAXIMUM_EVENT_BYTES = 1 << 20;
+    private static final int MAXIMUM_EVENT_BYTES = 256 << 10;
 
     private final ByteBuf buffer = Unpooled.buffer(256);
     private long lastEventId;
     private boolean resuming;
     private boolean foreignEventSeen;
+    /** The index before which the buffer contains no end of an event. */
+    private int searchedIndex;
 
     /**
      * Creates a stream that has received no bytes.
@@ -40,6 +42,7 @@
     /** Resumes at another instance: discards the incomplete event. */
     void resume() {
         buffer.clear();
+        searchedIndex = 0;
         resuming = lastEventId >= 0;
         foreignEventSeen = false;
     }
@@ -49,6 +52,11 @@
         return foreignEventSeen;
     }
 
+    /** Returns the size of the incomplete event, which is kept until it is complete. */
+    int incompleteBytes() {
+        return buffer.readableBytes();
+    }
+
     /** Returns whether the incomplete event exceeds the maximum size. */
     boolean isEventTooLarge() {
         return buffer.readableBytes() > MAXIMUM_EVENT_BYTES;
@@ -57,8 +65,8 @@
     /** Appends bytes and returns the events that are now complete and were not delivered before. */
     ByteBuf takeNewEvents(ByteBuf bytes) {
         buffer.writeBytes(bytes);
-        ByteBuf newEvents = Unpooled.buffer(buffer.readableBytes());
         int end = findEventEnd();
+        ByteBuf newEvents = end < 0 ? Unpooled.EMPTY_BUFFER : Unpooled.buffer(buffer.readableBytes());
         while (end >= 0) {
             long id = parseEventId(buffer.readerIndex(), end);
             boolean comment = buffer.getByte(buffer.readerIndex()) == COMMENT;
@@ -74,13 +82,15 @@
             buffer.readerIndex(end);
             end = findEventEnd();
         }
+        searchedIndex -= buffer.readerIndex();
         buffer.discardReadBytes();
         return newEvents;
     }
 
     /** Returns the index after the empty line that ends the next event, or -1 if the event is incomplete. */
     private int findEventEnd() {
-        for (int index = buffer.readerIndex(); index < buffer.writerIndex() - 1; index++) {
+        int from = Math.max(searchedIndex, buffer.readerIndex());
+        for (int index = from; index < buffer.writerIndex() - 1; index++) {
             if (buffer.getByte(index) == '\n') {
                 byte next = buffer.getByte(index + 1);
                 if (next == '\n') {
@@ -91,6 +101,8 @@
                 }
             }
         }
+        // The last two bytes may be the beginning of an empty line.
+        searchedIndex = Math.max(from, buffer.writerIndex() - 2);
         return -1;
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -31,6 +31,7 @@
     private @Nullable ResponseHead responseHead;
     private @Nullable HttpHeaders responseHeaders;
     private @Nullable ByteBuf body;
+    private int incompleteEventBytes;
     private boolean counted;
     private long unreadPromptTokens;
     private final int loadAtSend;
@@ -88,6 +89,7 @@
             });
             target().ifPresent(target -> exchange.dispatcher().changeRunning(target, -1));
         }
+        countIncompleteEvent(0);
         detachBody().release();
     }
 
@@ -214,13 +216,12 @@
         markPromptRead();
         if (body != null) {
             exchange.dispatcher().silenceDetector().recordActivity(instance.id());
-            if (!exchange.dispatcher().addBufferedBytes(content.readableBytes())
-                    || body.readableBytes() + content.readableBytes() > MAXIMUM_BUFFERED_BODY_BYTES) {
-                body.writeBytes(content);
+            int addedBytes = content.readableBytes();
+            body.writeBytes(content);
+            if (!exchange.dispatcher().addBufferedBytes(addedBytes, body.readableBytes())
+                    || body.readableBytes() > MAXIMUM_BUFFERED_BODY_BYTES) {
                 fail("answer_too_large");
-                return;
             }
-            body.writeBytes(content);
             return;
         }
         exchange.stream().ifPresent(events -> {
@@ -243,7 +244,7 @@
             } else {
                 newEvents.release();
             }
-            if (events.isEventTooLarge()) {
+            if (!countIncompleteEvent(events.incompleteBytes()) || events.isEventTooLarge()) {
                 fail("event_too_large");
             } else if (events.isForeignEventSeen()) {
                 fail("foreign_event");
@@ -251,6 +252,13 @@
         });
     }
 
+    /** Counts the bytes of the incomplete event as buffered. Returns whether it may be buffered. */
+    private boolean countIncompleteEvent(int bytes) {
+        int addedBytes = bytes - incompleteEventBytes;
+        incompleteEventBytes = bytes;
+        return exchange.dispatcher().addBufferedBytes(addedBytes, bytes);
+    }
+
     @Override
     public void onComplete() {
         if (!exchange.isCurrentAttempt(this)) {
@@ -289,7 +297,7 @@
     private ByteBuf detachBody() {
         ByteBuf detached = body == null ? Unpooled.EMPTY_BUFFER : body;
         body = null;
-        exchange.dispatcher().addBufferedBytes(-detached.readableBytes());
+        exchange.dispatcher().addBufferedBytes(-detached.readableBytes(), 0);
         return detached;
     }
 
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
@@ -6,6 +6,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.awaitility.Awaitility.await;
 
+import io.netty.buffer.UnpooledByteBufAllocator;
 import io.oleandermoor.gateway.standin.EntryFixture;
 import io.oleandermoor.gateway.standin.InstanceStandIn;
 import io.oleandermoor.gateway.standin.InstanceStandIn.Behaviour;
@@ -16,6 +17,9 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -28,6 +32,11 @@
 class MisbehavingPeersTest {
 
     private static final List<String> ALL_EVENTS = List.of("id: 1", "id: 2", "id: 3", "id: 4", "id: 5");
+    private static final int MANY_STREAMS = 150;
+    /** Twice the bound on incomplete events, since buffers grow by doubling, and some for what is on its way. */
+    private static final long MAXIMUM_BUFFER_BYTES = (2 * 16 + 4) << 20;
+
+    private final ExecutorService callers = Executors.newCachedThreadPool();
 
     private EntryFixture entry;
 
@@ -38,6 +47,7 @@
 
     @AfterEach
     void stop() throws Exception {
+        callers.shutdownNow();
         entry.close();
     }
 
@@ -61,7 +71,7 @@
         @ParameterizedTest
         @EnumSource(
                 value = Behaviour.class,
-                names = {"ENDLESS_INTERIM", "ENDLESS_HEAD", "ENDLESS_FOREIGN", "ENDLESS_BODY"})
+                names = {"ENDLESS_INTERIM", "ENDLESS_HEAD", "ENDLESS_FOREIGN", "ENDLESS_BODY", "ENDLESS_BLANK"})
         void endlessResponseIsAbandonedForAnotherInstance(Behaviour behaviour) throws Exception {
             InstanceStandIn faulty = entry.startInstance("i-1", "shop", behaviour);
             entry.awaitReady();
@@ -77,6 +87,50 @@
                     .isEqualTo(writtenBefore);
         }
 
+        /**
+         * Guards against a process that runs out of memory, and loses the requests of all callers, because it keeps the
+         * incomplete events of a faulty instance.
+         */
+        @ParameterizedTest
+        @ValueSource(ints = {200 << 10, 1_000 << 10})
+        void incompleteEventsOfManyStreamsAreBoundedTogether(int eventBytes) throws Exception {
+            InstanceStandIn faulty = entry.startInstance("i-1", "words", Behaviour.PARTIAL_EVENT);
+            faulty.setPartialBytes(eventBytes);
+            entry.store().put("servers/i-1", manySlots(faulty.registration("words", "ready", EntryFixture.MODELS)));
+            entry.startInstance("i-2", "shop", Behaviour.ANSWER);
+            entry.awaitReady();
+            awaitInstances();
+            long usedBefore = usedBufferBytes();
+            List<CompletableFuture<?>> calls = new ArrayList<>();
+            for (int request = 0; request < MANY_STREAMS; request++) {
+                calls.add(CompletableFuture.supplyAsync(() -> callQuietly(STREAM_PATH), callers));
+            }
+            long maximumUsed = 0;
+            while (calls.stream().anyMatch(call -> !call.isDone())) {
+                maximumUsed = Math.max(maximumUsed, usedBufferBytes() - usedBefore);
+                assertThat(entry.call(SAFE_PATH, "key-1").statusCode()).isEqualTo(200);
+            }
+            assertThat(faulty.receivedRequests()).isNotEmpty();
+            assertThat(maximumUsed).as("bytes in buffers").isLessThan(MAXIMUM_BUFFER_BYTES);
+        }
+
+        private int callQuietly(String path) {
+            try {
+                return entry.call(path, "key-1").statusCode();
+            } catch (Exception exception) {
+                // The entry ends the stream without its last chunk.
+                return 0;
+            }
+        }
+
+        private String manySlots(String registration) {
+            return registration.replace("\"slots\":8", "\"slots\":" + 2 * MANY_STREAMS);
+        }
+
+        private long usedBufferBytes() {
+            return UnpooledByteBufAllocator.DEFAULT.metric().usedHeapMemory();
+        }
+
         /**
          * Guards against a stalled stream that counts as alive because its instance sends bytes but completes no event.
          */
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
@@ -39,7 +39,9 @@
     private static final int LAST_PORT = 32_000;
     private static final long MAXIMUM_BODY_BYTES = 64 << 10;
     private static final int PORT_ATTEMPTS = 100;
-    private static final String MODELS = "[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
+
+    /** The models that instances of the service "words" hold. */
+    public static final String MODELS = "[{\"name\":\"m\",\"version\":1,\"adapters\":[]}]";
 
     private final HttpClient client = HttpClient.newBuilder()
             .version(HttpClient.Version.HTTP_1_1)
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -50,6 +50,14 @@
         ENDLESS_FOREIGN,
         /** Sends an endless response body. */
         ENDLESS_BODY,
+        /** Sends endless empty lines where the response is due. */
+        ENDLESS_BLANK,
+        /** Streams an event of which {@link #setPartialBytes} bytes are sent, then stays silent. */
+        PARTIAL_EVENT,
+        /** Sends the first {@link #setPartialBytes} bytes of a response with a length, then closes the connection. */
+        PARTIAL_RESPONSE,
+        /** Sends the first {@link #setPartialBytes} bytes of a stream of events, then closes the connection. */
+        PARTIAL_STREAM,
         /** Streams two events, then sends single bytes at intervals without completing another event. */
         DRIBBLE_STREAM,
         /** Streams five events with a long pause after the second. */
@@ -73,6 +81,7 @@
     private static final long DRIBBLE_INTERVAL_NANOS = 50_000_000L;
     private static final long FLOOD_BYTES = 64L << 20;
     private static final int EVENT_COUNT = 5;
+    private static final String LAST_CHUNK = "0\r\n\r\n";
     private static final int EVENTS_BEFORE_INTERRUPTION = 2;
 
     private final ServerSocket serverSocket;
@@ -82,6 +91,7 @@
     private final AtomicLong writtenBytes = new AtomicLong();
     private volatile Behaviour behaviour;
     private volatile String extraHeaders = "";
+    private volatile int partialBytes;
     private volatile Predicate<Map<String, String>> crashCondition = request -> false;
 
     /** Starts an instance on a free loopback port. */
@@ -111,6 +121,11 @@
         extraHeaders = lines;
     }
 
+    /** Sets the number of bytes that partial responses contain. */
+    public void setPartialBytes(int bytes) {
+        partialBytes = bytes;
+    }
+
     /** Sets the requests at which the instance begins an answer and then ends, as a process that crashes. */
     public void crashOn(Predicate<Map<String, String>> condition) {
         crashCondition = condition;
@@ -239,7 +254,7 @@
                     write(output, misdirected + misdirected);
                 }
             }
-            case ENDLESS_INTERIM, ENDLESS_HEAD, ENDLESS_FOREIGN, ENDLESS_BODY -> writeEndlessly(output, requestId);
+            case ENDLESS_INTERIM, ENDLESS_HEAD, ENDLESS_FOREIGN, ENDLESS_BODY, ENDLESS_BLANK -> writeEndlessly(output, requestId);
             case DRIBBLE_STREAM -> {
                 writeStream(output, requestId, firstRequestedEvent(request), EVENTS_BEFORE_INTERRUPTION);
                 while (true) {
@@ -253,7 +268,7 @@
                 for (int event = EVENTS_BEFORE_INTERRUPTION + 1; event <= EVENT_COUNT; event++) {
                     writeChunk(output, eventText(event));
                 }
-                write(output, "0\r\n\r\n");
+                write(output, LAST_CHUNK);
             }
             case FLOOD_STREAM -> {
                 writeStreamHead(output, requestId);
@@ -298,6 +313,20 @@
                 write(output, unframedHead(requestId) + eventText(1) + eventText(2) + "id: 3\nda");
                 return false;
             }
+            case PARTIAL_EVENT -> {
+                writeStreamHead(output, requestId);
+                writeChunk(output, "id: 1\ndata: " + "x".repeat(partialBytes));
+            }
+            case PARTIAL_RESPONSE -> {
+                String complete = responseText(requestId, "200 OK", "Response-Stamp: s\r\n", "done by " + id);
+                write(output, complete.substring(0, Math.min(complete.length(), partialBytes)));
+                return false;
+            }
+            case PARTIAL_STREAM -> {
+                String complete = streamHead(requestId) + chunk(eventText(1)) + chunk(eventText(2)) + LAST_CHUNK;
+                write(output, complete.substring(0, Math.min(complete.length(), partialBytes)));
+                return false;
+            }
             default -> {
                 // SILENT: the connection stays open.
             }
@@ -313,12 +342,14 @@
             case ENDLESS_FOREIGN -> writeStreamHead(output, "somebody-else");
             case ENDLESS_BODY -> writeStreamHead(output, requestId);
             default -> {
-                // Interim responses need no response head.
+                // Interim responses and empty lines need no response head.
             }
         }
         while (true) {
             if (behaviour == Behaviour.ENDLESS_INTERIM) {
                 write(output, "HTTP/1.1 100 Continue\r\n\r\n");
+            } else if (behaviour == Behaviour.ENDLESS_BLANK) {
+                write(output, "\r\n".repeat(padding.length() / 2));
             } else if (behaviour == Behaviour.ENDLESS_HEAD) {
                 write(output, padding);
             } else {
@@ -349,18 +380,20 @@
             writeChunk(output, eventText(event));
         }
         if (last == EVENT_COUNT) {
-            write(output, "0\r\n\r\n");
+            write(output, LAST_CHUNK);
         } else if (!partialEvent.isEmpty()) {
             writeChunk(output, partialEvent);
         }
     }
 
     private void writeStreamHead(OutputStream output, String requestId) throws IOException {
-        write(
-                output,
-                "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nResponse-Stamp: s\r\n"
-                        + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
-                        + extraHeaders + "Keep-Alive: timeout=1\r\n\r\n");
+        write(output, streamHead(requestId));
+    }
+
+    private String streamHead(String requestId) {
+        return "HTTP/1.1 200 OK\r\nRequest-Id: " + requestId + "\r\nResponse-Stamp: s\r\n"
+                + "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+                + extraHeaders + "Keep-Alive: timeout=1\r\n\r\n";
     }
 
     private static String unframedHead(String requestId) {
@@ -372,7 +405,11 @@
     }
 
     private void writeChunk(OutputStream output, String text) throws IOException {
-        write(output, Integer.toHexString(text.length()) + "\r\n" + text + "\r\n");
+        write(output, chunk(text));
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
     }
 
     private String responseText(String requestId, String status, String headerLines, String body) {
