Accept late in a planned stop only what can be answered before its end

It happened here, too: a request that was still being received when the stop began was passed on however late it was complete, and when 95% of the grace were over the connections of all running requests were closed.

From the time at which the load balancer has removed the entry (2.5 s) a request that must not be repeated, or whose answer is a stream, is passed on only if its deadline lies within the grace; others if their target does. What is not passed on is refused at once with 503 and a Retry-After of 0.1 s, not run, for another entry to run. What still runs at the end is answered as at its deadline: 503 if it has not run, 504 if it may have. Only a stream that has begun breaks off then.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -17,6 +17,7 @@
 import io.oleandermoor.gateway.upstream.NoticeRecorder;
 import io.oleandermoor.gateway.upstream.UpstreamPool;
 import io.oleandermoor.gateway.view.DeploymentView;
+import io.oleandermoor.gateway.view.ShutdownSchedule;
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.EngineClient;
 import io.oleandermoor.platform.StoreClient;
@@ -210,23 +211,26 @@
 
     private void stopOnLoop() {
         LOG.info("event=stop entry={} open={}", view.entry(), dispatcher.openRequestCount());
-        view.markStopping();
+        long now = Timestamp.monotonicNowMillis();
+        long graceMillis = settings.get(GatewaySettings.GRACE).toMillis();
+        ShutdownSchedule schedule =
+                new ShutdownSchedule(now + LOAD_BALANCER_REMOVAL_MILLIS, now + (long) (graceMillis * STOP_GRACE_RATIO));
+        view.beginShutdown(schedule);
         orderLease.stop();
         dispatcher.rejectQueued();
-        long graceMillis = settings.get(GatewaySettings.GRACE).toMillis();
-        long endMillis = Timestamp.monotonicNowMillis() + (long) (graceMillis * STOP_GRACE_RATIO);
-        loop.schedule(() -> finishStop(endMillis), LOAD_BALANCER_REMOVAL_MILLIS, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> finishStop(schedule), LOAD_BALANCER_REMOVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void finishStop(long endMillis) {
+    private void finishStop(ShutdownSchedule schedule) {
         callerServer.stopListening();
         callerServer.closeWhenIdle();
-        boolean graceOver = Timestamp.monotonicNowMillis() >= endMillis;
+        boolean graceOver = Timestamp.monotonicNowMillis() >= schedule.endMillis();
         if ((dispatcher.openRequestCount() > 0 || callerServer.isReceiving()) && !graceOver) {
-            loop.schedule(() -> finishStop(endMillis), STOP_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> finishStop(schedule), STOP_CHECK_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
         LOG.info("event=stopped entry={} open={}", view.entry(), dispatcher.openRequestCount());
+        dispatcher.expireOpenRequests();
         callerServer.closeAll();
         membership.leave().subscribe(left -> stopped.countDown(), cause -> {
             LOG.warn("event=leave_failed entry={} cause=\"{}\"", view.entry(), cause.getMessage());
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.DecodeException;
 import io.oleandermoor.platform.RequestHeaders;
 import io.oleandermoor.state.dispatch.CallerRequest;
@@ -23,6 +24,8 @@
     private static final int SERVICE_UNAVAILABLE = 503;
 
     private static final long UNAVAILABLE_RETRY_AFTER_MILLIS = 1_000;
+    /** Time after which the caller of a stopping entry retries at another one. */
+    private static final long STOPPING_RETRY_AFTER_MILLIS = 100;
     private static final long MINIMUM_RETRY_AFTER_MILLIS = 100;
     private static final long MAXIMUM_RETRY_AFTER_MILLIS = 10_000;
     /** 2 to the power of 53, the range within which a double represents every integer. */
@@ -45,7 +48,7 @@
         }
         Optional<FleetDocument> document = dispatcher.view().document();
         if (document.isEmpty() || !dispatcher.view().canServe(Long.MAX_VALUE)) {
-            return refuseUnavailable(request, response, caller, "not_ready");
+            return refuseUnavailable(request, response, caller, "not_ready", UNAVAILABLE_RETRY_AFTER_MILLIS);
         }
         Optional<HostRoute> route = document.get().route(caller.host(), caller.path());
         if (route.isEmpty()) {
@@ -63,7 +66,7 @@
         if (!openRoute
                 && dispatcher.view().confirmationAgeMillis()
                         >= dispatcher.limits().maximumKeyConfirmationAgeMillis()) {
-            return refuseUnavailable(request, response, caller, "keys_not_confirmed");
+            return refuseUnavailable(request, response, caller, "keys_not_confirmed", UNAVAILABLE_RETRY_AFTER_MILLIS);
         }
         Optional<TeamLimits> team = caller.apiKey().flatMap(document.get()::teamOfKey);
         if (team.isEmpty() && !openRoute) {
@@ -76,6 +79,9 @@
                             document.get().version());
             return refuse(request, response, UNAUTHORIZED, caller.id(), 0);
         }
+        if (!isAcceptedBeforeStop(route.get(), caller)) {
+            return refuseUnavailable(request, response, caller, "stopping", STOPPING_RETRY_AFTER_MILLIS);
+        }
         if (!tryTakeRateTokens(team, caller)) {
             return refuseOverRate(request, response, caller, team.get());
         }
@@ -89,6 +95,16 @@
         return Optional.of(exchange);
     }
 
+    private boolean isAcceptedBeforeStop(HostRoute route, CallerRequest caller) {
+        long allowedMillis = caller.allowedMillis(route);
+        long now = Timestamp.monotonicNowMillis();
+        return dispatcher
+                .view()
+                .shutdown()
+                .map(shutdown -> shutdown.accepts(route, allowedMillis, now))
+                .orElse(true);
+    }
+
     private static double unitHash(String id) {
         long mixed = id.hashCode() * 0x9E3779B97F4A7C15L;
         return (mixed >>> 11) / UNIT_HASH_RANGE;
@@ -131,7 +147,11 @@
     }
 
     private Optional<RequestExchange> refuseUnavailable(
-            FullHttpRequest request, ResponseWriter response, CallerRequest caller, String reason) {
+            FullHttpRequest request,
+            ResponseWriter response,
+            CallerRequest caller,
+            String reason,
+            long retryAfterMillis) {
         dispatcher
                 .eventLog()
                 .log(
@@ -140,7 +160,7 @@
                         caller.id(),
                         reason,
                         dispatcher.view().confirmationAgeMillis());
-        return refuse(request, response, SERVICE_UNAVAILABLE, caller.id(), UNAVAILABLE_RETRY_AFTER_MILLIS);
+        return refuse(request, response, SERVICE_UNAVAILABLE, caller.id(), retryAfterMillis);
     }
 
     private static Optional<RequestExchange> refuse(
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -177,6 +177,11 @@
         queue.rejectAll();
     }
 
+    /** Ends all requests that still run, as if their deadlines had passed. */
+    public void expireOpenRequests() {
+        new ArrayList<>(openRequests).forEach(RequestExchange::expire);
+    }
+
     /** Returns the number of requests without a completed response. */
     public int openRequestCount() {
         return openRequests.size();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -75,10 +75,7 @@
         this.sequenceNumber = dispatcher.nextSequenceNumber();
         this.traits = InstanceRequests.traits(request, admitted);
         this.outcomeLog = new RequestOutcomeLog(dispatcher);
-        long allowedMillis = Math.min(
-                admitted.route().timeoutMillis(),
-                admitted.caller().deadlineMillis().orElse(Long.MAX_VALUE / 2));
-        this.deadlineMillis = arrivedMillis + allowedMillis;
+        this.deadlineMillis = arrivedMillis + admitted.caller().allowedMillis(admitted.route());
         this.position = new QueueOrder.Position(
                 admitted.urgency(),
                 sequenceNumber,
@@ -138,7 +135,7 @@
         dispatcher.openRequest(this);
         dispatcher.retryAllowance(admitted.service()).recordRequest(arrivedMillis);
         long delayMillis = Math.max(1, deadlineMillis - arrivedMillis - RESPONSE_MARGIN_MILLIS);
-        deadlineTimer = dispatcher.loop().schedule(this::onDeadline, delayMillis, TimeUnit.MILLISECONDS);
+        deadlineTimer = dispatcher.loop().schedule(this::expire, delayMillis, TimeUnit.MILLISECONDS);
         dispatch();
     }
 
@@ -288,7 +285,8 @@
                 () -> dispatcher.pool().send(instance, copy, admitted.caller().id(), attempt));
     }
 
-    private void onDeadline() {
+    /** Ends the request: refuses it if it has certainly not run, and reports a timeout if it may have run. */
+    void expire() {
         if (finished) {
             return;
         }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
@@ -42,7 +42,7 @@
     private long firstDocumentMillis;
     private boolean instancesLoaded;
     private boolean entryRegistered;
-    private boolean stopping;
+    private @Nullable ShutdownSchedule shutdown;
     private boolean givesOrders;
 
     /**
@@ -148,13 +148,18 @@
     }
 
     /** Records that this process is about to stop. */
-    public void markStopping() {
-        stopping = true;
+    public void beginShutdown(ShutdownSchedule schedule) {
+        shutdown = schedule;
     }
 
     /** Returns whether this process is about to stop. */
     public boolean isStopping() {
-        return stopping;
+        return shutdown != null;
+    }
+
+    /** Returns the times of the stop; empty if this process is not about to stop. */
+    public Optional<ShutdownSchedule> shutdown() {
+        return Optional.ofNullable(shutdown);
     }
 
     /**
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
@@ -37,6 +37,7 @@
     private static final int FIRST_PORT = 15_000;
 
     private static final int LAST_PORT = 32_000;
+    private static final Duration DEFAULT_GRACE = Duration.ofSeconds(8);
     private static final long MAXIMUM_BODY_BYTES = 64 << 10;
     private static final int PORT_ATTEMPTS = 100;
 
@@ -56,18 +57,23 @@
 
     /** Starts an entry and a store, without instances. */
     public EntryFixture() throws Exception {
-        this("entry-1", new StoreStandIn());
+        this(DEFAULT_GRACE);
+    }
+
+    /** Starts an entry with a time for its stop, and a store, without instances. */
+    public EntryFixture(Duration grace) throws Exception {
+        this("entry-1", new StoreStandIn(), grace);
         closeLater(store);
     }
 
-    private EntryFixture(String name, StoreStandIn store) throws IOException, InvalidInputException {
+    private EntryFixture(String name, StoreStandIn store, Duration grace) throws IOException, InvalidInputException {
         this.store = store;
         callerPort = freePort();
         readyPort = freePort();
         String settings = "[process]\nname = " + name + "\nfailure-domain = a\n[listen]\ncaller = 127.0.0.1:"
                 + callerPort
                 + "\nready = 127.0.0.1:" + readyPort + "\npeer = 127.0.0.1:" + freePort() + "\n[store]\naddress = "
-                + store.address() + "\n[limits]\nrevocation = 5000ms\ngrace = 8s\n[retries]\nwindow = 10s\n"
+                + store.address() + "\n[limits]\nrevocation = 5000ms\ngrace = " + grace.toMillis() + "ms\n[retries]\nwindow = 10s\n"
                 + "ratio = 0.2\nfixed = 50\n[orders]\nholder-gap = 3000ms\n";
         gateway = new Gateway(new SettingsReader(GatewaySettings.SCHEMA).read("test", settings, List.of()));
         gateway.start();
@@ -76,7 +82,7 @@
 
     /** Starts another entry with the same store, without a configuration or instances of its own. */
     public EntryFixture startPeer(String name) throws Exception {
-        EntryFixture peer = new EntryFixture(name, store);
+        EntryFixture peer = new EntryFixture(name, store, DEFAULT_GRACE);
         await().atMost(Duration.ofSeconds(20)).until(peer::isReady);
         return peer;
     }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/CallerRequest.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/CallerRequest.java
@@ -1,5 +1,6 @@
 package io.oleandermoor.state.dispatch;
 
+import io.oleandermoor.state.fleet.HostRoute;
 import java.util.List;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -60,6 +61,11 @@
                 .toList();
     }
 
+    /** Returns the time within which the request must be answered: that of its route, or that of the caller if shorter. */
+    public long allowedMillis(HostRoute route) {
+        return Math.min(route.timeoutMillis(), deadlineMillis.orElse(Long.MAX_VALUE));
+    }
+
     /** Returns the sum of prompt and output tokens, or -1 if the caller declared none. */
     public long declaredTokens() {
         return tokens.map(size -> size.prompt() + size.output()).orElse(-1L);
