Test that no answer that breaks off reaches a caller as a success

Report of other operators: a replica stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

It does not happen here, as these tests show without a change: an answer with a length and a stream of events are broken off after each of their bytes, in the head and behind it. The connection reports a failure with an unknown outcome each time (UpstreamPoolTest.responseThatBreaksOffFailsWithUnknownOutcome, all positions), and a caller of a complete entry never gets a complete 200 (MisbehavingPeersTest.responseThatBreaksOffIsNoSuccess, each 23rd position).

--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
@@ -25,6 +25,7 @@
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 
@@ -33,6 +34,8 @@
 
     private static final List<String> ALL_EVENTS = List.of("id: 1", "id: 2", "id: 3", "id: 4", "id: 5");
     private static final int MANY_STREAMS = 150;
+    /** Distance of the positions at which an answer breaks off; UpstreamPoolTest covers all of them. */
+    private static final int PARTIAL_STEP_BYTES = 23;
     /** Twice the bound on incomplete events, since buffers grow by doubling, and some for what is on its way. */
     private static final long MAXIMUM_BUFFER_BYTES = (2 * 16 + 4) << 20;
 
@@ -131,6 +134,27 @@
             return UnpooledByteBufAllocator.DEFAULT.metric().usedHeapMemory();
         }
 
+        /** Guards against an answer that breaks off halfway and reaches the caller as a complete success. */
+        @ParameterizedTest
+        @CsvSource({"PARTIAL_RESPONSE, /once/x, shop", "PARTIAL_STREAM, /stream/x, words"})
+        void responseThatBreaksOffIsNoSuccess(Behaviour behaviour, String path, String service) throws Exception {
+            InstanceStandIn instance = entry.startInstance("i-1", service, behaviour);
+            entry.awaitReady();
+            instance.setPartialBytes(Integer.MAX_VALUE);
+            assertThat(entry.call(path, "key-1").statusCode()).isEqualTo(200);
+            int completeBytes = (int) instance.writtenBytes();
+            for (int bytes = 0; bytes < completeBytes; bytes += PARTIAL_STEP_BYTES) {
+                instance.setPartialBytes(bytes);
+                int receivedBefore = instance.receivedRequests().size();
+                assertThat(callQuietly(path))
+                        .as("status after %d of %d bytes", bytes, completeBytes)
+                        .isNotEqualTo(200);
+                assertThat(instance.receivedRequests()).hasSizeGreaterThan(receivedBefore);
+                instance.setPartialBytes(Integer.MAX_VALUE);
+                await().atMost(Duration.ofSeconds(10)).until(() -> callQuietly(path) == 200);
+            }
+        }
+
         /**
          * Guards against a stalled stream that counts as alive because its instance sends bytes but completes no event.
          */
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/UpstreamPoolTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/UpstreamPoolTest.java
@@ -18,12 +18,15 @@
 import io.oleandermoor.platform.UpstreamInstanceDecoder;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 class UpstreamPoolTest {
 
@@ -120,6 +123,24 @@
                     });
         }
 
+        /** Guards against an answer that breaks off anywhere, also in its head, and is taken for a complete one. */
+        @ParameterizedTest
+        @EnumSource(
+                value = Behaviour.class,
+                names = {"PARTIAL_RESPONSE", "PARTIAL_STREAM"})
+        void responseThatBreaksOffFailsWithUnknownOutcome(Behaviour behaviour) throws Exception {
+            standIn.setBehaviour(behaviour);
+            standIn.setPartialBytes(Integer.MAX_VALUE);
+            assertThat(send("part-000", true)).isEqualTo("200");
+            int completeBytes = (int) standIn.writtenBytes();
+            for (int bytes = 0; bytes < completeBytes; bytes++) {
+                standIn.setPartialBytes(bytes);
+                assertThat(send(String.format(Locale.ROOT, "part-%03d", bytes), true))
+                        .as("result after %d of %d bytes", bytes, completeBytes)
+                        .isEqualTo("OUTCOME_UNKNOWN");
+            }
+        }
+
         /** Guards against a request that was decided before its instance withdrew, and sent after it. */
         @Test
         void requestIsNotSentIfItsInstanceWithdrewWhileConnecting() throws Exception {
