Hold the free ports of the dry run until all are known

What was seen: the build of the deploy file failed once in some 25 builds with 'listen.peer ... clashes with ... listen.caller'.

Cause: each port was closed before the next one was asked for, and the system could assign the same one again. All sockets are now open until the last port is known.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/DryRun.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/DryRun.java
@@ -13,6 +13,7 @@
 import java.net.URI;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.jar.JarEntry;
 import java.util.jar.JarFile;
@@ -51,10 +52,11 @@
     private DryRun() {}
 
     static void run() throws IOException, InvalidInputException {
-        int callerPort = freePort();
-        int readyPort = freePort();
+        List<Integer> ports = freePorts(4);
+        int callerPort = ports.get(0);
+        int readyPort = ports.get(1);
         Settings settings = new SettingsReader(GatewaySettings.SCHEMA)
-                .read("dry-run", settingsText(callerPort, readyPort, freePort(), freePort()), List.of());
+                .read("dry-run", settingsText(callerPort, readyPort, ports.get(2), ports.get(3)), List.of());
         Gateway gateway = new Gateway(settings);
         gateway.start();
         gateway.listen();
@@ -96,9 +98,21 @@
                 + "[orders]\nholder-gap = 3s\n";
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+    /** Returns different free ports. Each is kept until all are known, as the system may assign a closed one again. */
+    static List<Integer> freePorts(int count) throws IOException {
+        List<ServerSocket> sockets = new ArrayList<>();
+        try {
+            List<Integer> ports = new ArrayList<>();
+            for (int index = 0; index < count; index++) {
+                ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+                sockets.add(socket);
+                ports.add(socket.getLocalPort());
+            }
+            return ports;
+        } finally {
+            for (ServerSocket socket : sockets) {
+                socket.close();
+            }
         }
     }
 
