Release a refused body at once instead of when its connection closes

What was received of a body that exceeds the common bound counted against it until its caller had sent the rest, so that one burst refused more bodies than had to be refused. The aggregator is replaced, which releases the parts, and their memory is returned to the budget.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
@@ -50,6 +50,7 @@
     private long receivingBodyBytes;
     /** The size of the bodies of all requests that have been received and not been answered. */
     private long unansweredBodyBytes;
+
     private long currentBodyBytes;
 
     CallerConnection(CallerServer server, Admission admission) {
@@ -90,8 +91,8 @@
         }
     }
 
-    /** Releases what was received of a body that was not completed. */
-    void beginBody() {
+    /** Releases the memory of a body that was received in part and is not kept. */
+    void releaseReceivedBody() {
         server.bodies().release(receivingBodyBytes);
         receivingBodyBytes = 0;
     }
@@ -116,6 +117,7 @@
      */
     void refuseUnread() {
         server.logRefusedBody(receivingBodyBytes);
+        releaseReceivedBody();
         closing = true;
         if (!responding) {
             writeFullResponse(
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestLimitHandler.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestLimitHandler.java
@@ -15,9 +15,9 @@
 import java.util.function.Supplier;
 
 /**
- * Applies the limits that are in force when a request begins, although its connection may have been opened under others,
- * and refuses bodies for which no memory is left. Precedes the aggregator of the request body, which it installs. Used
- * on the event loop only.
+ * Applies the limits that are in force when a request begins, although its connection may have been opened under
+ * others, and refuses bodies for which no memory is left. Precedes the aggregator of the request body, which it
+ * installs. Used on the event loop only.
  */
 final class RequestLimitHandler extends ChannelInboundHandlerAdapter {
 
@@ -47,7 +47,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpRequest request) {
-            connection.beginBody();
+            connection.releaseReceivedBody();
             applyLimits(context, request);
         }
         if (message instanceof HttpContent content) {
@@ -60,6 +60,7 @@
     private void handleContent(ChannelHandlerContext context, HttpContent content) {
         if (!refused && !connection.reserveBody(content.content().readableBytes())) {
             refused = true;
+            replaceAggregator(context, limits.get());
             connection.refuseUnread();
         }
         if (!refused) {
@@ -80,8 +81,9 @@
     /** Copies a part of a body, which otherwise keeps the larger buffer that it was received with. */
     private static HttpContent compact(ChannelHandlerContext context, HttpContent content) {
         ByteBuf part = content.content();
-        HttpContent copy = content.replace(
-                context.alloc().buffer(part.readableBytes(), part.readableBytes()).writeBytes(part));
+        HttpContent copy = content.replace(context.alloc()
+                .buffer(part.readableBytes(), part.readableBytes())
+                .writeBytes(part));
         content.release();
         return copy;
     }
@@ -89,9 +91,7 @@
     private void applyLimits(ChannelHandlerContext context, HttpRequest request) {
         CallerLimits current = limits.get();
         if (current.maximumBodyBytes() != aggregator.maxContentLength()) {
-            HttpObjectAggregator replacement = newAggregator(current);
-            context.pipeline().replace(aggregator, null, replacement);
-            aggregator = replacement;
+            replaceAggregator(context, current);
         }
         if (request.decoderResult().isSuccess() && sizeOf(request.headers()) > current.maximumHeaderBytes()) {
             request.setDecoderResult(DecoderResult.failure(new TooLongHttpHeaderException(
@@ -99,6 +99,13 @@
         }
     }
 
+    /** Replaces the aggregator, which releases what it has received of a body. */
+    private void replaceAggregator(ChannelHandlerContext context, CallerLimits current) {
+        HttpObjectAggregator replacement = newAggregator(current);
+        context.pipeline().replace(aggregator, null, replacement);
+        aggregator = replacement;
+    }
+
     private static long sizeOf(HttpHeaders headers) {
         long bytes = 0;
         for (Map.Entry<String, String> header : headers) {
