--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -56,8 +56,7 @@
         long batchDelayMillis = (long) (drainMillis * BATCH_DELAY_DRAIN_RATIO);
         FleetFollower follower = new FleetFollower(view);
         ConfigurationListener configurationListener = new ConfigurationListener(view, FleetDocumentDecoder::decode);
-        new StoreFollower(
-                        loop, store, ConfigurationListener.KEY_PREFIX, CONFIGURATION_TIMING, configurationListener)
+        new StoreFollower(loop, store, ConfigurationListener.KEY_PREFIX, CONFIGURATION_TIMING, configurationListener)
                 .start();
         StoreFollower.WatchTiming instanceTiming = new StoreFollower.WatchTiming(
                 INSTANCE_WATCH_TIMEOUT_MILLIS,
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
@@ -26,6 +26,7 @@
     private static final long UNAVAILABLE_RETRY_AFTER_MILLIS = 1_000;
     /** Time after which the caller of a stopping entry retries at another one. */
     private static final long STOPPING_RETRY_AFTER_MILLIS = 100;
+
     private static final long MINIMUM_RETRY_AFTER_MILLIS = 100;
     private static final long MAXIMUM_RETRY_AFTER_MILLIS = 10_000;
     /** 2 to the power of 53, the range within which a double represents every integer. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
@@ -30,6 +30,7 @@
     private static final int MINIMUM_HEADER_BUFFER_BYTES = 64 << 10;
     /** Header size that the decoder accepts at most, since it is kept for each connection. */
     private static final int MAXIMUM_HEADER_BUFFER_BYTES = 1 << 20;
+
     private static final int MAXIMUM_PENDING_CONNECTIONS = 1_024;
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 500;
     /** Limits that apply until the first configuration is known. */
@@ -78,8 +79,8 @@
     }
 
     private void configurePipeline(SocketChannel channel) {
-        int maximumHeaderBytes =
-                Math.max(MINIMUM_HEADER_BUFFER_BYTES, Math.min(MAXIMUM_HEADER_BUFFER_BYTES, limits().maximumHeaderBytes()));
+        int maximumHeaderBytes = Math.max(
+                MINIMUM_HEADER_BUFFER_BYTES, Math.min(MAXIMUM_HEADER_BUFFER_BYTES, limits().maximumHeaderBytes()));
         CallerConnection connection = new CallerConnection(this, admission);
         channel.pipeline()
                 .addLast(new ChannelInboundHandlerAdapter() {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -39,8 +39,8 @@
     /** Maximum size of all unary responses and stream events that are buffered until complete: a sixth of the heap. */
     private static final long MAXIMUM_BUFFERED_BYTES = 16 << 20;
     /**
-     * Size up to which each of them is buffered even beyond that maximum, so that a faulty instance, which can reach it,
-     * does not affect the responses of the others.
+     * Size up to which each of them is buffered even beyond that maximum, so that a faulty instance, which can reach
+     * it, does not affect the responses of the others.
      */
     private static final long GUARANTEED_BUFFER_BYTES = 16 << 10;
 
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
@@ -328,8 +328,8 @@
         }
 
         /**
-         * Guards against an event loop that stops, and requests of all callers that get no answer, because the bodies of
-         * many requests together exceed the memory of the process.
+         * Guards against an event loop that stops, and requests of all callers that get no answer, because the bodies
+         * of many requests together exceed the memory of the process.
          */
         @Test
         void bodiesBeyondTheirCommonBoundAreRefused() throws Exception {
@@ -356,7 +356,9 @@
                 socket.close();
             }
             await().atMost(Duration.ofSeconds(5))
-                    .until(() -> entry.call(SAFE_PATH, "key-1", "", "x".repeat(LARGE_BODY_BYTES)).statusCode() == 200);
+                    .until(() -> entry.call(SAFE_PATH, "key-1", "", "x".repeat(LARGE_BODY_BYTES))
+                                    .statusCode()
+                            == 200);
         }
 
         /**
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/ConfigurationListenerTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/ConfigurationListenerTest.java
@@ -58,9 +58,7 @@
 
     private void assertNotConfirmedByLaterWatches() {
         listener.onChanges(NO_CHANGES, Timestamp.now());
-        assertThat(view.confirmationAgeMillis())
-                .as("age of the confirmation")
-                .isGreaterThanOrEqualTo(OLD_MILLIS);
+        assertThat(view.confirmationAgeMillis()).as("age of the confirmation").isGreaterThanOrEqualTo(OLD_MILLIS);
     }
 
     @BeforeEach
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
@@ -73,7 +73,8 @@
         String settings = "[process]\nname = " + name + "\nfailure-domain = a\n[listen]\ncaller = 127.0.0.1:"
                 + callerPort
                 + "\nready = 127.0.0.1:" + readyPort + "\npeer = 127.0.0.1:" + freePort() + "\n[store]\naddress = "
-                + store.address() + "\n[limits]\nrevocation = 5000ms\ngrace = " + grace.toMillis() + "ms\n[retries]\nwindow = 10s\n"
+                + store.address() + "\n[limits]\nrevocation = 5000ms\ngrace = " + grace.toMillis()
+                + "ms\n[retries]\nwindow = 10s\n"
                 + "ratio = 0.2\nfixed = 50\n[orders]\nholder-gap = 3000ms\n";
         gateway = new Gateway(new SettingsReader(GatewaySettings.SCHEMA).read("test", settings, List.of()));
         gateway.start();
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -254,7 +254,8 @@
                     write(output, misdirected + misdirected);
                 }
             }
-            case ENDLESS_INTERIM, ENDLESS_HEAD, ENDLESS_FOREIGN, ENDLESS_BODY, ENDLESS_BLANK -> writeEndlessly(output, requestId);
+            case ENDLESS_INTERIM, ENDLESS_HEAD, ENDLESS_FOREIGN, ENDLESS_BODY, ENDLESS_BLANK ->
+                writeEndlessly(output, requestId);
             case DRIBBLE_STREAM -> {
                 writeStream(output, requestId, firstRequestedEvent(request), EVENTS_BEFORE_INTERRUPTION);
                 while (true) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/CallerRequest.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/CallerRequest.java
@@ -61,7 +61,9 @@
                 .toList();
     }
 
-    /** Returns the time within which the request must be answered: that of its route, or that of the caller if shorter. */
+    /**
+     * Returns the time within which the request must be answered: that of its route, or that of the caller if shorter.
+     */
     public long allowedMillis(HostRoute route) {
         return Math.min(route.timeoutMillis(), deadlineMillis.orElse(Long.MAX_VALUE));
     }
