--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -248,12 +248,6 @@
             case RESET -> {
                 return prepareReset(socket);
             }
-            case MISDIRECT_TWICE -> {
-                if (receivedRequests.size() == 1) {
-                    String misdirected = responseText(requestId, "421 Misdirected Request", "Not-Executed: 1\r\n", "");
-                    write(output, misdirected + misdirected);
-                }
-            }
             case ENDLESS_INTERIM, ENDLESS_HEAD, ENDLESS_FOREIGN, ENDLESS_BODY, ENDLESS_BLANK ->
                 writeEndlessly(output, requestId);
             case DRIBBLE_STREAM -> {
@@ -289,6 +283,12 @@
         String requestId = request.getOrDefault("request-id", "");
         OutputStream output = socket.getOutputStream();
         switch (behaviour) {
+            case MISDIRECT_TWICE -> {
+                if (receivedRequests.size() == 1) {
+                    String misdirected = responseText(requestId, "421 Misdirected Request", "Not-Executed: 1\r\n", "");
+                    write(output, misdirected + misdirected);
+                }
+            }
             case ERROR ->
                 write(
                         output,
