--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
@@ -142,7 +142,7 @@
             entry.awaitReady();
             instance.setPartialBytes(Integer.MAX_VALUE);
             assertThat(entry.call(path, "key-1").statusCode()).isEqualTo(200);
-            int completeBytes = (int) instance.writtenBytes();
+            int completeBytes = instance.completeBytes();
             for (int bytes = 0; bytes < completeBytes; bytes += PARTIAL_STEP_BYTES) {
                 instance.setPartialBytes(bytes);
                 int receivedBefore = instance.receivedRequests().size();
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -92,6 +92,7 @@
     private volatile Behaviour behaviour;
     private volatile String extraHeaders = "";
     private volatile int partialBytes;
+    private volatile int completeBytes;
     private volatile Predicate<Map<String, String>> crashCondition = request -> false;
 
     /** Starts an instance on a free loopback port. */
@@ -126,6 +127,11 @@
         partialBytes = bytes;
     }
 
+    /** Returns the size that the last partial response would have had if it had been complete. */
+    public int completeBytes() {
+        return completeBytes;
+    }
+
     /** Sets the requests at which the instance begins an answer and then ends, as a process that crashes. */
     public void crashOn(Predicate<Map<String, String>> condition) {
         crashCondition = condition;
@@ -320,12 +326,12 @@
             }
             case PARTIAL_RESPONSE -> {
                 String complete = responseText(requestId, "200 OK", "Response-Stamp: s\r\n", "done by " + id);
-                write(output, complete.substring(0, Math.min(complete.length(), partialBytes)));
+                writePart(output, complete);
                 return false;
             }
             case PARTIAL_STREAM -> {
                 String complete = streamHead(requestId) + chunk(eventText(1)) + chunk(eventText(2)) + LAST_CHUNK;
-                write(output, complete.substring(0, Math.min(complete.length(), partialBytes)));
+                writePart(output, complete);
                 return false;
             }
             default -> {
@@ -335,6 +341,11 @@
         return true;
     }
 
+    private void writePart(OutputStream output, String complete) throws IOException {
+        completeBytes = complete.length();
+        write(output, complete.substring(0, Math.min(complete.length(), partialBytes)));
+    }
+
     /** Writes until the peer closes the connection. */
     private void writeEndlessly(OutputStream output, String requestId) throws IOException {
         String padding = "x".repeat(8 << 10);
