Log and count what instances send that is not the response to the request in flight

What was missing: a response that is skipped, bytes on an idle connection, and the bytes of a head that is refused, or accepted although it holds two status lines, left no trace, so the hypotheses of the incident could not be told apart.

The line event=response_anomaly names kind, instance, request in flight and what was found; the counter oleandermoor_response_anomalies_total has the kinds. No decision changes: the request ends as before.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
@@ -31,6 +31,12 @@
             .labelNames("reason")
             .register(registry);
 
+    private final Counter responseAnomalies = Counter.builder()
+            .name("oleandermoor_response_anomalies_total")
+            .help("Data of instances that is not, or not only, the response to the request in flight, by kind")
+            .labelNames("kind")
+            .register(registry);
+
     private final Counter unserved = Counter.builder()
             .name("oleandermoor_unserved_requests_total")
             .help("Requests that were refused or failed, by outcome and reason")
@@ -62,6 +68,11 @@
         notices.labelValues(reason.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /** Counts data of an instance that is not the response to the request in flight. */
+    public void countResponseAnomaly(String kind) {
+        responseAnomalies.labelValues(kind).inc();
+    }
+
     /**
      * Counts a request that was refused or failed.
      *
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -112,6 +112,7 @@
         this.quarantine = quarantine;
         this.metrics = metrics;
         this.crashDetector = new CrashDetector(loop, pool, this::handleCrash);
+        pool.setAnomalyListener(new ResponseAnomalyLog(eventLog, metrics));
     }
 
     /** Starts the periodic dispatch of queued requests and the detection of silent instances. */
--- /dev/null
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/ResponseAnomaly.java
@@ -0,0 +1,34 @@
+package io.oleandermoor.gateway.upstream;
+
+/** A way in which what an instance sends is not, or not only, the response to the request in flight. */
+public enum ResponseAnomaly {
+    /** Data arrived on a connection without a request in flight. */
+    IDLE_DATA,
+    /** A response carries the id of an earlier request of its connection. */
+    EARLIER_REQUEST,
+    /** A response carries an id that no request of its connection had. */
+    UNKNOWN_REQUEST,
+    /** A response without an id arrived on a connection that has served requests. */
+    MISSING_ID,
+    /** A response head could not be decoded. */
+    MALFORMED_HEAD,
+    /** A response body could not be decoded. */
+    MALFORMED_BODY,
+    /** A response head contains the status line of another response. */
+    JOINED_HEADS;
+
+    /** Receives the anomalies of all connections. */
+    @FunctionalInterface
+    public interface Listener {
+
+        /**
+         * Called for each anomaly.
+         *
+         * @param anomaly what was found
+         * @param instanceId the instance that sent the data
+         * @param requestId the request in flight, or the last one of an idle connection
+         * @param detail what the data looked like; may contain any character
+         */
+        void anomalyFound(ResponseAnomaly anomaly, String instanceId, String requestId, String detail);
+    }
+}
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -1,5 +1,6 @@
 package io.oleandermoor.gateway.upstream;
 
+import io.netty.buffer.ByteBuf;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -13,6 +14,8 @@
 import io.oleandermoor.platform.RequestHeaders;
 import io.oleandermoor.platform.RequestHeaders.ResponseHead;
 import io.oleandermoor.state.fleet.UpstreamInstance;
+import io.oleandermoor.transport.framing.ResponseHeads;
+import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
@@ -40,6 +43,7 @@
     private @Nullable Channel channel;
     private @Nullable ResponseListener listener;
     private final Set<String> unsuccessfulIds = new HashSet<>();
+    private final RecentIds servedIds = new RecentIds();
     private String requestId = "";
     private boolean successful;
     private long unmatchedBytes;
@@ -119,6 +123,25 @@
         }
     }
 
+    /**
+     * Returns a handler for the bytes of the connection, which reports those that arrive without a request in flight.
+     */
+    ChannelInboundHandlerAdapter newIdleDataHandler() {
+        return new ChannelInboundHandlerAdapter() {
+            @Override
+            public void channelRead(ChannelHandlerContext context, Object message) {
+                if (listener == null && message instanceof ByteBuf data) {
+                    report(ResponseAnomaly.IDLE_DATA, data.toString(StandardCharsets.ISO_8859_1));
+                }
+                context.fireChannelRead(message);
+            }
+        };
+    }
+
+    private void report(ResponseAnomaly anomaly, String detail) {
+        pool.reportAnomaly(anomaly, instance, requestId, detail);
+    }
+
     @Override
     public void handlerAdded(ChannelHandlerContext context) {
         channel = context.channel();
@@ -147,9 +170,13 @@
 
     private void handleHead(ResponseListener current, HttpResponse response) {
         if (response.decoderResult().isFailure()) {
+            report(ResponseAnomaly.MALFORMED_HEAD, response.decoderResult() + " " + response);
             fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "malformed response head");
             return;
         }
+        ResponseHeads.findSecondStatusLine(response)
+                .ifPresent(line ->
+                        report(ResponseAnomaly.JOINED_HEADS, response.status().code() + " " + line));
         ResponseHead head = RequestHeaders.decode(response);
         if (head.status() < FIRST_FINAL_STATUS) {
             skippingResponse = true;
@@ -162,6 +189,7 @@
         skippingResponse = !matches;
         pool.reportNotice(instance, RequestHeaders.decodeNotice(response), matches);
         if (!matches) {
+            report(mismatch(head), "status " + head.status() + " id " + head.requestId());
             reusable = false;
             countUnmatched(UNMATCHED_HEAD_BYTES);
             return;
@@ -175,8 +203,16 @@
         current.onHead(head, response);
     }
 
+    private ResponseAnomaly mismatch(ResponseHead head) {
+        if (head.requestId().isEmpty()) {
+            return ResponseAnomaly.MISSING_ID;
+        }
+        return servedIds.contains(head.requestId()) ? ResponseAnomaly.EARLIER_REQUEST : ResponseAnomaly.UNKNOWN_REQUEST;
+    }
+
     private void handleContent(ResponseListener current, HttpContent content) {
         if (content.decoderResult().isFailure()) {
+            report(ResponseAnomaly.MALFORMED_BODY, String.valueOf(content.decoderResult()));
             fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "malformed response body");
             return;
         }
@@ -195,6 +231,7 @@
             setAutoRead(true);
             listener = null;
             servedRequest = true;
+            servedIds.add(requestId);
             if (!successful) {
                 // Only these requests may be sent again.
                 unsuccessfulIds.add(requestId);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
@@ -42,6 +42,7 @@
 
     private final EventLoop loop;
     private EngineClient.NoticeListener noticeListener = (instance, notice) -> {};
+    private ResponseAnomaly.Listener anomalyListener = (anomaly, instance, request, detail) -> {};
     private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
 
     /**
@@ -155,6 +156,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
+                                .addLast(connection.newIdleDataHandler())
                                 .addLast(new HttpClientCodec(
                                         MAXIMUM_INITIAL_LINE_BYTES, MAXIMUM_HEADER_BYTES, MAXIMUM_CHUNK_BYTES))
                                 .addLast(connection);
@@ -185,6 +187,15 @@
         noticeListener = listener;
     }
 
+    /** Sets the listener that gets what instances send besides the responses to the requests in flight. */
+    public void setAnomalyListener(ResponseAnomaly.Listener listener) {
+        anomalyListener = listener;
+    }
+
+    void reportAnomaly(ResponseAnomaly anomaly, UpstreamInstance instance, String requestId, String detail) {
+        anomalyListener.anomalyFound(anomaly, instance.id(), requestId, detail);
+    }
+
     /** Passes on a notice. A pause in a late response to an earlier request may be over and is not passed on. */
     void reportNotice(UpstreamInstance instance, ResponseNotice notice, boolean current) {
         if (current) {
--- /dev/null
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/package-info.java
@@ -0,0 +1,5 @@
+/** Finds where one HTTP/1.1 response ends and another begins on connections whose peer may violate the framing. */
+@NullMarked
+package io.oleandermoor.transport.framing;
+
+import org.jspecify.annotations.NullMarked;
