Reject the head of a response that contains the status line of another one

What callers saw: a success for a run that had failed: an empty lookup with status 200, or a stream that ended as complete without an event. Nothing was logged about it.

Cause: an instance wrote a second copy of an earlier response late, on a kept connection, and the copy broke off within its head. The decoder read on to the end of the line, which the next response had sent, and took the status of the copy together with the id, the length and the signature of the response.

Evidence: in the record no line names the requests with a wrong success, and beside them stand malformed heads of instances that accept connections; that is what breaks elsewhere in the copy give.

Why this works: whatever the position, the joined head contains the whole status line of the second response: in the reason phrase or in a header value, where it is found, or in the version, the status or a header name, where the decoder fails.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -17,6 +17,7 @@
 import io.oleandermoor.transport.framing.ResponseHeads;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 
@@ -174,7 +175,12 @@
             fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "malformed response head");
             return;
         }
-        ResponseHeads.findSecondStatusLine(response).ifPresent(line -> report(ResponseAnomaly.JOINED_HEADS, line));
+        Optional<String> secondStatusLine = ResponseHeads.findSecondStatusLine(response);
+        if (secondStatusLine.isPresent()) {
+            report(ResponseAnomaly.JOINED_HEADS, secondStatusLine.get());
+            fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "head of two responses");
+            return;
+        }
         ResponseHead head = RequestHeaders.decode(response);
         if (head.status() < FIRST_FINAL_STATUS) {
             skippingResponse = true;
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
@@ -23,7 +23,6 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
-import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
@@ -219,7 +218,6 @@
         /** Guards against a success for a run that failed, because a late copy of an earlier response breaks off. */
         @ParameterizedTest
         @CsvSource({"/safe/x, shop", "/stream/x, words"})
-        @Tag("known-red")
         void partOfCopyDoesNotTurnFailureIntoSuccess(String path, String service) throws Exception {
             InstanceStandIn instance = entry.startInstance("i-1", service, Behaviour.ANSWER);
             entry.awaitReady();
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/ExtraResponseTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/ExtraResponseTest.java
@@ -78,7 +78,6 @@
          */
         @ParameterizedTest
         @EnumSource(HeaderOrder.class)
-        @Tag("known-red")
         void partOfHeadIsNotJoinedWithTheResponse(HeaderOrder order) throws Exception {
             String copy = order.success(EARLIER, "ok");
             for (int bytes = 0; bytes <= copy.length(); bytes++) {
@@ -159,7 +158,6 @@
         /** Guards against a response with the id of one request and the signature and body of another one. */
         @ParameterizedTest
         @EnumSource(HeaderOrder.class)
-        @Tag("known-red")
         void copyBehindPartOfHeadIsNotJoinedWithIt(HeaderOrder order) throws Exception {
             String response = order.success("current", BODY);
             for (int bytes = 1; bytes < response.length() - BODY.length(); bytes++) {
