Give requests connections of their own after an instance has spoilt a response

What callers saw: beside second answers that break off, one request after the other on the kept connections of an instance got no answer; a booking among them ends with 502.

Cause: a response that could not be told from a copy ended its connection only; the other connections to the instance were used again, and what it writes behind a response spoils the next one of the same connection.

Why this works: for 10 s after such a response the instance gets a new connection for each request, which is closed at the end of the response, so that nothing behind it can reach another request. Copies that arrive whole cost no response and change nothing.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/ResponseAnomaly.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/ResponseAnomaly.java
@@ -3,21 +3,32 @@
 /** A way in which what an instance sends is not, or not only, the response to the request in flight. */
 public enum ResponseAnomaly {
     /** Data arrived behind a response, or on a connection without a request in flight. */
-    IDLE_DATA,
+    IDLE_DATA(false),
     /** A response carries the id of an earlier request of its connection. */
-    EARLIER_REQUEST,
+    EARLIER_REQUEST(false),
     /** A response carries an id that no request of its connection had. */
-    UNKNOWN_REQUEST,
+    UNKNOWN_REQUEST(true),
     /** A response without an id arrived on a connection that has served requests. */
-    MISSING_ID,
+    MISSING_ID(true),
     /** A response head could not be decoded. */
-    MALFORMED_HEAD,
+    MALFORMED_HEAD(true),
     /** A response body could not be decoded. */
-    MALFORMED_BODY,
+    MALFORMED_BODY(true),
     /** A response head contains the status line of another response. */
-    JOINED_HEADS,
+    JOINED_HEADS(true),
     /** A response body contains the head of another response. */
-    EMBEDDED_HEAD;
+    EMBEDDED_HEAD(true);
+
+    private final boolean costsResponse;
+
+    ResponseAnomaly(boolean costsResponse) {
+        this.costsResponse = costsResponse;
+    }
+
+    /** Returns whether the response to the request in flight cannot be recognized any more. */
+    boolean costsResponse() {
+        return costsResponse;
+    }
 
     /** Receives the anomalies of all connections. */
     @FunctionalInterface
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
@@ -12,6 +12,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.util.concurrent.Future;
+import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.EngineClient;
 import io.oleandermoor.platform.ResponseNotice;
 import io.oleandermoor.state.fleet.UpstreamInstance;
@@ -34,6 +35,9 @@
 
     private static final int PROBE_TIMEOUT_MILLIS = 250;
 
+    /** Time without reuse of the connections to an instance after it has spoilt a response. */
+    private static final long REUSE_SUSPENSION_MILLIS = 10_000;
+
     /** Limits what the operating system buffers of a response that is not read because its caller does not read. */
     private static final int RECEIVE_BUFFER_BYTES = 256 << 10;
 
@@ -41,6 +45,7 @@
     private EngineClient.NoticeListener noticeListener = (instance, notice) -> {};
     private ResponseAnomaly.Listener anomalyListener = (anomaly, instance, request, detail) -> {};
     private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
+    private final Map<String, Long> reuseSuspendedUntilMillis = new HashMap<>();
 
     /**
      * Creates an empty pool.
@@ -131,7 +136,7 @@
         while (connections != null && !connections.isEmpty()) {
             UpstreamConnection connection = connections.pollLast();
             // A duplicate response to an earlier send of the same request would match the id of this send.
-            if (connection.isIdle() && !connection.mayRepeatResponseTo(id)) {
+            if (connection.isIdle() && !connection.mayRepeatResponseTo(id) && !isReuseSuspended(instanceId)) {
                 return Optional.of(connection);
             }
             connection.close();
@@ -189,8 +194,19 @@
         anomalyListener = listener;
     }
 
+    /**
+     * Reports an anomaly. If it has cost a response, the next requests to the instance get connections of their own,
+     * because what an instance writes behind a response can only spoil the next one of the same connection.
+     */
     void reportAnomaly(ResponseAnomaly anomaly, UpstreamInstance instance, String requestId, String detail) {
         anomalyListener.anomalyFound(anomaly, instance.id(), requestId, detail);
+        if (anomaly.costsResponse()) {
+            reuseSuspendedUntilMillis.put(instance.id(), Timestamp.monotonicNowMillis() + REUSE_SUSPENSION_MILLIS);
+        }
+    }
+
+    private boolean isReuseSuspended(String instanceId) {
+        return Timestamp.monotonicNowMillis() < reuseSuspendedUntilMillis.getOrDefault(instanceId, Long.MIN_VALUE);
     }
 
     /** Passes on a notice. A pause in a late response to an earlier request may be over and is not passed on. */
@@ -203,7 +219,7 @@
     }
 
     void release(UpstreamConnection connection) {
-        if (connection.isIdle()) {
+        if (connection.isIdle() && !isReuseSuspended(connection.instanceId())) {
             idleConnections
                     .computeIfAbsent(connection.instanceId(), key -> new ArrayDeque<>())
                     .addLast(connection);
@@ -221,6 +237,7 @@
 
     /** Closes the idle connections to all instances except those with the given ids. */
     public void retainInstances(Set<String> instanceIds) {
+        reuseSuspendedUntilMillis.keySet().retainAll(instanceIds);
         idleConnections.entrySet().removeIf(entry -> {
             if (instanceIds.contains(entry.getKey())) {
                 return false;
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/PoolFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/PoolFixture.java
@@ -17,6 +17,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
@@ -48,6 +49,11 @@
         return anomalies;
     }
 
+    /** Makes the pool forget what it knows of the instance, as when it is gone for some time. */
+    void forgetInstance() throws Exception {
+        loop.submit(() -> pool.retainInstances(Set.of())).get(TIMEOUT_SECONDS, TimeUnit.SECONDS);
+    }
+
     /**
      * How a request ended.
      *
