Take the ports of the fleet in tests from outside the range of outgoing connections

Its port is chosen before agents are started and bound after it; the system may give a port of that range to an outgoing connection in between. The range is now below that of outgoing connections, and no port is returned twice.

--- a/oleandermoor-command/src/test/java/io/oleandermoor/command/TestFleet.java
+++ b/oleandermoor-command/src/test/java/io/oleandermoor/command/TestFleet.java
@@ -22,6 +22,7 @@
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.net.BindException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
@@ -37,8 +38,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -56,6 +60,11 @@
     /** Time for anything that must happen within seconds; generous because the machine is shared. */
     static final Duration SECONDS = Duration.ofSeconds(20);
 
+    private static final int FIRST_PORT = 15_000;
+    private static final int LAST_PORT = 32_000;
+    private static final int PORT_ATTEMPTS = 100;
+    private static final Set<Integer> RETURNED_PORTS = ConcurrentHashMap.newKeySet();
+
     private static final long RESTART_MILLIS = 1_500;
 
     private static final String CREDENTIAL = "credential-of-the-operator";
@@ -219,10 +228,24 @@
         return new SettingsReader(EntrySettings.SCHEMA).read("entry-" + index, text, List.of());
     }
 
+    /**
+     * Returns a port that is free and was not returned before. The operating system gives no port of the range to
+     * outgoing connections, one of which could otherwise take it before a server is started on it.
+     */
     static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
+        IOException last = new IOException("no port was tried");
+        for (int attempt = 0; attempt < PORT_ATTEMPTS; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
+            if (!RETURNED_PORTS.add(port)) {
+                continue;
+            }
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (BindException exception) {
+                last = exception;
+            }
         }
+        throw last;
     }
 
     @Override
