Fail a skipped copy whose framing is not sound, and a body that ends like a head

Bodies that lack their last bytes ended with up to eleven bytes of a copy and counted as whole. Bodies of 1 MB full of status lines held the event loop for 28 s.

Cause: heads were recognized in skipped bodies only by headers that failures may lack, and not in trailers and lines of chunk sizes; the end of a body counted only with the whole status; the limit of the search held for partial matches only.

Why this works: in a body that is skipped any status line is a loss, and so are trailers. A carriage return that is followed by a status line is found before the decoder (BrokenLineDetector). The end of a delivered body counts as a head from "HTTP/" on. The search at each place ends after 2 KB, and a status line may only have a reason of letters, so that texts such as lines of access logs are no match. Notices are taken only from answers to known requests, and a switch of protocols is a failure.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.handler.codec.http.HttpUtil;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.ReferenceCountUtil;
@@ -15,6 +16,7 @@
 import io.oleandermoor.platform.RequestHeaders;
 import io.oleandermoor.platform.RequestHeaders.ResponseHead;
 import io.oleandermoor.state.fleet.UpstreamInstance;
+import io.oleandermoor.transport.framing.BrokenLineDetector;
 import io.oleandermoor.transport.framing.EmbeddedHeadDetector;
 import io.oleandermoor.transport.framing.ResponseDecoder;
 import io.oleandermoor.transport.framing.ResponseHeads;
@@ -62,6 +64,7 @@
     private String requestId = "";
     private boolean successful;
     private long unmatchedBytes;
+    private final BrokenLineDetector brokenLines = new BrokenLineDetector();
     private EmbeddedHeadDetector embeddedHeads = new EmbeddedHeadDetector(IDENTIFYING_HEADER);
     private boolean skippingResponse;
     private boolean receivingResponse;
@@ -150,13 +153,19 @@
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
-                if (listener == null) {
-                    reportIdleData((ByteBuf) message);
-                    ReferenceCountUtil.release(message);
-                    close();
+                ByteBuf data = (ByteBuf) message;
+                boolean idle = listener == null;
+                if (idle) {
+                    reportIdleData(data);
+                } else if (brokenLines.inspect(data)) {
+                    report(ResponseAnomaly.JOINED_HEADS, "a line that breaks off within its end");
+                    fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "line of two responses");
+                } else {
+                    context.fireChannelRead(message);
                     return;
                 }
-                context.fireChannelRead(message);
+                data.release();
+                close();
             }
         };
     }
@@ -209,6 +218,11 @@
         }
         embeddedHeads = new EmbeddedHeadDetector(IDENTIFYING_HEADER);
         ResponseHead head = RequestHeaders.decode(response);
+        if (head.status() == HttpResponseStatus.SWITCHING_PROTOCOLS.code()) {
+            report(ResponseAnomaly.MALFORMED_HEAD, "status " + head.status());
+            fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "unexpected switch of protocols");
+            return;
+        }
         if (head.status() < FIRST_FINAL_STATUS) {
             skippingResponse = true;
             countUnmatched(UNMATCHED_HEAD_BYTES);
@@ -218,11 +232,11 @@
         boolean matches =
                 head.requestId().equals(requestId) || (head.requestId().isEmpty() && !servedRequest);
         skippingResponse = !matches;
-        pool.reportNotice(instance, RequestHeaders.decodeNotice(response), matches);
         if (!matches) {
-            passOver(head);
+            passOver(head, response);
             return;
         }
+        pool.reportNotice(instance, RequestHeaders.decodeNotice(response), true);
         receivingResponse = true;
         successful = head.success();
         if (!HttpUtil.isKeepAlive(response) || head.delimitedByClose()) {
@@ -236,11 +250,13 @@
      * Passes over a second response to an earlier request. Any other response may be the one that is due, and a later
      * one with the right id a copy of it that differs.
      */
-    private void passOver(ResponseHead head) {
+    private void passOver(ResponseHead head, HttpResponse response) {
         reusable = false;
         ResponseAnomaly anomaly = mismatch(head);
         report(anomaly, "status " + head.status() + " id " + head.requestId());
         if (anomaly == ResponseAnomaly.EARLIER_REQUEST) {
+            embeddedHeads = EmbeddedHeadDetector.ofAnyStatusLine();
+            pool.reportNotice(instance, RequestHeaders.decodeNotice(response), false);
             countUnmatched(UNMATCHED_HEAD_BYTES);
         } else {
             fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "response to no request of the connection");
@@ -262,7 +278,8 @@
         }
         boolean last = content instanceof LastHttpContent;
         if (embeddedHeads.inspect(content.content())
-                || (last && embeddedHeads.endsWithinHead(decoder.undecodedBytes()))) {
+                || (last && embeddedHeads.endsWithinHead(decoder.undecodedBytes()))
+                || (skippingResponse && hasTrailers(content))) {
             report(ResponseAnomaly.EMBEDDED_HEAD, skippingResponse ? "in a copy" : "in the response");
             fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "response within the body of another one");
             return;
@@ -299,6 +316,10 @@
         }
     }
 
+    private static boolean hasTrailers(HttpContent content) {
+        return content instanceof LastHttpContent end && !end.trailingHeaders().isEmpty();
+    }
+
     /** Counts data that is not part of the response, and fails the request once it exceeds the limit. */
     private void countUnmatched(long bytes) {
         unmatchedBytes += bytes;
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/ExtraResponseTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/ExtraResponseTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /** Tests a kept connection to an instance that writes a second response to a request, in whole or in part. */
 class ExtraResponseTest {
@@ -115,6 +116,24 @@
                     .isEqualTo("OUTCOME_UNKNOWN");
         }
 
+        /** Guards against a success for a run that failed, because a copy that breaks off takes in its failure. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Content-Length: 57\r\n\r\nHTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n",
+                    "Content-Length: 54\r\n\r\nHTTP/1.1 500 Internal Server Error\nContent-Length: 0\n\n",
+                    "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\rHTTP/1.1 500 Internal Server Error\r\n"
+                            + "Request-Id: current\r\nContent-Length: 0\r\n\r\n",
+                    "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nSum: aHTTP/1.1 500 Internal Server Error\r\n"
+                            + "Request-Id: current\r\nContent-Length: 0\r\n\r\n"
+                })
+        void failureWithinSkippedCopyIsNotPassedOver(String copyAndFailure) throws Exception {
+            serveEarlierRequest();
+            Result result = sendWith("HTTP/1.1 200 OK\r\nRequest-Id: " + EARLIER + "\r\n" + copyAndFailure
+                    + HeaderOrder.ID_LAST.success("current", "ok"));
+            assertThat(result.outcome()).isEqualTo("OUTCOME_UNKNOWN");
+        }
+
         /** Guards against waiting for a response behind one that answers no request of the connection. */
         @Test
         void responseToUnknownRequestEndsTheRequest() throws Exception {
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/EmbeddedHeadDetector.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/EmbeddedHeadDetector.java
@@ -17,10 +17,12 @@
     private static final int MAXIMUM_HEAD_LENGTH = 2 << 10;
     private static final byte FIRST_BYTE = 'H';
     private static final String FIRST_LETTER = "H";
-    private static final String LINE_END = "\r\n";
-    private static final String HEAD_END = "\r\n\r\n";
+    /** The beginning of a status line, from which on the end of a body counts as one. */
+    private static final String PROTOCOL = "HTTP/";
+
     private static final Pattern STATUS = Pattern.compile("HTTP/1\\.[01] \\d{3}");
-    private static final Pattern STATUS_LINE = Pattern.compile(STATUS.pattern() + "[^\\r\\n]*+\\r\\n");
+    private static final Pattern STATUS_LINE = Pattern.compile(STATUS.pattern() + "(?: [ A-Za-z'-]*+)?\\r?\\n");
+    private static final Pattern HEAD_END = Pattern.compile("\\n\\r?\\n");
 
     private final Pattern identifyingHeader;
     /** The last bytes of the body, from the first one that may begin a head; empty if there is none. */
@@ -50,10 +52,15 @@
      */
     public static Pattern headerPattern(Collection<String> names) {
         return Pattern.compile(
-                LINE_END + names.stream().map(Pattern::quote).collect(Collectors.joining("|", "(?:", "):")),
+                "\\n" + names.stream().map(Pattern::quote).collect(Collectors.joining("|", "(?:", "):")),
                 Pattern.CASE_INSENSITIVE);
     }
 
+    /** Returns a detector for a body that is not delivered, in which any status line counts as that of a head. */
+    public static EmbeddedHeadDetector ofAnyStatusLine() {
+        return new EmbeddedHeadDetector(Pattern.compile(""));
+    }
+
     /**
      * Inspects the next part of the body.
      *
@@ -86,17 +93,19 @@
     }
 
     private Match matchAt(int start) {
-        Matcher statusLine = STATUS_LINE.matcher(candidate).region(start, candidate.length());
+        int limit = Math.min(candidate.length(), start + MAXIMUM_HEAD_LENGTH);
+        Matcher statusLine = STATUS_LINE.matcher(candidate).region(start, limit);
         if (!statusLine.lookingAt()) {
             return statusLine.hitEnd() ? Match.PARTIAL : Match.NONE;
         }
-        int firstHeader = statusLine.end() - LINE_END.length();
-        int headEnd = candidate.indexOf(HEAD_END, firstHeader);
-        int end = headEnd < 0 ? candidate.length() : headEnd;
-        if (identifyingHeader.matcher(candidate).region(firstHeader, end).find()) {
+        int lineEnd = statusLine.end() - 1;
+        Matcher headEnd = HEAD_END.matcher(candidate).region(lineEnd, limit);
+        boolean complete = headEnd.find();
+        int end = complete ? headEnd.start() : limit;
+        if (identifyingHeader.matcher(candidate).region(lineEnd, end).find()) {
             return Match.HEAD;
         }
-        return headEnd < 0 ? Match.PARTIAL : Match.NONE;
+        return complete ? Match.NONE : Match.PARTIAL;
     }
 
     /**
@@ -110,6 +119,6 @@
         }
         String end = candidate + followingBytes.toString(StandardCharsets.ISO_8859_1);
         Matcher status = STATUS.matcher(end);
-        return status.find() && status.start() < candidate.length();
+        return status.lookingAt() || (status.hitEnd() && end.startsWith(PROTOCOL));
     }
 }
