Soak entries beside instances that answer twice or not completely

What was missing: a play of second and partial answers against entry processes in which every answer of a caller is judged by what the run of its request answered.

--- /dev/null
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/EntryProcess.java
@@ -0,0 +1,130 @@
+package io.oleandermoor.gateway.soak;
+
+import io.oleandermoor.gateway.GatewayMain;
+import io.oleandermoor.gateway.standin.EntryFixture;
+import io.oleandermoor.gateway.standin.StoreStandIn;
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+
+/** An entry in a process of its own, which keeps its ports and its log over all restarts. */
+final class EntryProcess implements AutoCloseable {
+
+    private static final Duration GRACE = Duration.ofSeconds(3);
+    private static final int READY_TIMEOUT_MILLIS = 500;
+
+    private final String name;
+    private final Path settings;
+    private final int callerPort = EntryFixture.freePort();
+    private final int readyPort = EntryFixture.freePort();
+    private final Queue<String> lines = new ConcurrentLinkedQueue<>();
+    private Process process;
+
+    /** Starts an entry whose settings are written to a directory. */
+    EntryProcess(String name, StoreStandIn store, Path directory) throws IOException {
+        this.name = name;
+        settings = Files.writeString(
+                directory.resolve(name + ".ini"), EntryFixture.settings(name, store, GRACE, callerPort, readyPort));
+        process = start();
+    }
+
+    private Process start() throws IOException {
+        Process started = new ProcessBuilder(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        "-Xmx200m",
+                        "-XX:TieredStopAtLevel=1",
+                        "-Djava.net.preferIPv4Stack=true",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        GatewayMain.class.getName(),
+                        settings.toString())
+                .redirectErrorStream(true)
+                .start();
+        Thread reader = new Thread(() -> readLines(started), "log-" + name);
+        reader.setDaemon(true);
+        reader.start();
+        return started;
+    }
+
+    private void readLines(Process started) {
+        try (BufferedReader output = started.inputReader(StandardCharsets.UTF_8)) {
+            output.lines().forEach(lines::add);
+        } catch (IOException | java.io.UncheckedIOException exception) {
+            lines.add("soak: the output ended: " + exception.getMessage());
+        }
+    }
+
+    int callerPort() {
+        return callerPort;
+    }
+
+    /** Returns the log lines of all runs that contain a text. */
+    List<String> linesWith(String text) {
+        List<String> found = new ArrayList<>();
+        for (String line : lines) {
+            if (line.contains(text)) {
+                found.add(name + ": " + line);
+            }
+        }
+        return found;
+    }
+
+    boolean isReady() {
+        try {
+            HttpURLConnection connection =
+                    (HttpURLConnection) URI.create("http://127.0.0.1:" + readyPort + "/api/ready")
+                            .toURL()
+                            .openConnection();
+            connection.setConnectTimeout(READY_TIMEOUT_MILLIS);
+            connection.setReadTimeout(READY_TIMEOUT_MILLIS);
+            return connection.getResponseCode() == 200;
+        } catch (IOException exception) {
+            // It does not listen yet.
+            return false;
+        }
+    }
+
+    /** Sends SIGHUP, if the process runs. */
+    void hangUp() throws IOException, InterruptedException {
+        Process current = current();
+        if (current.isAlive() && !linesWith("event=start").isEmpty()) {
+            new ProcessBuilder("kill", "-HUP", Long.toString(current.pid()))
+                    .start()
+                    .waitFor();
+        }
+    }
+
+    /** Sends SIGTERM and, at once or never, SIGKILL, and starts the entry again when it has ended. */
+    void restart(boolean kill) throws IOException, InterruptedException {
+        Process ending = current();
+        if (kill) {
+            ending.destroyForcibly();
+        } else {
+            ending.destroy();
+        }
+        ending.waitFor();
+        synchronized (this) {
+            if (process == ending) {
+                process = start();
+            }
+        }
+    }
+
+    private synchronized Process current() {
+        return process;
+    }
+
+    @Override
+    public synchronized void close() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+}
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
@@ -70,17 +70,21 @@
         this.store = store;
         callerPort = freePort();
         readyPort = freePort();
-        String settings = "[process]\nname = " + name + "\nfailure-domain = a\n[listen]\ncaller = 127.0.0.1:"
-                + callerPort
-                + "\nready = 127.0.0.1:" + readyPort + "\npeer = 127.0.0.1:" + freePort() + "\n[store]\naddress = "
-                + store.address() + "\n[limits]\nrevocation = 5000ms\ngrace = " + grace.toMillis()
-                + "ms\n[retries]\nwindow = 10s\n"
-                + "ratio = 0.2\nfixed = 50\n[orders]\nholder-gap = 3000ms\n";
+        String settings = settings(name, store, grace, callerPort, readyPort);
         gateway = new Gateway(new SettingsReader(GatewaySettings.SCHEMA).read("test", settings, List.of()));
         gateway.start();
         gateway.listen();
     }
 
+    /** Returns the settings of an entry with the given name, store, time for its stop and ports. */
+    public static String settings(String name, StoreStandIn store, Duration grace, int callerPort, int readyPort)
+            throws IOException {
+        return "[process]\nname = " + name + "\nfailure-domain = a\n[listen]\ncaller = 127.0.0.1:" + callerPort
+                + "\nready = 127.0.0.1:" + readyPort + "\npeer = 127.0.0.1:" + freePort() + "\n[store]\naddress = "
+                + store.address() + "\n[limits]\nrevocation = 5000ms\ngrace = " + grace.toMillis()
+                + "ms\n[retries]\nwindow = 10s\nratio = 0.2\nfixed = 50\n[orders]\nholder-gap = 3000ms\n";
+    }
+
     /** Starts another entry with the same store, without a configuration or instances of its own. */
     public EntryFixture startPeer(String name) throws Exception {
         EntryFixture peer = new EntryFixture(name, store, DEFAULT_GRACE);
@@ -105,7 +109,7 @@
      * Returns a port that is free for TCP and UDP. The operating system assigns no port of the range to connections, so
      * that none is taken before the entry binds it.
      */
-    private static int freePort() throws IOException {
+    public static int freePort() throws IOException {
         IOException last = new IOException("no port was tried");
         for (int attempt = 0; attempt < PORT_ATTEMPTS; attempt++) {
             int port = ThreadLocalRandom.current().nextInt(FIRST_PORT, LAST_PORT);
@@ -140,16 +144,19 @@
 
     /** Writes a configuration with a limit on the size of bodies to the store. */
     public void configure(int version, String keys, long maximumBodyBytes) {
-        store.put(
-                "op/config",
-                "{\"version\":" + version + ",\"routes\":[" + route("stream", "streaming", "words", 5_000, true) + ","
-                        + route("once", "unsafe", "shop", 900, false) + ","
-                        + route("safe", "safe", "shop", 5_000, false)
-                        + "],\"services\":[{\"name\":\"words\",\"engine\":{\"slots\":8,\"kv-capacity\":1000,"
-                        + "\"models\":[{\"name\":\"m\",\"weights-mb\":1,\"load-time-s\":1}]}},{\"name\":\"shop\"}],"
-                        + "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":" + maximumBodyBytes + ","
-                        + "\"header-timeout-ms\":6000,\"idle-timeout-ms\":15000},\"tenants\":[{\"name\":\"team-1\","
-                        + "\"api-keys\":[" + keys + "]}]}");
+        store.put("op/config", configuration(version, keys, maximumBodyBytes));
+    }
+
+    /** Returns a configuration with the routes of all kinds. */
+    public static String configuration(int version, String keys, long maximumBodyBytes) {
+        return "{\"version\":" + version + ",\"routes\":[" + route("stream", "streaming", "words", 5_000, true) + ","
+                + route("once", "unsafe", "shop", 900, false) + ","
+                + route("safe", "safe", "shop", 5_000, false)
+                + "],\"services\":[{\"name\":\"words\",\"engine\":{\"slots\":8,\"kv-capacity\":1000,"
+                + "\"models\":[{\"name\":\"m\",\"weights-mb\":1,\"load-time-s\":1}]}},{\"name\":\"shop\"}],"
+                + "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":" + maximumBodyBytes + ","
+                + "\"header-timeout-ms\":6000,\"idle-timeout-ms\":15000},\"tenants\":[{\"name\":\"team-1\","
+                + "\"api-keys\":[" + keys + "]}]}";
     }
 
     /** Writes the default configuration and waits until the entry is ready. */
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -207,7 +207,8 @@
         }
     }
 
-    private static Map<String, String> readRequest(InputStream input) throws IOException {
+    /** Reads a request: headers by lower-case name, the request line as "line" and the body as "body". */
+    public static Map<String, String> readRequest(InputStream input) throws IOException {
         Map<String, String> headers = new HashMap<>();
         headers.put("line", readLine(input));
         String header = readLine(input);
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
@@ -93,6 +93,13 @@
         history.add(item);
     }
 
+    /** Removes an item unconditionally, as the end of its writer's lease would. */
+    public synchronized void remove(String key) {
+        revision++;
+        items.remove(key);
+        history.add(Map.of("key", key, "tombstone", true, "revision", revision));
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
         String path = exchange.getRequestURI().getPath();
         Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
