Hang entries of the soak up only once they handle the signal

A SIGHUP between the start of the JVM and its handler ends the process, which would be the soak's mistake (found by reading). The soak now waits for the start of the process that it signals, and fails if an entry ends without a signal that ends it.

--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/EntryProcess.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/EntryProcess.java
@@ -27,7 +27,10 @@
     private final int callerPort = EntryFixture.freePort();
     private final int readyPort = EntryFixture.freePort();
     private final Queue<String> lines = new ConcurrentLinkedQueue<>();
+    private final List<String> unexpectedEnds = new ArrayList<>();
     private Process process;
+    private volatile Process lastStarted;
+    private Process signalled;
 
     /** Starts an entry whose settings are written to a directory. */
     EntryProcess(String name, StoreStandIn store, Path directory) throws IOException {
@@ -57,8 +60,13 @@
 
     private void readLines(Process started) {
         try (BufferedReader output = started.inputReader(StandardCharsets.UTF_8)) {
-            output.lines().forEach(lines::add);
-        } catch (IOException | java.io.UncheckedIOException exception) {
+            for (String line = output.readLine(); line != null; line = output.readLine()) {
+                lines.add(line);
+                if (line.contains("event=start")) {
+                    lastStarted = started;
+                }
+            }
+        } catch (IOException exception) {
             lines.add("soak: the output ended: " + exception.getMessage());
         }
     }
@@ -93,10 +101,10 @@
         }
     }
 
-    /** Sends SIGHUP, if the process runs. */
+    /** Sends SIGHUP, unless the process is still starting: before it has a handler, the signal ends it. */
     void hangUp() throws IOException, InterruptedException {
         Process current = current();
-        if (current.isAlive() && !linesWith("event=start").isEmpty()) {
+        if (current.isAlive() && lastStarted == current) {
             new ProcessBuilder("kill", "-HUP", Long.toString(current.pid()))
                     .start()
                     .waitFor();
@@ -105,7 +113,7 @@
 
     /** Sends SIGTERM and, at once or never, SIGKILL, and starts the entry again when it has ended. */
     void restart(boolean kill) throws IOException, InterruptedException {
-        Process ending = current();
+        Process ending = signal();
         if (kill) {
             ending.destroyForcibly();
         } else {
@@ -119,6 +127,24 @@
         }
     }
 
+    /** Returns the ends of processes that no signal had caused. */
+    synchronized List<String> unexpectedEnds() {
+        noteUnexpectedEnd();
+        return unexpectedEnds;
+    }
+
+    private void noteUnexpectedEnd() {
+        if (process != signalled && !process.isAlive()) {
+            unexpectedEnds.add(name + " ended with status " + process.exitValue());
+        }
+    }
+
+    private synchronized Process signal() {
+        noteUnexpectedEnd();
+        signalled = process;
+        return process;
+    }
+
     private synchronized Process current() {
         return process;
     }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/StutterSoakTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/StutterSoakTest.java
@@ -72,6 +72,9 @@
                     .isTrue();
             assertThat(errors).isEmpty();
             judge(seed, fleet, callers);
+            assertThat(fleet.entries())
+                    .as("entries that ended by themselves with seed " + seed)
+                    .allSatisfy(entry -> assertThat(entry.unexpectedEnds()).isEmpty());
         } finally {
             threads.shutdownNow();
         }
