Let a part of the soak's instances answer completely, so that connections are kept

Since entries avoid the kept connections of an instance that spoils responses, few copies came in front of another answer. A third of the instances now write complete answers and copies only, a third breaks 2 of 100, a third any. The summary counts the requests on kept connections and those behind a copy.

--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/AnswerScript.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/AnswerScript.java
@@ -44,8 +44,28 @@
         }
     }
 
+    /** How often an instance does worse than to answer twice, which makes an entry avoid its kept connections. */
+    enum Temper {
+        /** All answers and copies are complete. */
+        COMPLETE(0),
+        /** A few answers or copies are not complete, or have no id. */
+        SELDOM_BROKEN(2),
+        /** Any answer or copy may be broken. */
+        OFTEN_BROKEN(100);
+
+        private final int brokenOfHundred;
+
+        Temper(int brokenOfHundred) {
+            this.brokenOfHundred = brokenOfHundred;
+        }
+
+        boolean breaks(UniformRandomProvider random) {
+            return random.nextInt(100) < brokenOfHundred;
+        }
+    }
+
     /** The request that is answered, as far as the answer depends on it. */
-    record Question(String requestId, boolean stream, int lastEvent, String instance, String stamp) {}
+    record Question(String requestId, boolean stream, int lastEvent, String instance, String stamp, Temper temper) {}
 
     /** A part of a copy that is shorter cannot be told from the bytes of a body. */
     private static final int RECOGNIZABLE_BYTES = "HTTP/1.1 200 ".length();
@@ -59,7 +79,8 @@
     /** Draws what an instance writes. */
     static AnswerScript draw(Question question, UniformRandomProvider random) {
         boolean success = random.nextInt(10) < SUCCESSES_OF_TEN;
-        String id = success || random.nextInt(3) > 0 ? question.requestId() : "";
+        boolean mayBreak = question.temper().breaks(random);
+        String id = success || !mayBreak || random.nextInt(3) > 0 ? question.requestId() : "";
         List<String> parts = parts(question, success, random);
         Framing framing = Framing.draw(random);
         String status = success ? "200 OK" : "500 Internal Server Error";
@@ -70,7 +91,7 @@
         String body = success && question.stream()
                 ? String.join("", SoakEvents.after(question.requestId(), 0))
                 : String.join("", parts);
-        Draft draft = new Draft(response, framing, response.indexOf("\r\n\r\n") + 4);
+        Draft draft = new Draft(response, framing, response.indexOf("\r\n\r\n") + 4, mayBreak);
         draft.draw(copy, random);
         String writing = framing + " id=" + !id.isEmpty() + " wrote " + draft.written + " of " + response.length()
                 + " bytes, then " + draft.ending + ", copy " + draft.copyTime + " "
@@ -107,21 +128,23 @@
         private final String response;
         private final Framing framing;
         private final int headBytes;
+        private final boolean mayBreak;
         private int written;
         private Ending ending = Ending.KEEP;
         private String copy = "";
         private CopyTime copyTime = CopyTime.NEVER;
 
-        Draft(String response, Framing framing, int headBytes) {
+        Draft(String response, Framing framing, int headBytes, boolean mayBreak) {
             this.response = response;
             this.framing = framing;
             this.headBytes = headBytes;
+            this.mayBreak = mayBreak;
             this.written = response.length();
         }
 
         void draw(String completeCopy, UniformRandomProvider random) {
-            boolean stutters = random.nextInt(10) < STUTTERS_OF_TEN;
-            if (stutters && random.nextInt(3) == 0) {
+            boolean stutters = random.nextInt(10) < STUTTERS_OF_TEN && (mayBreak || framing != Framing.UNTIL_CLOSE);
+            if (stutters && mayBreak && random.nextInt(3) == 0) {
                 breakOff(random);
             }
             boolean broken = written < response.length();
@@ -149,7 +172,9 @@
         }
 
         private void drawCopy(String completeCopy, UniformRandomProvider random) {
-            int bytes = random.nextInt(3) == 0 ? completeCopy.length() : 1 + random.nextInt(completeCopy.length());
+            int bytes = !mayBreak || random.nextInt(3) == 0
+                    ? completeCopy.length()
+                    : 1 + random.nextInt(completeCopy.length());
             int missing = response.length() - written;
             boolean fills = framing == Framing.UNTIL_CLOSE || bytes == missing;
             if (fills && bytes < RECOGNIZABLE_BYTES) {
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/RunLedger.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/RunLedger.java
@@ -17,8 +17,18 @@
     /** Statuses of the entry itself that promise nothing. */
     private static final Set<Integer> UNKNOWN_OUTCOMES = Set.of(502, 504);
 
+    private final Map<String, Integer> played = new ConcurrentHashMap<>();
     private final Map<String, List<Run>> runs = new ConcurrentHashMap<>();
 
+    /** Counts requests by what their connection had carried before. */
+    void countPlayed(String situation) {
+        played.merge(situation, 1, Integer::sum);
+    }
+
+    Map<String, Integer> played() {
+        return played;
+    }
+
     void record(String requestId, Run run) {
         runs.computeIfAbsent(requestId, id -> new CopyOnWriteArrayList<>()).add(run);
     }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/StutterSoakTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/StutterSoakTest.java
@@ -107,7 +107,8 @@
             }
         }
         System.out.println("soak seed=" + seed + " seconds=" + DURATION.toSeconds() + " violations=" + violations.size()
-                + " rules=" + brokenRules + " answers=" + counts);
+                + " rules=" + brokenRules + " answers=" + counts + " connections="
+                + fleet.ledger().played());
         violations.stream().limit(MAXIMUM_SHOWN_VIOLATIONS).forEach(System.out::println);
         assertThat(brokenRules).as("violations with seed " + seed).isEmpty();
         int successes = counts.entrySet().stream()
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/StutteringInstance.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/StutteringInstance.java
@@ -32,6 +32,7 @@
     private final String service;
     private final long seed;
     private final RunLedger ledger;
+    private final AnswerScript.Temper temper;
     private final ServerSocket serverSocket;
     private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     private final AtomicInteger runCount = new AtomicInteger();
@@ -41,6 +42,7 @@
         this.service = service;
         this.seed = seed;
         this.ledger = ledger;
+        temper = AnswerScript.Temper.values()[Math.floorMod(id.hashCode(), AnswerScript.Temper.values().length)];
         serverSocket = listen(port);
         startThread("instance-" + id, this::accept);
     }
@@ -103,6 +105,7 @@
             InputStream input = new BufferedInputStream(socket.getInputStream());
             String pendingCopy = "";
             boolean open = true;
+            boolean kept = false;
             while (open) {
                 Map<String, String> request = InstanceStandIn.readRequest(input);
                 String target = request.getOrDefault("target-instance", id);
@@ -111,6 +114,12 @@
                 } else if (!target.equals(id)) {
                     write(socket, refusal("421 Misdirected Request", request.get("request-id")));
                 } else {
+                    ledger.countPlayed(kept ? "kept" : "new");
+                    kept = true;
+                    if (!pendingCopy.isEmpty()) {
+                        ledger.countPlayed(
+                                pendingCopy.matches("(?s).*\r\n\r\n.*") ? "behind_copy" : "behind_part_of_head");
+                    }
                     AnswerScript script = execute(request);
                     if (script == null) {
                         write(socket, pendingCopy + refusal("503 Service Unavailable", request.get("request-id")));
@@ -146,7 +155,8 @@
                 service.equals("words"),
                 Integer.parseInt(request.getOrDefault("last-event-id", "0")),
                 id,
-                "s." + id + "." + runCount.incrementAndGet());
+                "s." + id + "." + runCount.incrementAndGet(),
+                temper);
         AnswerScript script = AnswerScript.draw(question, random);
         ledger.record(requestId, script.run());
         return script;
