Open a connection for each HTTP call of the daemons

What callers saw: a booking, lookup or completion could get the response of an earlier call, a failed call a status of 200, an order that an engine refused could count as done, and a refused compare-and-swap as applied, which allows two owners of a name.

Cause: the clients kept connections, HTTP/1.1 responses name no request, and OkHttp looks for unexpected bytes only on connections that were idle for long. A late copy of an earlier response, or a part of one, counts as the next response.

Evidence: before, all five methods of RepeatedResponseTest failed. Behind a copy that breaks off, a response of 500 gave 200 at each byte from 13 to 71 of 83, and at bytes 1 to 12 the call failed as broken. In the body of the copy, 5 of 11 gave 200; the others probably had a new connection, as bytes left behind end the one before.

Why this works: the pool keeps no idle connection, so an earlier response's copy has no later call on its connection. The setting is in HttpClients, for upstreams, the key-value service and the instance list alike.

Not chosen: an id in each request, because neither the protocols of these upstreams nor the stand-ins return one; a check before reuse, because a copy may arrive after it; an interceptor that evicts, which does the same as the setting with more code; `Connection: close`, because it permits the upstream to end a body of unknown length with the connection, where a body cut off by a crash looks whole. The key-value service has not been seen to respond twice, but leases and the memory account rest on its writes, and ownership and configuration take 21 calls/s of the whole fleet at the target size (docs/CAPACITY.md).

With this code 8,000 calls, 32 at a time, opened 8,000 connections. The client's side keeps TIME_WAIT (2,000 after 2,000 calls). With the usual 28,232 ports and 60 s that allows about 470 calls/s to one upstream off loopback (computed).

The tests of transport (20), daemon (22) and standin (12) pass.

--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/HttpClients.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/HttpClients.java
@@ -11,16 +11,21 @@
 
     private static final int MAXIMUM_CONCURRENT_REQUESTS = 4096;
 
-    private static final int IDLE_CONNECTIONS = 64;
+    /**
+     * HTTP/1.1 responses name no request, so a late one on a kept connection would count as that to the next request.
+     */
+    private static final int IDLE_CONNECTIONS = 0;
 
     private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
 
+    /** Required by the pool; without effect while it keeps no connection. */
     private static final Duration KEEP_ALIVE = Duration.ofMinutes(1);
 
     private HttpClients() {}
 
     /**
      * Creates a client that never repeats a request by itself: whether a request may run twice is decided elsewhere.
+     * Each request has a connection of its own.
      *
      * @param readTimeout longest silence of the other side
      * @return the client
