Send a request without an id on a connection of its own

What callers could see: a request without an id, on a connection that had served another one without an id, got the late second response to that one as its own: a success for a run that failed. Not seen with callers; found in the code.

Cause: the pool compared empty ids like others. Only the request that the connection served last, or that failed on it, was kept off it, so that one request with an id in between was enough.

Evidence: in the test below the fourth request, without an id, went out on the connection of the second one, which had none either.

Why this works: a request without an id gets a new connection, on which its response is the first, and which is closed behind it. The idle connections stay as they are, and none is added to them.

Measured: requestWithoutIdHasItsConnectionToItself failed before (the same connection for requests two to four) and passes; the other tests of UpstreamPoolTest pass.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -105,7 +105,8 @@
         unmatchedBytes = 0;
         skippingResponse = false;
         receivingResponse = false;
-        reusable = true;
+        // Connections that requests without an id leave behind would add up, because no such request uses one again.
+        reusable = !id.isEmpty();
         Channel current = channel;
         if (current == null || !current.isActive()) {
             request.release();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
@@ -95,7 +95,7 @@
     }
 
     /**
-     * Sends a request once, over an idle connection if there is one.
+     * Sends a request once, over an idle connection if it has an id and there is one.
      *
      * @param instance the instance to send to
      * @param request the request; the pool releases it
@@ -104,7 +104,8 @@
      */
     public InFlightRequest send(
             UpstreamInstance instance, FullHttpRequest request, String id, ResponseListener listener) {
-        Optional<UpstreamConnection> idle = acquireIdle(instance.id(), id);
+        // Only the id tells the response to a request from a late one to an earlier request of its connection.
+        Optional<UpstreamConnection> idle = id.isEmpty() ? Optional.empty() : acquireIdle(instance.id(), id);
         if (idle.isPresent()) {
             idle.get().send(request, id, listener);
             return idle.get();
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/UpstreamPoolTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/UpstreamPoolTest.java
@@ -50,6 +50,22 @@
                     });
         }
 
+        /**
+         * Guards against a late second response without an id that is taken for that to a later request without one.
+         */
+        @Test
+        void requestWithoutIdHasItsConnectionToItself() throws Exception {
+            standIn.setRawResponse(id -> "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nContent-Length: 2\r\n\r\nok");
+            assertThat(pool.send("")).isEqualTo("200");
+            assertThat(pool.send("")).isEqualTo("200");
+            standIn.setBehaviour(Behaviour.ANSWER);
+            assertThat(pool.send("other")).isEqualTo("200");
+            assertThat(pool.send("")).isEqualTo("200");
+            assertThat(standIn.receivedRequests())
+                    .extracting(request -> request.get("connection"))
+                    .doesNotHaveDuplicates();
+        }
+
         /** Guards against an answer that breaks off anywhere, also in its head, and is taken for a complete one. */
         @ParameterizedTest
         @EnumSource(
