Do not take a success that denies its run for a refusal

What callers could see: a request that must not be repeated ran twice, or a stream went on with the events of another run as if the first one had delivered none. Not seen with callers; found by a test of the entry.

Cause: a response with Not-Executed counted as no run whatever its status, so a signed 200 with that header was thrown away and the request sent again. The two statements contradict each other; a head joined of two responses has both.

Evidence: with instances that answer so, a request on the unsafe route went to both of them and the caller got the second 200; a stream got two events of the first run and three of the second, beside the header Not-Executed.

Why this works: such a response counts as a possible run and as no usable answer. A request that may be repeated goes to another instance, as one that may have run; any other one gets 502, which promises nothing.

Measured: successThatStatesNoExecutionIsNotSentAgain failed before (200, two sends) and passes.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -152,10 +152,14 @@
         responseHead = head;
         HttpHeaders forwardedHeaders = RequestHeaders.encodeResponse(response.headers());
         responseHeaders = forwardedHeaders;
-        if (!head.notExecuted()) {
+        // A success contradicts the statement that nothing was run.
+        boolean contradictory = head.success() && head.notExecuted();
+        if (!head.notExecuted() || contradictory) {
             recordPossibleRun();
         }
-        if (head.success() && (!head.signed() || head.contentEncoded())) {
+        if (contradictory) {
+            fail("contradictory_answer");
+        } else if (head.success() && (!head.signed() || head.contentEncoded())) {
             fail("unsigned_answer");
         } else if (head.success() && exchange.admitted().route().kind() == RequestKind.STREAMING) {
             beginStream(head.status(), forwardedHeaders);
--- /dev/null
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/SingleRunTest.java
@@ -0,0 +1,80 @@
+package io.oleandermoor.gateway;
+
+import static io.oleandermoor.gateway.standin.EntryFixture.UNSAFE_PATH;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.oleandermoor.gateway.standin.EntryFixture;
+import io.oleandermoor.gateway.standin.InstanceStandIn;
+import io.oleandermoor.gateway.standin.InstanceStandIn.Behaviour;
+import java.util.ArrayDeque;
+import java.util.List;
+import java.util.Queue;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+/** Tests with a complete entry that the parts of a success come from one run. */
+class SingleRunTest {
+
+    private EntryFixture entry;
+    private List<InstanceStandIn> instances;
+
+    @BeforeEach
+    void start() throws Exception {
+        entry = new EntryFixture();
+    }
+
+    @AfterEach
+    void stop() throws Exception {
+        entry.close();
+    }
+
+    /** The responses of instances. */
+    private enum Response {
+        SUCCESS("200 OK", "Response-Stamp: s\r\nContent-Length: 4\r\n\r\ndone"),
+        SUCCESS_NOT_EXECUTED("200 OK", "Response-Stamp: s\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\ndone");
+
+        private final String status;
+        private final String lines;
+
+        Response(String status, String lines) {
+            this.status = status;
+            this.lines = lines;
+        }
+
+        String text(String id) {
+            return "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\n" + lines;
+        }
+    }
+
+    /** Starts two instances, which answer the requests that they receive together with the given responses. */
+    private void startInstances(String service, Response... responses) throws Exception {
+        Queue<Response> remaining = new ArrayDeque<>(List.of(responses));
+        instances = List.of(
+                entry.startInstance("i-1", service, Behaviour.SILENT),
+                entry.startInstance("i-2", service, Behaviour.SILENT));
+        entry.awaitReady();
+        for (InstanceStandIn instance : instances) {
+            instance.setRawResponse(id -> remaining.remove().text(id));
+        }
+    }
+
+    private int sendCount() {
+        return instances.stream()
+                .mapToInt(instance -> instance.receivedRequests().size())
+                .sum();
+    }
+
+    @Nested
+    class Refusal {
+
+        /** Guards against a run at two instances, because the first one answers with a success that denies its run. */
+        @Test
+        void successThatStatesNoExecutionIsNotSentAgain() throws Exception {
+            startInstances("shop", Response.SUCCESS_NOT_EXECUTED, Response.SUCCESS);
+            assertThat(entry.call(UNSAFE_PATH, "key-1").statusCode()).isEqualTo(502);
+            assertThat(sendCount()).isEqualTo(1);
+        }
+    }
+}
