Do not continue a stream of events without ids at another instance

What callers could see: a stream that ends as complete with the events of two runs. Not seen with callers; found by a test of the entry.

Cause: a stream moves by the id of its last event. Events without an id were written to the caller all the same, and left the stream where it was, so that the next instance began with the first event.

Evidence: with an instance that sends an event without an id and breaks off, and one that answers, the caller got that event and all five of the second run.

Why this works: once an event without an id has been written, the request is not sent again, neither after a loss nor because of silence; the stream breaks off and the caller sees that it did. Comments count as before: another run may follow them.

Measured: unnumberedEventsAreNotFollowedByAnotherRun failed before (five events, complete) and passes.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -413,6 +413,7 @@
     /** Returns whether the route, the limits on sends and the remaining time until the deadline allow another send. */
     boolean canRetry(long minimumRemainingMillis) {
         return sends.permitsRetry(admitted.route())
+                && (stream == null || stream.canResume())
                 && deadlineMillis - Timestamp.monotonicNowMillis() > minimumRemainingMillis;
     }
 
@@ -423,6 +424,7 @@
      */
     Optional<UpstreamInstance> reserveFailover() {
         boolean allowed = sends.permitsFailover(admitted.route())
+                && (stream == null || stream.canResume())
                 && deadlineMillis - Timestamp.monotonicNowMillis() > MINIMUM_RETRY_REMAINING_MILLIS;
         if (!allowed) {
             return Optional.empty();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ResumableEventStream.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ResumableEventStream.java
@@ -18,6 +18,7 @@
     private long lastEventId;
     private boolean resuming;
     private boolean foreignEventSeen;
+    private boolean unnumberedEventTaken;
     /** The index before which the buffer contains no end of an event. */
     private int searchedIndex;
 
@@ -47,6 +48,11 @@
         foreignEventSeen = false;
     }
 
+    /** Returns whether all events taken so far have ids, without which another run would deliver them again. */
+    boolean canResume() {
+        return !unnumberedEventTaken;
+    }
+
     /** Returns whether what should resume the stream began with something that has no id, and so is no event of it. */
     boolean isForeignEventSeen() {
         return foreignEventSeen;
@@ -78,6 +84,7 @@
             if (id < 0 || id > lastEventId) {
                 newEvents.writeBytes(buffer, buffer.readerIndex(), end - buffer.readerIndex());
                 lastEventId = Math.max(id, lastEventId);
+                unnumberedEventTaken |= id < 0 && !comment;
             }
             buffer.readerIndex(end);
             end = findEventEnd();
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/SingleRunTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/SingleRunTest.java
@@ -1,14 +1,19 @@
 package io.oleandermoor.gateway;
 
+import static io.oleandermoor.gateway.standin.EntryFixture.STREAM_PATH;
 import static io.oleandermoor.gateway.standin.EntryFixture.UNSAFE_PATH;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.oleandermoor.gateway.standin.EntryFixture;
 import io.oleandermoor.gateway.standin.InstanceStandIn;
 import io.oleandermoor.gateway.standin.InstanceStandIn.Behaviour;
+import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.List;
+import java.util.Optional;
 import java.util.Queue;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -17,6 +22,10 @@
 /** Tests with a complete entry that the parts of a success come from one run. */
 class SingleRunTest {
 
+    private static final String CHUNKED = "Response-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final String LAST_CHUNK = "0\r\n\r\n";
+    private static final String MALFORMED_CHUNK = "zz\r\n";
+
     private EntryFixture entry;
     private List<InstanceStandIn> instances;
 
@@ -33,7 +42,9 @@
     /** The responses of instances. */
     private enum Response {
         SUCCESS("200 OK", "Response-Stamp: s\r\nContent-Length: 4\r\n\r\ndone"),
-        SUCCESS_NOT_EXECUTED("200 OK", "Response-Stamp: s\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\ndone");
+        SUCCESS_NOT_EXECUTED("200 OK", "Response-Stamp: s\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\ndone"),
+        ALL_EVENTS("200 OK", CHUNKED + events(1, 5) + LAST_CHUNK),
+        TORN_BEHIND_UNNUMBERED_EVENT("200 OK", CHUNKED + "9\r\ndata: a\n\n\r\n" + MALFORMED_CHUNK);
 
         private final String status;
         private final String lines;
@@ -46,6 +57,12 @@
         String text(String id) {
             return "HTTP/1.1 " + status + "\r\nRequest-Id: " + id + "\r\n" + lines;
         }
+
+        private static String events(int first, int last) {
+            return IntStream.rangeClosed(first, last)
+                    .mapToObj(event -> "f\r\nid: " + event + "\ndata: " + event + "\n\n\r\n")
+                    .collect(Collectors.joining());
+        }
     }
 
     /** Starts two instances, which answer the requests that they receive together with the given responses. */
@@ -77,4 +94,29 @@
             assertThat(sendCount()).isEqualTo(1);
         }
     }
+
+    @Nested
+    class Stream {
+
+        /** Returns the ids of the events of a stream that is complete, empty if the stream breaks off. */
+        private Optional<List<String>> readStream() throws Exception {
+            try {
+                return Optional.of(entry.call(STREAM_PATH, "key-1")
+                        .body()
+                        .lines()
+                        .filter(line -> line.startsWith("id: "))
+                        .toList());
+            } catch (IOException exception) {
+                // The entry ends the stream without its last chunk.
+                return Optional.empty();
+            }
+        }
+
+        /** Guards against events of two runs in one stream, because those of the first one have no ids. */
+        @Test
+        void unnumberedEventsAreNotFollowedByAnotherRun() throws Exception {
+            startInstances("words", Response.TORN_BEHIND_UNNUMBERED_EVENT, Response.ALL_EVENTS);
+            assertThat(readStream()).isEmpty();
+        }
+    }
 }
