Do not end a stream as complete that has had no event

Cause: the end of a response counted as the end of the stream whenever it was no part of an event, so also directly behind the head, and where the end of the connection is all that says so.

Evidence: an instance that answers a stream with 200 and no body, or with only the last chunk, gave the caller a complete stream with no event.

Why this works: a run makes at least one event, so that a response without one is no run that went well. The request goes to another instance if it may, and else the stream breaks off, which promises nothing. Left as before: a run that goes on behind the last event that the caller has, which may have nothing to add if its response has a length or chunks, and requests for the head alone. A response without either ends with its connection, as that of an instance that ends does, and says nothing without an event.

Measured: streamWithoutEventIsNoSuccess failed before (complete, no event) for both responses and passes; runThatGoesOnBehindTheLastEventMayHaveNone passed before and passes, requestForTheHeadAloneNeedsNoEvent passes. That no instance of the users' makes streams without events on purpose is taken from the protocol, not measured.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -4,6 +4,7 @@
 import io.netty.handler.codec.http.EmptyHttpHeaders;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.RequestHeaders;
@@ -104,6 +105,10 @@
         return admitted.target();
     }
 
+    boolean isHeadRequest() {
+        return HttpMethod.HEAD.equals(request.method());
+    }
+
     /**
      * Returns the key of the capacity that requests share: that of a model with its adapters, or of a plain service.
      */
@@ -412,9 +417,7 @@
 
     /** Returns whether the route, the limits on sends and the remaining time until the deadline allow another send. */
     boolean canRetry(long minimumRemainingMillis) {
-        return sends.permitsRetry(admitted.route())
-                && (stream == null || stream.canResume())
-                && deadlineMillis - Timestamp.monotonicNowMillis() > minimumRemainingMillis;
+        return sends.permitsRetry(admitted.route()) && permitsOtherRun(minimumRemainingMillis);
     }
 
     /**
@@ -423,13 +426,14 @@
      * request then stays at its current instance.
      */
     Optional<UpstreamInstance> reserveFailover() {
-        boolean allowed = sends.permitsFailover(admitted.route())
-                && (stream == null || stream.canResume())
-                && deadlineMillis - Timestamp.monotonicNowMillis() > MINIMUM_RETRY_REMAINING_MILLIS;
-        if (!allowed) {
-            return Optional.empty();
-        }
-        return selectInstance().instance().filter(instance -> tryAcquireRetry());
+        return sends.permitsFailover(admitted.route()) && permitsOtherRun(MINIMUM_RETRY_REMAINING_MILLIS)
+                ? selectInstance().instance().filter(instance -> tryAcquireRetry())
+                : Optional.empty();
+    }
+
+    private boolean permitsOtherRun(long minimumRemainingMillis) {
+        return (stream == null || stream.canResume())
+                && deadlineMillis - Timestamp.monotonicNowMillis() > minimumRemainingMillis;
     }
 
     private boolean tryAcquireRetry() {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -311,6 +311,13 @@
             handleLostConnection("ended_within_event");
             return;
         }
+        // A run makes at least one event; only one that goes on behind the last event of another may have none.
+        boolean resumed = events.lastEventId() >= 0 && !head.delimitedByClose();
+        if (firstEventMillis < 0 && !resumed && !exchange.isHeadRequest()) {
+            exchange.closeCurrentAttempt();
+            handleLostConnection("ended_without_event");
+            return;
+        }
         if (!head.delimitedByClose()) {
             recordProvenAnswer();
         }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/SingleRunTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/SingleRunTest.java
@@ -8,6 +8,9 @@
 import io.oleandermoor.gateway.standin.InstanceStandIn;
 import io.oleandermoor.gateway.standin.InstanceStandIn.Behaviour;
 import java.io.IOException;
+import java.net.URI;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.util.ArrayDeque;
 import java.util.List;
 import java.util.Optional;
@@ -18,6 +21,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 
 /** Tests with a complete entry that the parts of a success come from one run. */
 class SingleRunTest {
@@ -43,7 +48,10 @@
     private enum Response {
         SUCCESS("200 OK", "Response-Stamp: s\r\nContent-Length: 4\r\n\r\ndone"),
         SUCCESS_NOT_EXECUTED("200 OK", "Response-Stamp: s\r\nNot-Executed: 1\r\nContent-Length: 4\r\n\r\ndone"),
+        NO_BODY("200 OK", "Response-Stamp: s\r\nContent-Length: 0\r\n\r\n"),
+        NO_EVENT("200 OK", CHUNKED + LAST_CHUNK),
         ALL_EVENTS("200 OK", CHUNKED + events(1, 5) + LAST_CHUNK),
+        ALL_EVENTS_WITHOUT_END("200 OK", CHUNKED + events(1, 5) + MALFORMED_CHUNK),
         TORN_BEHIND_UNNUMBERED_EVENT("200 OK", CHUNKED + "9\r\ndata: a\n\n\r\n" + MALFORMED_CHUNK);
 
         private final String status;
@@ -112,6 +120,38 @@
             }
         }
 
+        /** Guards against a success for a run that failed, because its empty body is taken for a complete stream. */
+        @ParameterizedTest
+        @EnumSource(
+                value = Response.class,
+                names = {"NO_BODY", "NO_EVENT"})
+        void streamWithoutEventIsNoSuccess(Response empty) throws Exception {
+            startInstances("words", empty, Response.ALL_EVENTS, empty, empty);
+            assertThat(readStream()).contains(List.of("id: 1", "id: 2", "id: 3", "id: 4", "id: 5"));
+            assertThat(readStream()).isEmpty();
+        }
+
+        @Test
+        void requestForTheHeadAloneNeedsNoEvent() throws Exception {
+            startInstances("words", Response.NO_BODY);
+            HttpRequest request = HttpRequest.newBuilder(
+                            URI.create("http://127.0.0.1:" + entry.callerPort() + STREAM_PATH))
+                    .method("HEAD", HttpRequest.BodyPublishers.noBody())
+                    .header("Authorization", "Token key-1")
+                    .header("Model", "m")
+                    .build();
+            assertThat(entry.client()
+                            .send(request, HttpResponse.BodyHandlers.discarding())
+                            .statusCode())
+                    .isEqualTo(200);
+        }
+
+        @Test
+        void runThatGoesOnBehindTheLastEventMayHaveNone() throws Exception {
+            startInstances("words", Response.ALL_EVENTS_WITHOUT_END, Response.NO_EVENT);
+            assertThat(readStream()).contains(List.of("id: 1", "id: 2", "id: 3", "id: 4", "id: 5"));
+        }
+
         /** Guards against events of two runs in one stream, because those of the first one have no ids. */
         @Test
         void unnumberedEventsAreNotFollowedByAnotherRun() throws Exception {
