Keep an id that a caller uses again off the connection of its response

What callers could see: a caller that used the id of a served request once more got the late second response to the first one, a success, whatever became of the second. Not seen with callers, whose attempts have ids of their own; found in the code.

Cause: a connection remembered the ids of failed and refused requests and that of the last request, but not those of successes before it.

Evidence: in the test below the third request, with the id of the first one, went out on the connection that had served both.

Measured: idThatACallerUsesAgainIsNotSentOnTheConnectionOfItsResponse failed before and passes; the other tests of UpstreamPoolTest and those of ExtraResponseTest.BeforeTheResponse that are not known red pass.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -92,11 +92,11 @@
     }
 
     /**
-     * Returns whether a response to an earlier send of a request may still arrive on this connection: the request was
-     * the last one, or the instance declined it or failed.
+     * Returns whether a response to an earlier request with an id may still arrive on this connection: the request was
+     * one of the last ones, or the instance declined it or failed.
      */
     boolean mayRepeatResponseTo(String id) {
-        return servedRequest && (requestId.equals(id) || unsuccessfulIds.contains(id));
+        return servedRequest && (servedIds.contains(id) || unsuccessfulIds.contains(id));
     }
 
     void send(FullHttpRequest request, String id, ResponseListener responseListener) {
@@ -306,7 +306,7 @@
             servedRequest = true;
             servedIds.add(requestId);
             if (!successful) {
-                // Only these requests may be sent again.
+                // Only these requests are sent again by this entry.
                 unsuccessfulIds.add(requestId);
                 reusable &= unsuccessfulIds.size() < MAXIMUM_UNSUCCESSFUL_REQUESTS;
             }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/UpstreamPoolTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/UpstreamPoolTest.java
@@ -50,6 +50,17 @@
                     });
         }
 
+        /** Guards against a late second response that is taken for that to a later request with the same id. */
+        @Test
+        void idThatACallerUsesAgainIsNotSentOnTheConnectionOfItsResponse() throws Exception {
+            assertThat(pool.send("twice")).isEqualTo("200");
+            assertThat(pool.send("other")).isEqualTo("200");
+            assertThat(pool.send("twice")).isEqualTo("200");
+            assertThat(standIn.receivedRequests())
+                    .extracting(request -> request.get("connection"))
+                    .satisfies(connections -> assertThat(connections.get(2)).isNotEqualTo(connections.get(1)));
+        }
+
         /**
          * Guards against a late second response without an id that is taken for that to a later request without one.
          */
