Do not write the refusal of a body in front of responses that are still due

What callers could see: on a connection with pipelined requests a 503 in the place of the response to an earlier request, and that request's own response, a success, in the place of the next one. The refused request had not run, the one that got its 503 ran. Not seen with callers; found by a test of the entry.

Cause: a body for which no memory is left is refused at once unless a response is in progress. While the caller doesn't read, its earlier requests wait and none of them is in progress, so the 503 went in front of their responses.

Evidence: behind large responses to a caller that does not read, with the bodies of 64 other requests held, the caller got 200, 200, 503 and 200 for four requests that should have run and a fifth that was refused.

Why this works: a refusal is written only if no earlier request waits. Otherwise the connection closes after the next response, which says so, as it did when one was in progress; and it is not closed before it.

Measured: refusalOfBodyIsNotWrittenInFrontOfEarlierResponse failed before and passes; so do the other tests of MisbehavingPeersTest.MisbehavingCaller.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
@@ -113,13 +113,13 @@
 
     /**
      * Refuses the request that is being received, and closes the connection after the rest of it has been discarded. If
-     * a response to an earlier request is due, the connection closes after that response instead.
+     * an earlier request is not answered yet, the connection closes after the response that is due instead.
      */
     void refuseUnread() {
         server.logRefusedBody(receivingBodyBytes);
         releaseReceivedBody();
         closing = true;
-        if (!responding) {
+        if (!responding && pendingRequests.isEmpty()) {
             writeFullResponse(
                     SERVICE_UNAVAILABLE,
                     ResponseWriter.retryAfterHeaders(UNAVAILABLE_RETRY_AFTER_MILLIS),
@@ -141,7 +141,7 @@
     /** Closes the connection now if no request is being received or answered, and otherwise after the response. */
     void closeWhenIdle() {
         closing = true;
-        if (!responding && receivingSinceMillis < 0 && context != null) {
+        if (!responding && pendingRequests.isEmpty() && receivingSinceMillis < 0 && context != null) {
             context.close();
         }
     }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/MisbehavingPeersTest.java
@@ -322,6 +322,7 @@
         private static final int MAXIMUM_BODIES_BYTES = 64 << 20;
 
         private static final int LARGE_BODY_BYTES = 1 << 20;
+        private static final int LARGE_RESPONSES = 4;
 
         /** Guards against buffering a response without limit for a caller that stops reading. */
         @Test
@@ -382,6 +383,50 @@
                             == 200);
         }
 
+        /** Guards against a refusal that is taken for the response to another request, which runs later. */
+        @Test
+        void refusalOfBodyIsNotWrittenInFrontOfEarlierResponse() throws Exception {
+            InstanceStandIn shop = entry.startInstance("i-1", "shop", Behaviour.ANSWER);
+            entry.awaitReady();
+            entry.configure(7, "\"key-1\"", 2 * LARGE_BODY_BYTES);
+            awaitInstances();
+            shop.setRawResponse(id -> "HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\nRequest-Id: " + id
+                    + "\r\nContent-Length: " + 3 * LARGE_BODY_BYTES + "\r\n\r\n" + "x".repeat(3 * LARGE_BODY_BYTES));
+            List<Socket> sockets = new ArrayList<>();
+            try (Socket socket = new Socket()) {
+                socket.setReceiveBufferSize(64 << 10);
+                socket.connect(new InetSocketAddress("127.0.0.1", entry.callerPort()));
+                socket.setSoTimeout(6_000);
+                // More than the operating system buffers for a caller that does not read.
+                for (int large = 0; large < LARGE_RESPONSES; large++) {
+                    socket.getOutputStream().write(request(SAFE_PATH, "large-" + large));
+                }
+                await().until(() -> shop.receivedRequests().size() >= 2);
+                for (int caller = 0; caller < MAXIMUM_BODIES_BYTES / LARGE_BODY_BYTES; caller++) {
+                    sockets.add(new Socket("127.0.0.1", entry.callerPort()));
+                    sendPartOfBody(sockets.get(caller));
+                }
+                awaitInstances();
+                sendPartOfBody(socket);
+                awaitInstances();
+                String received = new String(socket.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+                assertThat(received.replaceAll("x+", "").lines().filter(line -> line.startsWith("HTTP/")))
+                        .containsOnly("HTTP/1.1 200 OK");
+            }
+            for (Socket socket : sockets) {
+                socket.close();
+            }
+        }
+
+        private void sendPartOfBody(Socket socket) throws IOException {
+            socket.getOutputStream()
+                    .write(("POST " + SAFE_PATH + " HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: large\r\n"
+                                    + "Authorization: Token key-1\r\nContent-Length: " + (LARGE_BODY_BYTES + 1)
+                                    + "\r\n\r\n")
+                            .getBytes(StandardCharsets.US_ASCII));
+            socket.getOutputStream().write(new byte[LARGE_BODY_BYTES]);
+        }
+
         /**
          * Guards against cutting off a partially received request because no other request is in flight at shutdown.
          */
