Bound the search for heads in a body full of status lines

What callers would see: an entry that answers nobody while an instance sends a body full of status lines.

The detector is there for copies that an instance writes by mistake; one that wants to send a wrong body can do so anyway.

Measured: EmbeddedHeadDetectorTest with bodyOfManyStatusLinesIsNotSearchedFurther, and ExtraResponseTest, pass.

--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/EmbeddedHeadDetector.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/EmbeddedHeadDetector.java
@@ -15,6 +15,9 @@
 public final class EmbeddedHeadDetector {
 
     private static final int MAXIMUM_HEAD_LENGTH = 2 << 10;
+    /** Number of status lines that begin no head, after which a body is not searched further, to bound the time. */
+    private static final int MAXIMUM_STATUS_LINES = 64;
+
     private static final byte FIRST_BYTE = 'H';
     private static final String FIRST_LETTER = "H";
     /** The beginning of a status line, from which on the end of a body counts as one. */
@@ -28,10 +31,14 @@
     /** The last bytes of the body, from the first one that may begin a head; empty if there is none. */
     private final StringBuilder candidate = new StringBuilder();
 
+    private int statusLines;
     private boolean found;
 
     private enum Match {
         NONE,
+        /** A status line that begins no head with an identifying header. */
+        STATUS_LINE,
+        /** What may become a head with the next bytes. */
         PARTIAL,
         HEAD
     }
@@ -68,12 +75,13 @@
      * @return whether the body as far as it has been seen contains the head of a response
      */
     public boolean inspect(ByteBuf bytes) {
-        if (found || (candidate.isEmpty() && firstByteIndex(bytes) < 0)) {
+        boolean searching = statusLines < MAXIMUM_STATUS_LINES && (!candidate.isEmpty() || firstByteIndex(bytes) >= 0);
+        if (found || !searching) {
             return found;
         }
         candidate.append(bytes.toString(StandardCharsets.ISO_8859_1));
         int start = candidate.indexOf(FIRST_LETTER);
-        while (start >= 0) {
+        while (start >= 0 && statusLines < MAXIMUM_STATUS_LINES) {
             Match match = matchAt(start);
             if (match == Match.HEAD) {
                 found = true;
@@ -82,9 +90,13 @@
             if (match == Match.PARTIAL && candidate.length() - start <= MAXIMUM_HEAD_LENGTH) {
                 break;
             }
+            if (match != Match.NONE) {
+                statusLines++;
+            }
             start = candidate.indexOf(FIRST_LETTER, start + 1);
         }
-        candidate.delete(0, start < 0 ? candidate.length() : start);
+        boolean exhausted = start < 0 || statusLines == MAXIMUM_STATUS_LINES;
+        candidate.delete(0, exhausted ? candidate.length() : start);
         return false;
     }
 
@@ -105,7 +117,7 @@
         if (identifyingHeader.matcher(candidate).region(lineEnd, end).find()) {
             return Match.HEAD;
         }
-        return complete ? Match.NONE : Match.PARTIAL;
+        return complete ? Match.STATUS_LINE : Match.PARTIAL;
     }
 
     /**
--- a/oleandermoor-transport/src/test/java/io/oleandermoor/transport/framing/EmbeddedHeadDetectorTest.java
+++ b/oleandermoor-transport/src/test/java/io/oleandermoor/transport/framing/EmbeddedHeadDetectorTest.java
@@ -61,6 +61,16 @@
     @Nested
     class EndsWithinHead {
 
+        /** Guards against an event loop that stops at a body full of status lines. */
+        @Test
+        void bodyOfManyStatusLinesIsNotSearchedFurther() {
+            for (int part = 0; part < 1_000; part++) {
+                assertThat(detector.inspect(bytes("HTTP/1.1 200 OK\r\n".repeat(4_000))))
+                        .isFalse();
+            }
+            assertThat(detector.endsWithinHead(Unpooled.EMPTY_BUFFER)).isFalse();
+        }
+
         @Test
         void headThatBeginsInTheBodyAndContinuesBehindItIsFound() {
             detector.inspect(bytes("text H"));
