--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -149,8 +149,11 @@
         return decoder;
     }
 
-    /** Returns a handler for the bytes of the connection, which closes it if any arrive without a request in flight. */
-    ChannelInboundHandlerAdapter newIdleDataHandler() {
+    /**
+     * Returns a handler for the bytes of the connection before they are decoded. It closes the connection if any arrive
+     * without a request in flight, or if a line among them goes on with another response.
+     */
+    ChannelInboundHandlerAdapter newByteInspector() {
         return new ChannelInboundHandlerAdapter() {
             @Override
             public void channelRead(ChannelHandlerContext context, Object message) {
@@ -248,14 +251,15 @@
     }
 
     /**
-     * Passes over a second response to an earlier request. Any other response may be the one that is due, and a later
-     * one with the right id a copy of it that differs.
+     * Passes over a second response to an earlier request, or else ends the attempt: any other response may be the one
+     * that is due, and a later one with the right id only a second response that differs from it.
      */
     private void passOver(ResponseHead head, HttpResponse response) {
         reusable = false;
         ResponseAnomaly anomaly = mismatch(head);
         report(anomaly, "status " + head.status() + " id " + head.requestId());
         if (anomaly == ResponseAnomaly.EARLIER_REQUEST) {
+            // The response that is due must not disappear in the body of this one.
             embeddedHeads = EmbeddedHeadDetector.ofAnyStatusLine();
             pool.reportNotice(instance, RequestHeaders.decodeNotice(response), false);
             countUnmatched(UNMATCHED_HEAD_BYTES);
@@ -293,28 +297,32 @@
             current.onContent(content.content());
         }
         if (last && receivingResponse && listener == current) {
-            if (connectionFailed) {
-                fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "connection was reset during the response");
-                return;
-            }
-            setAutoRead(true);
-            listener = null;
-            if (decoder.undecodedBytes().isReadable()) {
-                reportIdleData(decoder.undecodedBytes());
-                reusable = false;
-            }
-            servedRequest = true;
-            servedIds.add(requestId);
-            if (!successful) {
-                // Only these requests are sent again by this entry.
-                unsuccessfulIds.add(requestId);
-                reusable &= unsuccessfulIds.size() < MAXIMUM_UNSUCCESSFUL_REQUESTS;
-            }
-            // The instance counts the idle time from the end of its response.
-            usableUntilMillis = Timestamp.monotonicNowMillis() + keepAliveMillis;
-            pool.release(this);
-            current.onComplete();
+            completeResponse(current);
+        }
+    }
+
+    private void completeResponse(ResponseListener current) {
+        if (connectionFailed) {
+            fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "connection was reset during the response");
+            return;
+        }
+        setAutoRead(true);
+        listener = null;
+        if (decoder.undecodedBytes().isReadable()) {
+            reportIdleData(decoder.undecodedBytes());
+            reusable = false;
+        }
+        servedRequest = true;
+        servedIds.add(requestId);
+        if (!successful) {
+            // Only these requests are sent again by this entry.
+            unsuccessfulIds.add(requestId);
+            reusable &= unsuccessfulIds.size() < MAXIMUM_UNSUCCESSFUL_REQUESTS;
         }
+        // The instance counts the idle time from the end of its response.
+        usableUntilMillis = Timestamp.monotonicNowMillis() + keepAliveMillis;
+        pool.release(this);
+        current.onComplete();
     }
 
     private static boolean hasTrailers(HttpContent content) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
@@ -159,7 +159,7 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(connection.newIdleDataHandler())
+                                .addLast(connection.newByteInspector())
                                 .addLast(connection.decoder())
                                 .addLast(new HttpRequestEncoder())
                                 .addLast(connection);
