Forget the end of a response before the next one in the search for broken lines

trouble began: event=response_anomaly kind=joined_heads, "a line that breaks off within its end".

Cause: the search goes over the bytes of a connection. A body whose last byte is a carriage return, one in 256 of random bodies, and the status line of the next response were taken for a line that breaks off.

Why this works: the search begins anew with each request. Behind a skipped copy whose body ends so, the response that is due can still be lost.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -114,6 +114,7 @@
             return;
         }
         decoder.expectResponseTo(request.method());
+        brokenLines.reset();
         current.writeAndFlush(request).addListener(future -> {
             if (!future.isSuccess()) {
                 fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "send failed: " + future.cause());
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/ExtraResponseTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/upstream/ExtraResponseTest.java
@@ -188,6 +188,16 @@
     @Nested
     class BehindTheResponse {
 
+        /** Guards against taking the last byte of a body and the next response for a line that breaks off. */
+        @Test
+        void bodyThatEndsWithCarriageReturnDoesNotSpoilTheNextResponse() throws Exception {
+            pool.standIn().setRawResponse(id -> HeaderOrder.ID_LAST.success(id, "ok\r"));
+            for (int request = 0; request < 3; request++) {
+                assertThat(pool.send("request-" + request)).isEqualTo("200");
+            }
+            assertThat(pool.anomalies()).isEmpty();
+        }
+
         /** Guards against losing one request after the other to copies of the one before. */
         @Test
         void requestsAfterSpoiltResponseGetConnectionsOfTheirOwn() throws Exception {
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/BrokenLineDetector.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/BrokenLineDetector.java
@@ -16,6 +16,11 @@
     /** The last bytes, as far as they are the beginning of what is searched for. */
     private String end = "";
 
+    /** Forgets the bytes before, because they end with a response that is complete. */
+    public void reset() {
+        end = "";
+    }
+
     /**
      * Inspects the next bytes of a connection.
      *
