--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/AdmittedRequest.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/AdmittedRequest.java
@@ -1,10 +1,13 @@
 package io.oleandermoor.gateway.request;
 
 import io.oleandermoor.state.dispatch.CallerRequest;
+import io.oleandermoor.state.dispatch.InstanceTable;
 import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.dispatch.QueueOrder;
 import io.oleandermoor.state.fleet.HostRoute;
 import io.oleandermoor.state.fleet.TeamLimits;
 import java.util.Optional;
+import java.util.Set;
 
 /**
  * A request that passed admission and may be sent to an instance.
@@ -43,4 +46,18 @@
                         + Math.min(routePriority, PRIORITIES_PER_TEAM_PRIORITY - 1))
                 .orElse(routePriority);
     }
+
+    /** Returns what determines the place of the request in the queue. */
+    QueueOrder.Position position(long sequenceNumber, long arrivedMillis) {
+        return new QueueOrder.Position(urgency(), sequenceNumber, targetMillis(arrivedMillis));
+    }
+
+    /** Returns what rules on instances take into account. */
+    InstanceTable.Terms terms(long arrivedMillis) {
+        return new InstanceTable.Terms(urgency(), targetMillis(arrivedMillis), Set.of());
+    }
+
+    private long targetMillis(long arrivedMillis) {
+        return arrivedMillis + route.latencyTargetMillis();
+    }
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -59,6 +59,7 @@
     private final RequestTraits traits;
     private final StreamLatency latency = new StreamLatency(arrivedMillis);
     private final QueueOrder.Position position;
+    private final InstanceTable.Terms terms;
     private @Nullable ScheduledFuture<?> deadlineTimer;
     private @Nullable ScheduledFuture<?> queueTimer;
     private @Nullable ResumableEventStream stream;
@@ -77,10 +78,8 @@
         this.traits = InstanceRequests.traits(request, admitted);
         this.outcomeLog = new RequestOutcomeLog(dispatcher);
         this.deadlineMillis = arrivedMillis + admitted.caller().allowedMillis(admitted.route());
-        this.position = new QueueOrder.Position(
-                admitted.urgency(),
-                sequenceNumber,
-                arrivedMillis + admitted.route().latencyTargetMillis());
+        this.position = admitted.position(sequenceNumber, arrivedMillis);
+        this.terms = admitted.terms(arrivedMillis);
         this.prompt = admitted.target().isPresent() ? Prompt.of(admitted.caller()) : Prompt.NONE;
     }
 
@@ -184,7 +183,7 @@
 
     private InstanceSelection selectInstance() {
         InstanceTable.InstanceQuery query =
-                new InstanceTable.InstanceQuery(admitted.service(), target(), prompt, sends.triedInstances());
+                new InstanceTable.InstanceQuery(admitted.service(), target(), prompt, sends.triedInstances(), terms);
         return dispatcher.view().instances().choose(query, Timestamp.monotonicNowMillis());
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -58,6 +58,7 @@
             state.requestSent();
             state.prefillStarted(unreadPromptTokens);
         });
+        exchange.dispatcher().view().instances().recordSend(instance.id(), sentMillis);
         if (unreadPromptTokens > 0) {
             exchange.dispatcher().reportPromptChange(instance.id());
         }
@@ -366,6 +367,7 @@
         exchange.closeCurrentAttempt();
         if (head.misdirected()) {
             exchange.allowInstanceAgain(instance.id());
+            exchange.dispatcher().view().instances().recordNotAccepted(instance.id(), now);
         }
         exchange.retryOrFail("not_run_" + head.status() + " of " + instance.id());
     }
@@ -381,6 +383,7 @@
             if (how == FailureKind.NOT_SENT) {
                 instanceState().ifPresent(state -> state.recordUnreachable(now));
             }
+            exchange.dispatcher().view().instances().recordNotAccepted(instance.id(), now);
             exchange.onNotSent();
             return;
         }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -1,18 +1,20 @@
 package io.oleandermoor.state.dispatch;
 
+import io.oleandermoor.state.dispatch.InstanceRule.Verdict;
 import io.oleandermoor.state.fleet.UpstreamInstance;
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
 import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalDouble;
 import java.util.OptionalLong;
 import java.util.Set;
 import java.util.SplittableRandom;
-import org.jspecify.annotations.Nullable;
 
 /**
  * The instances that an entry knows, with their models, load, failure rate and speed. Chooses the instance for a
@@ -79,6 +81,7 @@
     private final InstanceNotices notices = new InstanceNotices();
     private final PeerPrompts peerPrompts = new PeerPrompts();
     private final Map<String, EventIntervalAverage> serviceIntervals = new HashMap<>();
+    private final List<InstanceRule> rules = new ArrayList<>();
 
     /**
      * Creates an empty table.
@@ -110,8 +113,29 @@
      * @param target the required model or adapter, empty for a plain service
      * @param prompt the prompt of the request
      * @param excluded the identifiers of instances to which the request was already sent
+     * @param terms what rules on instances need to know about the request
      */
-    public record InstanceQuery(String service, Optional<ModelTarget> target, Prompt prompt, Set<String> excluded) {}
+    public record InstanceQuery(
+            String service, Optional<ModelTarget> target, Prompt prompt, Set<String> excluded, Terms terms) {
+
+        /** Creates a query without terms. */
+        public InstanceQuery(String service, Optional<ModelTarget> target, Prompt prompt, Set<String> excluded) {
+            this(service, target, prompt, excluded, Terms.NONE);
+        }
+    }
+
+    /**
+     * The properties of a request that rules on instances take into account.
+     *
+     * @param urgency the urgency, where 0 is the most urgent
+     * @param targetMillis the time by which the response has to start to meet the latency target
+     * @param allowedRegions the regions in which the request may run; empty if it may run in all of them
+     */
+    public record Terms(int urgency, long targetMillis, Set<String> allowedRegions) {
+
+        /** The terms of a request without any. */
+        public static final Terms NONE = new Terms(0, Long.MAX_VALUE, Set.of());
+    }
 
     /** The reason why no instance can accept a request now. */
     public enum Shortage {
@@ -136,6 +160,21 @@
     public record InstanceSelection(
             Optional<UpstreamInstance> instance, Optional<Shortage> shortage, OptionalLong pauseEndMillis) {}
 
+    /** Adds a rule that restricts which instances may be chosen. */
+    public void addRule(InstanceRule rule) {
+        rules.add(rule);
+    }
+
+    /** Records for the rules that a request is sent to an instance. */
+    public void recordSend(String id, long nowMillis) {
+        state(id).ifPresent(state -> rules.forEach(rule -> rule.onSent(state, nowMillis)));
+    }
+
+    /** Records for the rules that a sent request was certainly not accepted by an instance. */
+    public void recordNotAccepted(String id, long nowMillis) {
+        state(id).ifPresent(state -> rules.forEach(rule -> rule.onNotAccepted(state, nowMillis)));
+    }
+
     /** Adds an instance or updates its description. A restart under the same identifier resets its state. */
     public void put(UpstreamInstance instance, long nowMillis) {
         InstanceState state = states.get(instance.id());
@@ -279,17 +318,23 @@
     /** Chooses the instance for a request. */
     public InstanceSelection choose(InstanceQuery query, long nowMillis) {
         ShortageFinder shortage = new ShortageFinder();
-        double bestCost = Double.MAX_VALUE;
-        @Nullable UpstreamInstance best = null;
+        Candidate best = Candidate.NONE;
+        Candidate lastResort = Candidate.NONE;
+        boolean allowedHolderExists = false;
         for (InstanceState state : states.values()) {
             UpstreamInstance instance = state.instance();
             if (!instance.service().equals(query.service())) {
                 continue;
             }
+            int load = load(instance.id());
+            Verdict verdict = judge(state, query, load, nowMillis);
+            if (verdict == Verdict.EXCLUDED) {
+                continue;
+            }
             boolean holds =
                     query.target().isEmpty() || state.holds(query.target().get(), nowMillis);
             Optional<InstanceNotices.Notice> notice = notices.current(instance, nowMillis);
-            if (instance.draining() || notice.isPresent()) {
+            if (verdict == Verdict.WITHDRAWN || instance.draining() || notice.isPresent()) {
                 shortage.addWithdrawn(holds, notice);
                 continue;
             }
@@ -301,22 +346,46 @@
             if (!holds) {
                 continue;
             }
-            int load = load(instance.id());
-            double capacityRatio = query.target().isPresent() ? 1.0 : PLAIN_SERVICE_CAPACITY_RATIO;
-            double capacity = instance.slots() * capacityRatio * notices.usableShare(instance, nowMillis);
-            if (load >= capacity || !mayPrefill(state, query.prompt(), nowMillis)) {
+            allowedHolderExists |= verdict != Verdict.LAST_RESORT;
+            if (verdict == Verdict.FULL || !hasCapacity(state, query, load, nowMillis)) {
                 continue;
             }
             double cost = cost(state, query, load, nowMillis);
-            if (cost < bestCost) {
-                bestCost = cost;
-                best = instance;
+            if (verdict == Verdict.LAST_RESORT) {
+                lastResort = lastResort.cheaperOf(instance, cost);
+            } else {
+                best = best.cheaperOf(instance, cost);
             }
         }
-        if (best != null) {
-            return new InstanceSelection(Optional.of(best), Optional.empty(), OptionalLong.empty());
+        Candidate chosen = allowedHolderExists ? best : lastResort;
+        return chosen.instance()
+                .map(instance -> new InstanceSelection(Optional.of(instance), Optional.empty(), OptionalLong.empty()))
+                .orElseGet(() -> shortage.selection(nowMillis));
+    }
+
+    /** The cheapest instance found so far. */
+    private record Candidate(Optional<UpstreamInstance> instance, double cost) {
+
+        private static final Candidate NONE = new Candidate(Optional.empty(), Double.MAX_VALUE);
+
+        private Candidate cheaperOf(UpstreamInstance other, double otherCost) {
+            return otherCost < cost ? new Candidate(Optional.of(other), otherCost) : this;
+        }
+    }
+
+    private Verdict judge(InstanceState state, InstanceQuery query, int load, long nowMillis) {
+        Verdict strictest = Verdict.ALLOWED;
+        for (InstanceRule rule : rules) {
+            Verdict verdict = rule.judge(state, query, load, nowMillis);
+            strictest = verdict.compareTo(strictest) > 0 ? verdict : strictest;
         }
-        return shortage.selection(nowMillis);
+        return strictest;
+    }
+
+    private boolean hasCapacity(InstanceState state, InstanceQuery query, int load, long nowMillis) {
+        double capacityRatio = query.target().isPresent() ? 1.0 : PLAIN_SERVICE_CAPACITY_RATIO;
+        double capacity = state.instance().slots() * capacityRatio * notices.usableShare(state.instance(), nowMillis);
+        return load < capacity && mayPrefill(state, query.prompt(), nowMillis);
     }
 
     private boolean mayPrefill(InstanceState state, Prompt prompt, long nowMillis) {
