Take a status that is not from 100 to 599 for a malformed head

Cause: each status below 200 counted as that of an interim response, so a request whose instance answered with the status 000, 099 or 0 waited until the deadline of its caller, without a line in the log. Calls to engines and the store returned such a status, and an interim one, as their result. The existing handling of malformed heads ends the connection, logs and counts the anomaly and sends the request elsewhere if it may.

--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/ResponseDecoder.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/ResponseDecoder.java
@@ -5,13 +5,19 @@
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.regex.Pattern;
 
 /**
  * Decodes the responses of a connection that carries one request at a time. Unlike Netty's client codec, it shows what
- * has arrived behind the end of a response, also if that is too little to be decoded.
+ * has arrived behind the end of a response, also if that is too little to be decoded, and it takes a status that is not
+ * three digits from 100 to 599 for a malformed head: an instance in trouble sends statuses such as 000, which otherwise
+ * counts as that of an interim response.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
 
+    private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
+    private static final int STATUS_WORD = 1;
+
     private HttpMethod requestMethod = HttpMethod.GET;
 
     /**
@@ -33,6 +39,15 @@
         return internalBuffer();
     }
 
+    @Override
+    protected HttpMessage createMessage(String[] initialLine) {
+        String status = initialLine[STATUS_WORD];
+        if (!STATUS.matcher(status).matches()) {
+            throw new IllegalArgumentException("invalid status: " + status);
+        }
+        return super.createMessage(initialLine);
+    }
+
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
         return requestMethod.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message);
