Evacuate failure domains and restrict requests to regions

Cause: operators must be able to take a failure domain out of use within 5 s without refusing requests for models that only it holds, and requests of some routes and teams may run in some regions only.

Change: a key op/evacuate/DOMAIN begins the evacuation of a failure domain, its removal ends it. EvacuationSchedule decides on the deadline from the last time at which the store is known not to have had the key; EvacuationRule makes the instances a last resort until then and withdraws them afterwards. EvacuationListener shares the follower of the configuration and precedes it. The placement gives such instances no orders and does not count their models. An instance that is full there no longer keeps requests from the other instances of last resort. allowed-regions of routes and teams are decoded and combined; RegionRule excludes instances elsewhere. A restricted request without any instance is refused at once, with the new shortage NO_ALLOWED_INSTANCE. Requests with different regions have different keys in the queue.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.oleandermoor.gateway.follow.EntryMembership;
+import io.oleandermoor.gateway.follow.EvacuationListener;
 import io.oleandermoor.gateway.follow.FleetFollower;
 import io.oleandermoor.gateway.metrics.GatewayMetrics;
 import io.oleandermoor.gateway.order.OrderLease;
@@ -23,12 +24,17 @@
 import io.oleandermoor.platform.StoreClient;
 import io.oleandermoor.state.dispatch.DispatchMechanism;
 import io.oleandermoor.state.dispatch.InstanceTable;
+import io.oleandermoor.state.evacuation.EvacuationRule;
+import io.oleandermoor.state.evacuation.EvacuationSchedule;
+import io.oleandermoor.state.region.RegionRule;
 import io.oleandermoor.state.residency.DemandTracker;
 import io.oleandermoor.state.residency.PlacementMechanism;
 import io.oleandermoor.state.residency.PlacementOptions;
 import io.oleandermoor.transport.settings.Settings;
 import java.util.EnumSet;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -80,6 +86,7 @@
     private final GatewayMetrics metrics = new GatewayMetrics();
     private final QuarantineCoordinator quarantine = new QuarantineCoordinator(metrics);
     private final StoreClient store;
+    private final EvacuationSchedule evacuations;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private boolean wasReady;
 
@@ -95,6 +102,10 @@
                 entryName,
                 new InstanceTable(
                         settings.get(GatewaySettings.FAILURE_DOMAIN), System.nanoTime(), dispatchMechanisms()));
+        evacuations =
+                new EvacuationSchedule(settings.get(GatewaySettings.EVACUATION).toMillis());
+        view.instances().addRule(new EvacuationRule(evacuations));
+        view.instances().addRule(new RegionRule(regions()));
         store = new StoreClient(
                 loop, settings.get(GatewaySettings.STORE_ADDRESS).toSocketAddress(), STORE_TIMEOUT_MILLIS);
         NoticeRecorder noticeRecorder = new NoticeRecorder(view, metrics);
@@ -133,6 +144,13 @@
         return mechanisms;
     }
 
+    /** Returns the regions of the failure domains, including that of this machine. */
+    private Map<String, String> regions() {
+        Map<String, String> regions = new HashMap<>(settings.get(GatewaySettings.REGIONS));
+        regions.putIfAbsent(settings.get(GatewaySettings.FAILURE_DOMAIN), settings.get(GatewaySettings.REGION));
+        return regions;
+    }
+
     private PlacementOptions placementOptions() {
         Set<PlacementMechanism> mechanisms = EnumSet.allOf(PlacementMechanism.class);
         mechanisms.removeAll(settings.get(GatewaySettings.DISABLED_PLACEMENT));
@@ -157,7 +175,11 @@
     private void startOnLoop() {
         LOG.info("event=start entry={}", view.entry());
         FleetFollower.start(
-                loop, store, view, settings.get(GatewaySettings.DRAIN).toMillis());
+                loop,
+                store,
+                view,
+                settings.get(GatewaySettings.DRAIN).toMillis(),
+                new EvacuationListener(loop, view, evacuations, metrics));
         membership.start();
         dispatcher.start();
         dispatcher.setShortageListener(peerExchange::reportSoon);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -51,12 +51,20 @@
      * @param store the store
      * @param view the view to update
      * @param drainMillis the time after which a draining instance must not receive new requests
+     * @param evacuationListener applies the evacuations, which are stored beside the configuration
      */
-    public static void start(EventLoop loop, StoreClient store, DeploymentView view, long drainMillis) {
+    public static void start(
+            EventLoop loop,
+            StoreClient store,
+            DeploymentView view,
+            long drainMillis,
+            StoreFollower.Listener evacuationListener) {
         long batchDelayMillis = (long) (drainMillis * BATCH_DELAY_DRAIN_RATIO);
         FleetFollower follower = new FleetFollower(view);
-        ConfigurationListener configurationListener = new ConfigurationListener(view, FleetDocumentDecoder::decode);
-        new StoreFollower(loop, store, ConfigurationListener.KEY_PREFIX, CONFIGURATION_TIMING, configurationListener)
+        // The evacuations come first, so that a confirmed configuration implies that they are in force.
+        StoreFollower.Listener operatorListener =
+                evacuationListener.andThen(new ConfigurationListener(view, FleetDocumentDecoder::decode));
+        new StoreFollower(loop, store, ConfigurationListener.KEY_PREFIX, CONFIGURATION_TIMING, operatorListener)
                 .start();
         StoreFollower.WatchTiming instanceTiming = new StoreFollower.WatchTiming(
                 INSTANCE_WATCH_TIMEOUT_MILLIS,
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
@@ -63,6 +63,24 @@
          * @param confirmedAt a time at which the items, with these changes, were current
          */
         void onChanges(StoreReadResult reading, Timestamp confirmedAt);
+
+        /** Returns a listener that calls this listener and then, unless this one fails, another one. */
+        default Listener andThen(Listener next) {
+            Listener first = this;
+            return new Listener() {
+                @Override
+                public void onSnapshot(StoreReadResult reading, Timestamp confirmedAt) {
+                    first.onSnapshot(reading, confirmedAt);
+                    next.onSnapshot(reading, confirmedAt);
+                }
+
+                @Override
+                public void onChanges(StoreReadResult reading, Timestamp confirmedAt) {
+                    first.onChanges(reading, confirmedAt);
+                    next.onChanges(reading, confirmedAt);
+                }
+            };
+        }
     }
 
     /**
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
@@ -1,6 +1,7 @@
 package io.oleandermoor.gateway.metrics;
 
 import io.oleandermoor.state.dispatch.InstanceNotices;
+import io.oleandermoor.state.evacuation.EvacuationSchedule;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
@@ -37,6 +38,12 @@
             .labelNames("kind")
             .register(registry);
 
+    private final Counter evacuations = Counter.builder()
+            .name("oleandermoor_evacuations_total")
+            .help("Changes of the evacuations of failure domains, by new phase")
+            .labelNames("phase")
+            .register(registry);
+
     private final Counter unserved = Counter.builder()
             .name("oleandermoor_unserved_requests_total")
             .help("Requests that were refused or failed, by outcome and reason")
@@ -73,6 +80,11 @@
         responseAnomalies.labelValues(kind).inc();
     }
 
+    /** Counts a change of the evacuation of a failure domain. */
+    public void countEvacuation(EvacuationSchedule.Phase phase) {
+        evacuations.labelValues(phase.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     /**
      * Counts a request that was refused or failed.
      *
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/PlacementController.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/PlacementController.java
@@ -125,20 +125,7 @@
         if (!profile.equals(profiles.put(service, profile))) {
             planners.put(service, new ResidencyPlanner(profile, options));
         }
-        List<EngineView> views = new ArrayList<>();
-        for (InstanceState state : view.instances().states()) {
-            UpstreamInstance instance = state.instance();
-            if (instance.service().equals(service)
-                    && !view.instances().isWithdrawn(instance, now)
-                    && !state.probablyGone()) {
-                EngineOrderSender sender = senders.computeIfAbsent(
-                        instance.id() + "@" + instance.startedMillis(),
-                        key -> new EngineOrderSender(
-                                loop, engines, state, models -> residentsChanged(instance.id(), models)));
-                sender.refresh(state, now);
-                views.add(sender.view(view.instances().load(instance.id()), now));
-            }
-        }
+        List<EngineView> views = engineViews(service, now);
         senders.values().removeIf(sender -> view.instances().state(sender.id()).isEmpty());
         if (!lease.mayGiveOrders()) {
             return;
@@ -156,6 +143,29 @@
         planned.forEach(order -> send(order, profile, now));
     }
 
+    private List<EngineView> engineViews(String service, long now) {
+        List<EngineView> views = new ArrayList<>();
+        for (InstanceState state : view.instances().states()) {
+            UpstreamInstance instance = state.instance();
+            if (!instance.service().equals(service)) {
+                continue;
+            }
+            String run = instance.id() + "@" + instance.startedMillis();
+            if (!view.instances().mayHoldModels(instance, now)) {
+                // Once it may hold models again, a new sender reads its state, which nobody has followed meanwhile.
+                senders.remove(run);
+            } else if (!view.instances().isWithdrawn(instance, now) && !state.probablyGone()) {
+                EngineOrderSender sender = senders.computeIfAbsent(
+                        run,
+                        key -> new EngineOrderSender(
+                                loop, engines, state, models -> residentsChanged(instance.id(), models)));
+                sender.refresh(state, now);
+                views.add(sender.view(view.instances().load(instance.id()), now));
+            }
+        }
+        return views;
+    }
+
     private void residentsChanged(String id, Map<String, Set<String>> models) {
         view.instances()
                 .state(id)
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/AdmittedRequest.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/AdmittedRequest.java
@@ -6,6 +6,7 @@
 import io.oleandermoor.state.dispatch.QueueOrder;
 import io.oleandermoor.state.fleet.HostRoute;
 import io.oleandermoor.state.fleet.TeamLimits;
+import io.oleandermoor.state.region.AllowedRegions;
 import java.util.Optional;
 import java.util.Set;
 
@@ -54,7 +55,20 @@
 
     /** Returns what rules on instances take into account. */
     InstanceTable.Terms terms(long arrivedMillis) {
-        return new InstanceTable.Terms(urgency(), targetMillis(arrivedMillis), Set.of());
+        return new InstanceTable.Terms(urgency(), targetMillis(arrivedMillis), allowedRegions());
+    }
+
+    /** Returns the regions that both the route and the team allow; empty if both allow all. */
+    private Set<String> allowedRegions() {
+        return AllowedRegions.intersection(
+                route.traits().allowedRegions(),
+                team.map(TeamLimits::allowedRegions).orElse(Set.of()));
+    }
+
+    /** Returns why the request is refused, with the regions if they are the reason. */
+    String refusalReason(InstanceTable.Shortage shortage) {
+        String regions = shortage == InstanceTable.Shortage.NO_ALLOWED_INSTANCE ? " " + allowedRegions() : "";
+        return "no_place_" + shortage + regions;
     }
 
     private long targetMillis(long arrivedMillis) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -109,10 +109,11 @@
     }
 
     /**
-     * Returns the key of the capacity that requests share: that of a model with its adapters, or of a plain service.
+     * Returns the key of the capacity that requests share: that of a model with its adapters, or of a plain service, in
+     * the allowed regions.
      */
     String capacityKey() {
-        return admitted.service() + " " + target().map(ModelTarget::model).orElse("");
+        return admitted.service() + " " + target().map(ModelTarget::model).orElse("") + terms.allowedRegions();
     }
 
     /** Returns whether the request waits for a free slot rather than for its model or adapter to be loaded. */
@@ -122,7 +123,7 @@
 
     /** Returns the key of what the request requires; requests with the same key are blocked together. */
     String requirementKey() {
-        return admitted.service() + " " + target().map(ModelTarget::toString).orElse("") + " " + sends.triedInstances();
+        return capacityKey() + target().map(ModelTarget::adapter).orElse("") + " " + sends.triedInstances();
     }
 
     /**
@@ -148,8 +149,8 @@
             return;
         }
         InstanceSelection selection = selectInstance();
-        if (selection.shortage().filter(Shortage.WITHDRAWN::equals).isPresent()) {
-            refuseWithdrawn(selection);
+        if (selection.shortage().filter(Shortage::refusedAtOnce).isPresent()) {
+            refuseAtOnce(selection);
             return;
         }
         Optional<Shortage> waitReason =
@@ -187,13 +188,13 @@
         return dispatcher.view().instances().choose(query, Timestamp.monotonicNowMillis());
     }
 
-    /** Refuses the request until the first instance that could run it ends its pause. */
-    private void refuseWithdrawn(InstanceSelection selection) {
-        shortage = Shortage.WITHDRAWN;
+    /** Refuses the request, if instances have asked for a pause until the first that could run it ends its pause. */
+    private void refuseAtOnce(InstanceSelection selection) {
+        shortage = selection.shortage().orElse(Shortage.WITHDRAWN);
         selection
                 .pauseEndMillis()
                 .ifPresent(end -> retryAfterMillis = Math.max(1, end - Timestamp.monotonicNowMillis()));
-        refuseOrFail("no_place_" + shortage);
+        refuseOrFail(admitted.refusalReason(shortage));
     }
 
     private void assign(UpstreamInstance instance) {
@@ -242,9 +243,9 @@
         InstanceSelection selection = selectInstance();
         if (selection.instance().isEmpty()) {
             shortage = selection.shortage().orElse(Shortage.FULL);
-            if (shortage == Shortage.WITHDRAWN) {
+            if (shortage.refusedAtOnce()) {
                 leaveQueue();
-                refuseWithdrawn(selection);
+                refuseAtOnce(selection);
                 return true;
             }
             dispatcher.recordShortage(this, shortage);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
@@ -7,6 +7,7 @@
 import io.oleandermoor.transport.settings.Setting;
 import io.oleandermoor.transport.settings.SettingsSchema;
 import java.time.Duration;
+import java.util.Map;
 import java.util.Set;
 
 /** Settings of an entry that runs on the platform. */
@@ -20,6 +21,15 @@
     public static final Setting<String> FAILURE_DOMAIN =
             Setting.identifier("process.failure-domain", text -> text, "Failure domain that the machine is in.");
 
+    /** Region of the machine. */
+    public static final Setting<String> REGION =
+            Setting.text("process.region", "Region that the machine is in.").defaultingTo("");
+
+    /** Regions of the failure domains. */
+    public static final Setting<Map<String, String>> REGIONS = Setting.table(
+                    "process.regions", "Region of each failure domain, for requests that may run only in some regions.")
+            .defaultingTo("[]");
+
     /** Number of cores of the machine. */
     public static final Setting<Double> CORES =
             Setting.decimal("machine.cores", "Number of cores of the machine.").defaultingTo("1");
@@ -55,6 +65,12 @@
                     "limits.drain", "Time after which a draining instance must not receive new requests.")
             .defaultingTo("2s");
 
+    /** Time after which nothing may reach an instance of an evacuated failure domain. */
+    public static final Setting<Duration> EVACUATION = Setting.duration(
+                    "limits.evacuation",
+                    "Time after which nothing may reach the instances of a failure domain that is evacuated.")
+            .defaultingTo("5s");
+
     /** Time that a graceful shutdown may take. */
     public static final Setting<Duration> GRACE =
             Setting.duration("limits.grace", "Time between the stop signal and the forced termination of the process.");
@@ -98,6 +114,8 @@
             .with(
                     NAME,
                     FAILURE_DOMAIN,
+                    REGION,
+                    REGIONS,
                     CORES,
                     CORE_SHARE,
                     CALLER_ADDRESS,
@@ -106,6 +124,7 @@
                     STORE_ADDRESS,
                     REVOCATION,
                     DRAIN,
+                    EVACUATION,
                     GRACE,
                     RETRY_WINDOW,
                     RETRY_RATIO,
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/settings/GatewaySettingsTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/settings/GatewaySettingsTest.java
@@ -9,6 +9,7 @@
 import io.oleandermoor.transport.settings.SettingsReader;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
 
@@ -48,6 +49,23 @@
         }
     }
 
+    @Nested
+    class Regions {
+
+        /** Guards against an entry that does not start where the platform has no regions. */
+        @Test
+        void areAnOptionalTable() throws InvalidInputException {
+            assertThat(read(DisabledMechanisms.LIMITS).get(GatewaySettings.REGIONS))
+                    .isEmpty();
+            String table = DisabledMechanisms.LIMITS + "[process]\nregions = ";
+            assertThat(read(table + "[]").get(GatewaySettings.REGIONS)).isEmpty();
+            assertThat(read(table + "[a:x, b:y]").get(GatewaySettings.REGIONS)).isEqualTo(Map.of("a", "x", "b", "y"));
+            for (String invalid : List.of("a:x", "[a]", "[a:]", "[a:x,]", "[a:x, a:y]")) {
+                assertThatThrownBy(() -> read(table + invalid)).isInstanceOf(InvalidInputException.class);
+            }
+        }
+    }
+
     @Nested
     class DisabledMechanisms {
 
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
@@ -79,7 +79,8 @@
     /** Returns the settings of an entry with the given name, store, time for its stop and ports. */
     public static String settings(String name, StoreStandIn store, Duration grace, int callerPort, int readyPort)
             throws IOException {
-        return "[process]\nname = " + name + "\nfailure-domain = a\n[listen]\ncaller = 127.0.0.1:" + callerPort
+        return "[process]\nname = " + name
+                + "\nfailure-domain = a\nregion = home\nregions = [b:away]\n[listen]\ncaller = 127.0.0.1:" + callerPort
                 + "\nready = 127.0.0.1:" + readyPort + "\npeer = 127.0.0.1:" + freePort() + "\n[store]\naddress = "
                 + store.address() + "\n[limits]\nrevocation = 5000ms\ngrace = " + grace.toMillis()
                 + "ms\n[retries]\nwindow = 10s\nratio = 0.2\nfixed = 50\n[orders]\nholder-gap = 3000ms\n";
@@ -123,10 +124,17 @@
         throw last;
     }
 
-    /** Starts an instance and registers it in the store. */
+    /** Starts an instance in the failure domain of the entry and registers it in the store. */
     public InstanceStandIn startInstance(String id, String service, Behaviour behaviour) throws IOException {
+        return startInstance(id, service, behaviour, "a");
+    }
+
+    /** Starts an instance in a failure domain and registers it in the store. */
+    public InstanceStandIn startInstance(String id, String service, Behaviour behaviour, String failureDomain)
+            throws IOException {
         InstanceStandIn instance = closeLater(new InstanceStandIn(id, behaviour));
-        store.put("servers/" + id, instance.registration(service, "ready", service.equals("words") ? MODELS : "[]"));
+        String registration = instance.registration(service, "ready", service.equals("words") ? MODELS : "[]");
+        store.put("servers/" + id, registration.replace("\"zone\":\"a\"", "\"zone\":\"" + failureDomain + "\""));
         return instance;
     }
 
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceRule.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceRule.java
@@ -1,6 +1,7 @@
 package io.oleandermoor.state.dispatch;
 
 import io.oleandermoor.state.dispatch.InstanceTable.InstanceQuery;
+import io.oleandermoor.state.fleet.UpstreamInstance;
 
 /**
  * A rule that restricts which instances may be chosen for a request, for example because of their failure domain or
@@ -34,6 +35,14 @@
      */
     Verdict judge(InstanceState state, InstanceQuery query, int load, long nowMillis);
 
+    /**
+     * Judges an instance regardless of the request. A withdrawn instance gets nothing over a connection that has just
+     * been opened; one that is not allowed gets no models, and those that it holds do not count.
+     */
+    default Verdict judgeInstance(UpstreamInstance instance, long nowMillis) {
+        return Verdict.ALLOWED;
+    }
+
     /** Called when a request is sent to an instance. */
     default void onSent(InstanceState state, long nowMillis) {}
 
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -146,7 +146,14 @@
         /** Every instance that could run the request is at capacity. */
         FULL,
         /** Every instance that could run the request is leaving or has asked for a pause. */
-        WITHDRAWN
+        WITHDRAWN,
+        /** The request may run only in some regions, and no instance of the service is in one of them. */
+        NO_ALLOWED_INSTANCE;
+
+        /** Returns whether the request is refused at once, because waiting does not help. */
+        public boolean refusedAtOnce() {
+            return this == WITHDRAWN || this == NO_ALLOWED_INSTANCE;
+        }
     }
 
     /**
@@ -214,11 +221,21 @@
         return notices;
     }
 
-    /** Returns whether an instance is leaving, as its description or its responses say, or has asked for a pause. */
+    /**
+     * Returns whether nothing may be sent to an instance: it is leaving, as its description or its responses say, it
+     * has asked for a pause, or a rule has withdrawn it.
+     */
     public boolean isWithdrawn(UpstreamInstance instance, long nowMillis) {
         boolean draining =
                 state(instance.id()).map(state -> state.instance().draining()).orElse(false);
-        return draining || notices.current(instance, nowMillis).isPresent();
+        return draining
+                || notices.current(instance, nowMillis).isPresent()
+                || rules.stream().anyMatch(rule -> rule.judgeInstance(instance, nowMillis) == Verdict.WITHDRAWN);
+    }
+
+    /** Returns whether the rules let an instance hold models: none has withdrawn it or is about to. */
+    public boolean mayHoldModels(UpstreamInstance instance, long nowMillis) {
+        return rules.stream().allMatch(rule -> rule.judgeInstance(instance, nowMillis) == Verdict.ALLOWED);
     }
 
     /** Returns the states of all instances. */
@@ -317,7 +334,8 @@
 
     /** Chooses the instance for a request. */
     public InstanceSelection choose(InstanceQuery query, long nowMillis) {
-        ShortageFinder shortage = new ShortageFinder();
+        ShortageFinder shortage =
+                new ShortageFinder(!query.terms().allowedRegions().isEmpty());
         Candidate best = Candidate.NONE;
         Candidate lastResort = Candidate.NONE;
         boolean allowedHolderExists = false;
@@ -346,7 +364,9 @@
             if (!holds) {
                 continue;
             }
-            allowedHolderExists |= verdict != Verdict.LAST_RESORT;
+            // An instance that is only briefly full comes before those of last resort, unless it is one of them.
+            allowedHolderExists |=
+                    verdict == Verdict.FULL ? mayHoldModels(instance, nowMillis) : verdict != Verdict.LAST_RESORT;
             if (verdict == Verdict.FULL || !hasCapacity(state, query, load, nowMillis)) {
                 continue;
             }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/ShortageFinder.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/ShortageFinder.java
@@ -12,12 +12,22 @@
     /** A pause from which it is worth loading a model at another instance. */
     private static final long LONG_PAUSE_MILLIS = 3_000;
 
+    private final boolean restricted;
     private boolean usable;
     private boolean resident;
     private boolean others;
     private boolean withdrawn;
     private long pauseEndMillis = Long.MAX_VALUE;
 
+    /**
+     * Creates a finder without instances.
+     *
+     * @param restricted whether the request may run only in some regions; instances in other regions are not added
+     */
+    ShortageFinder(boolean restricted) {
+        this.restricted = restricted;
+    }
+
     /** Adds an instance that is leaving or has asked for a pause. */
     void addWithdrawn(boolean holdsTarget, Optional<Notice> notice) {
         withdrawn = true;
@@ -54,6 +64,9 @@
         if (usable) {
             return pausedBriefly ? Shortage.WITHDRAWN : Shortage.NOT_RESIDENT;
         }
+        if (restricted && !withdrawn && !others) {
+            return Shortage.NO_ALLOWED_INSTANCE;
+        }
         return withdrawn && !others ? Shortage.WITHDRAWN : Shortage.NO_INSTANCE;
     }
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/HostRoute.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/HostRoute.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.Objects;
+import java.util.Set;
 
 /**
  * A route: selects requests by host and path prefix, and defines how they are served.
@@ -46,8 +47,20 @@
      * @param anonymousAllowed whether requests without an API key are allowed
      * @param sessions whether requests of a session share prompt parts
      * @param resumable whether a stream may be continued by another instance after its last event
+     * @param allowedRegions the regions in which requests may run; empty if they may run in all of them
      */
-    public record Traits(boolean anonymousAllowed, boolean sessions, boolean resumable) {}
+    public record Traits(boolean anonymousAllowed, boolean sessions, boolean resumable, Set<String> allowedRegions) {
+
+        /** Copies the regions. */
+        public Traits {
+            allowedRegions = Set.copyOf(allowedRegions);
+        }
+
+        /** Creates the features of a route whose requests may run in all regions. */
+        public Traits(boolean anonymousAllowed, boolean sessions, boolean resumable) {
+            this(anonymousAllowed, sessions, resumable, Set.of());
+        }
+    }
 
     /**
      * A service and its weight among the services of a route.
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/TeamLimits.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/TeamLimits.java
@@ -2,6 +2,7 @@
 
 import java.util.List;
 import java.util.OptionalInt;
+import java.util.Set;
 
 /**
  * A team with its API keys, priority and rate limit.
@@ -12,13 +13,32 @@
  * @param ratePerSecond the number of tokens per second over all entries; 0 for no limit
  * @param burst the maximum number of tokens that may be consumed at once
  * @param defaultTokens the number of tokens charged for a request without a token count
+ * @param allowedRegions the regions in which requests may run; empty if they may run in all of them
  */
 public record TeamLimits(
-        String name, List<String> keys, OptionalInt priority, double ratePerSecond, double burst, long defaultTokens) {
+        String name,
+        List<String> keys,
+        OptionalInt priority,
+        double ratePerSecond,
+        double burst,
+        long defaultTokens,
+        Set<String> allowedRegions) {
 
-    /** Copies the keys. */
+    /** Copies the keys and regions. */
     public TeamLimits {
         keys = List.copyOf(keys);
+        allowedRegions = Set.copyOf(allowedRegions);
+    }
+
+    /** Creates a team whose requests may run in all regions. */
+    public TeamLimits(
+            String name,
+            List<String> keys,
+            OptionalInt priority,
+            double ratePerSecond,
+            double burst,
+            long defaultTokens) {
+        this(name, keys, priority, ratePerSecond, burst, defaultTokens, Set.of());
     }
 
     /** Returns whether the rate of the team is limited. */
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/Setting.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/Setting.java
@@ -3,6 +3,7 @@
 import io.oleandermoor.state.identity.KeyHash;
 import java.time.Duration;
 import java.util.List;
+import java.util.Map;
 import java.util.Objects;
 import java.util.Optional;
 import java.util.Set;
@@ -179,6 +180,17 @@
         return of(name, SettingTypes.TEXT, description);
     }
 
+    /**
+     * Returns a required setting whose value is a table of texts such as {@code [a:x, b:y]}, which may be empty.
+     *
+     * @param name {@code section.key}
+     * @param description one sentence
+     * @return the setting
+     */
+    public static Setting<Map<String, String>> table(String name, String description) {
+        return of(name, SettingTypes.TABLE, description);
+    }
+
     /**
      * Returns a required setting whose value is the SHA-256 of a credential. It is shown only in part.
      *
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/SettingTypes.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/settings/SettingTypes.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeMap;
 import java.util.function.Function;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
@@ -45,6 +46,13 @@
 
     static final SettingType<String> TEXT = new SimpleType<>("text", text -> text);
 
+    static final SettingType<Map<String, String>> TABLE = new SimpleType<>(
+            "table (`[key:value, ...]`)",
+            SettingTypes::table,
+            table -> table.entrySet().stream()
+                    .map(entry -> entry.getKey() + ":" + entry.getValue())
+                    .collect(Collectors.joining(", ", "[", "]")));
+
     static final SettingType<KeyHash> HASH = new SimpleType<>("SHA-256 (64 hexadecimal digits)", KeyHash::new);
 
     private SettingTypes() {}
@@ -99,6 +107,23 @@
         return new SimpleType<>("identifier", type);
     }
 
+    private static Map<String, String> table(String text) {
+        Map<String, String> table = new TreeMap<>();
+        if (text.length() < 2 || !text.startsWith("[") || !text.endsWith("]")) {
+            throw new IllegalArgumentException("'" + text + "' must be a table such as [a:x, b:y]");
+        }
+        String rows = text.substring(1, text.length() - 1);
+        for (String row : rows.isBlank() ? new String[0] : rows.split(",", -1)) {
+            int colon = row.lastIndexOf(':');
+            String key = colon < 0 ? "" : row.substring(0, colon).strip();
+            String value = row.substring(colon + 1).strip();
+            if (key.isEmpty() || value.isEmpty() || table.put(key, value) != null) {
+                throw new IllegalArgumentException("'" + row.strip() + "' must be key:value with a key of its own");
+            }
+        }
+        return Collections.unmodifiableMap(table);
+    }
+
     private static long quantity(String text, Map<String, Long> units, String expected) {
         Matcher matcher = QUANTITY.matcher(text);
         Long factor = matcher.matches() ? units.get(matcher.group(2)) : null;
