Let requests wait for a load beside a paused, evacuated instance

Cause: if the only holder of a model was evacuated and had also asked for a pause, its requests were refused at once until the end of the pause, although an instance elsewhere could load the model.

Change: the pause of an instance that a rule has withdrawn does not count in the reason why no instance takes a request.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -188,7 +188,7 @@
         return dispatcher.view().instances().choose(query, Timestamp.monotonicNowMillis());
     }
 
-    /** Refuses the request, if instances have asked for a pause until the first that could run it ends its pause. */
+    /** Refuses the request until the first instance that could run it ends its pause, if any has asked for one. */
     private void refuseAtOnce(InstanceSelection selection) {
         shortage = selection.shortage().orElse(Shortage.WITHDRAWN);
         selection
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -353,7 +353,8 @@
                     query.target().isEmpty() || state.holds(query.target().get(), nowMillis);
             Optional<InstanceNotices.Notice> notice = notices.current(instance, nowMillis);
             if (verdict == Verdict.WITHDRAWN || instance.draining() || notice.isPresent()) {
-                shortage.addWithdrawn(holds, notice);
+                // The end of a pause does not matter at an instance that a rule has withdrawn.
+                shortage.addWithdrawn(holds, verdict == Verdict.WITHDRAWN ? Optional.empty() : notice);
                 continue;
             }
             if (query.excluded().contains(instance.id()) || !state.usable(nowMillis)) {
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/evacuation/EvacuationRuleTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/evacuation/EvacuationRuleTest.java
@@ -87,6 +87,13 @@
             assertThat(choose(DEADLINE_MILLIS).shortage()).contains(Shortage.NOT_RESIDENT);
         }
 
+        /** Guards against refusing requests that could wait for a load, because the last copy has asked for a pause. */
+        @Test
+        void pauseOfAnInstanceDoesNotKeepRequestsFromWaitingForALoad() {
+            table.notices().recordPause(holder, 1_000, DEADLINE_MILLIS);
+            assertThat(choose(DEADLINE_MILLIS).shortage()).contains(Shortage.NOT_RESIDENT);
+        }
+
         @Test
         void endIsReportedOnceAndReadmitsTheDomain() {
             List<String> readmitted = new ArrayList<>();
