Limit the requests that cold instances get from all entries

An instance that has just started tolerates only cold-per-s requests a second, but an empty instance is the cheapest choice for all entries at once. A cold instance got 43 requests in one second from entries that did not know that it was cold.

The new rule state.coldstart.ColdStarts gives each entry an equal share of the rate, without messages between entries. Instances count as cold because of their description, a run that was seen to start, a connection after a loss of contact, or the readmission of their failure domain. The batch delay of the list of instances is at most 250 ms while a service has cold instances.

Not run: the full build.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -14,6 +14,7 @@
 import io.oleandermoor.gateway.request.ReadinessServer;
 import io.oleandermoor.gateway.request.RequestDispatcher;
 import io.oleandermoor.gateway.settings.GatewaySettings;
+import io.oleandermoor.gateway.upstream.ColdStartLog;
 import io.oleandermoor.gateway.upstream.NoticeRecorder;
 import io.oleandermoor.gateway.upstream.UpstreamPool;
 import io.oleandermoor.gateway.view.DeploymentView;
@@ -21,6 +22,8 @@
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.EngineClient;
 import io.oleandermoor.platform.StoreClient;
+import io.oleandermoor.state.coldstart.ColdStartBounds;
+import io.oleandermoor.state.coldstart.ColdStarts;
 import io.oleandermoor.state.dispatch.DispatchMechanism;
 import io.oleandermoor.state.dispatch.InstanceTable;
 import io.oleandermoor.state.residency.DemandTracker;
@@ -30,6 +33,7 @@
 import java.util.EnumSet;
 import java.util.HashSet;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -94,11 +98,13 @@
         view = new DeploymentView(
                 entryName,
                 new InstanceTable(
-                        settings.get(GatewaySettings.FAILURE_DOMAIN), System.nanoTime(), dispatchMechanisms()));
+                        settings.get(GatewaySettings.FAILURE_DOMAIN), System.nanoTime(), dispatchMechanisms()),
+                coldStarts());
         store = new StoreClient(
                 loop, settings.get(GatewaySettings.STORE_ADDRESS).toSocketAddress(), STORE_TIMEOUT_MILLIS);
         NoticeRecorder noticeRecorder = new NoticeRecorder(view, metrics);
         pool.setNoticeListener(noticeRecorder);
+        pool.setIdleLossListener(view.coldStarts()::recordContactLost);
         dispatcher = new RequestDispatcher(
                 loop,
                 view,
@@ -127,6 +133,14 @@
                 placementOptions());
     }
 
+    private ColdStarts coldStarts() {
+        ColdStartBounds bounds = new ColdStartBounds(
+                settings.get(GatewaySettings.COLD_OVERRUN), settings.get(GatewaySettings.COLD_SLACK));
+        ColdStarts coldStarts = new ColdStarts(bounds, new SplittableRandom(System.nanoTime()));
+        coldStarts.setListener(new ColdStartLog(metrics));
+        return coldStarts;
+    }
+
     private Set<DispatchMechanism> dispatchMechanisms() {
         Set<DispatchMechanism> mechanisms = EnumSet.allOf(DispatchMechanism.class);
         mechanisms.removeAll(settings.get(GatewaySettings.DISABLED_DISPATCH));
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -9,6 +9,7 @@
 import io.oleandermoor.platform.StoreItem;
 import io.oleandermoor.platform.StoreReadResult;
 import io.oleandermoor.platform.UpstreamInstanceDecoder;
+import io.oleandermoor.state.fleet.InstanceDescription;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import java.util.HashSet;
 import java.util.Set;
@@ -35,6 +36,11 @@
     private static final long INSTANCE_WATCH_TIMEOUT_MILLIS = 2_000;
     /** Maximum batch delay at the entry that gives orders to engines, which waits for loads to complete. */
     private static final long ORDER_HOLDER_BATCH_DELAY_MILLIS = 250;
+    /**
+     * Maximum batch delay if a service has cold instances. An entry sends to an instance that it takes for warm until
+     * the description arrives.
+     */
+    private static final long COLD_START_BATCH_DELAY_MILLIS = 250;
     /** Batch delay of instance changes as a ratio of the time within which a draining instance must be avoided. */
     private static final double BATCH_DELAY_DRAIN_RATIO = 0.35;
 
@@ -60,13 +66,17 @@
                 .start();
         StoreFollower.WatchTiming instanceTiming = new StoreFollower.WatchTiming(
                 INSTANCE_WATCH_TIMEOUT_MILLIS,
-                () -> view.givesOrders()
-                        ? Math.min(ORDER_HOLDER_BATCH_DELAY_MILLIS, batchDelayMillis)
-                        : batchDelayMillis,
+                () -> Math.min(batchDelayMillis, follower.maximumBatchDelayMillis()),
                 RELIST_INTERVAL_MILLIS);
         new StoreFollower(loop, store, INSTANCE_PREFIX, instanceTiming, follower.new InstanceListener()).start();
     }
 
+    private long maximumBatchDelayMillis() {
+        long orderMillis = view.givesOrders() ? ORDER_HOLDER_BATCH_DELAY_MILLIS : Long.MAX_VALUE;
+        long coldMillis = view.coldStarts().hasColdServices() ? COLD_START_BATCH_DELAY_MILLIS : Long.MAX_VALUE;
+        return Math.min(orderMillis, coldMillis);
+    }
+
     private final class InstanceListener implements StoreFollower.Listener {
 
         @Override
@@ -82,6 +92,7 @@
                     .forEach(state -> removedIds.add(state.instance().id()));
             removedIds.removeAll(listedIds);
             removedIds.forEach(this::removeInstance);
+            view.coldStarts().recordListRead();
             view.markInstancesLoaded();
             view.notifyChangeListeners();
         }
@@ -111,18 +122,23 @@
                         id,
                         state.instance().service());
                 view.instances().remove(id);
+                view.coldStarts().remove(id);
             });
         }
 
         private void putInstance(StoreItem item) {
             try {
-                UpstreamInstance instance = UpstreamInstanceDecoder.decode(instanceId(item), item.value());
+                InstanceDescription description =
+                        UpstreamInstanceDecoder.decodeDescription(instanceId(item), item.value());
+                UpstreamInstance instance = description.instance();
                 boolean isKnown = view.instances().state(instance.id()).isPresent();
                 boolean wasDraining = view.instances()
                         .state(instance.id())
                         .map(state -> state.instance().draining())
                         .orElse(false);
-                view.instances().put(instance, Timestamp.monotonicNowMillis());
+                long now = Timestamp.monotonicNowMillis();
+                view.instances().put(instance, now);
+                view.coldStarts().recordDescription(description, item.revision(), now);
                 if (!isKnown || instance.draining() != wasDraining) {
                     LOG.info(
                             "event=instance instance={} service={} address={}:{} draining={} models={}",
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
@@ -1,5 +1,6 @@
 package io.oleandermoor.gateway.metrics;
 
+import io.oleandermoor.state.coldstart.ColdCause;
 import io.oleandermoor.state.dispatch.InstanceNotices;
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
@@ -43,6 +44,17 @@
             .labelNames("outcome", "reason")
             .register(registry);
 
+    private final Counter coldTimes = Counter.builder()
+            .name("oleandermoor_cold_times_total")
+            .help("Times in which an instance counts as cold, by cause")
+            .labelNames("cause")
+            .register(registry);
+
+    private final Counter coldLimited = Counter.builder()
+            .name("oleandermoor_cold_limited_total")
+            .help("Choices for which a cold instance was left out because the share of this entry was spent")
+            .register(registry);
+
     /** What happens to the quarantine of a trait. */
     public enum QuarantineChange {
         /** It begins because of a crash. */
@@ -68,6 +80,16 @@
         notices.labelValues(reason.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /** Counts a time in which an instance counts as cold. */
+    public void countColdTime(ColdCause cause) {
+        coldTimes.labelValues(cause.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
+    /** Counts a choice for which a cold instance was left out. */
+    public void countColdLimited() {
+        coldLimited.inc();
+    }
+
     /** Counts data of an instance that is not the response to the request in flight. */
     public void countResponseAnomaly(String kind) {
         responseAnomalies.labelValues(kind).inc();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpResponse;
 import io.oleandermoor.gateway.upstream.ResponseListener;
+import io.oleandermoor.gateway.view.DeploymentView;
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.RequestHeaders;
 import io.oleandermoor.platform.RequestHeaders.ResponseHead;
@@ -36,6 +37,10 @@
     private long unreadPromptTokens;
     private final int loadAtSend;
     private final long sentMillis = Timestamp.monotonicNowMillis();
+    /** The time at which the send counts for the limit on cold instances. */
+    private long countedSendMillis = sentMillis;
+
+    private boolean shareSpent;
     private boolean runRecorded;
     private boolean paused;
     private int ticksWithoutEvent;
@@ -141,7 +146,14 @@
 
     @Override
     public boolean maySend() {
-        return !exchange.dispatcher().view().instances().isWithdrawn(instance, Timestamp.monotonicNowMillis());
+        long now = Timestamp.monotonicNowMillis();
+        DeploymentView view = exchange.dispatcher().view();
+        if (view.instances().isWithdrawn(instance, now)) {
+            return false;
+        }
+        shareSpent = !view.coldStarts().confirmSend(instance.id(), countedSendMillis, now);
+        countedSendMillis = now;
+        return !shareSpent;
     }
 
     @Override
@@ -367,11 +379,17 @@
         exchange.closeCurrentAttempt();
         if (head.misdirected()) {
             exchange.allowInstanceAgain(instance.id());
-            exchange.dispatcher().view().instances().recordNotAccepted(instance.id(), now);
+            recordNotAccepted(now);
         }
         exchange.retryOrFail("not_run_" + head.status() + " of " + instance.id());
     }
 
+    private void recordNotAccepted(long now) {
+        DeploymentView view = exchange.dispatcher().view();
+        view.instances().recordNotAccepted(instance.id(), now);
+        view.coldStarts().giveBack(instance.id(), countedSendMillis);
+    }
+
     @Override
     public void onFailure(FailureKind how, String reason) {
         if (!exchange.isCurrentAttempt(this)) {
@@ -379,11 +397,17 @@
         }
         exchange.closeCurrentAttempt();
         long now = Timestamp.monotonicNowMillis();
+        if (how != FailureKind.WITHDRAWN) {
+            exchange.dispatcher().view().coldStarts().recordContactLost(instance.id());
+        }
         if (how != FailureKind.OUTCOME_UNKNOWN) {
             if (how == FailureKind.NOT_SENT) {
                 instanceState().ifPresent(state -> state.recordUnreachable(now));
             }
-            exchange.dispatcher().view().instances().recordNotAccepted(instance.id(), now);
+            if (shareSpent) {
+                exchange.allowInstanceAgain(instance.id());
+            }
+            recordNotAccepted(now);
             exchange.onNotSent();
             return;
         }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
@@ -75,6 +75,16 @@
     public static final Setting<Duration> HOLDER_GAP =
             Setting.duration("orders.holder-gap", "Minimum time between the orders of two entries to one engine.");
 
+    /** Factor on the rate of a cold instance in the bound on its requests. */
+    public static final Setting<Double> COLD_OVERRUN = Setting.decimal(
+                    "cold.overrun", "Factor on the rate of a cold instance in the bound on its requests in a second.")
+            .defaultingTo("1.5");
+
+    /** Number of requests above the rate in the bound on the requests of a cold instance. */
+    public static final Setting<Double> COLD_SLACK = Setting.decimal(
+                    "cold.slack", "Number of requests in a second added to the bound of a cold instance.")
+            .defaultingTo("5");
+
     /** Policy that places models on engines. */
     public static final Setting<ResidencyPolicy> PLACEMENT = Setting.choice(
                     "orders.placement", ResidencyPolicy.class, "Policy that places models on engines.")
@@ -111,6 +121,8 @@
                     RETRY_RATIO,
                     RETRY_FIXED,
                     HOLDER_GAP,
+                    COLD_OVERRUN,
+                    COLD_SLACK,
                     PLACEMENT,
                     DISABLED_DISPATCH,
                     DISABLED_PLACEMENT)
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -91,6 +91,11 @@
                 && Timestamp.monotonicNowMillis() < usableUntilMillis;
     }
 
+    /** Returns whether the instance should keep this idle connection open for now. */
+    boolean isWithinKeepAlive() {
+        return Timestamp.monotonicNowMillis() < usableUntilMillis;
+    }
+
     /**
      * Returns whether a response to an earlier request with an id may still arrive on this connection: the request was
      * one of the last ones, or the instance declined it or failed.
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
@@ -44,6 +44,7 @@
     private final EventLoop loop;
     private EngineClient.NoticeListener noticeListener = (instance, notice) -> {};
     private ResponseAnomaly.Listener anomalyListener = (anomaly, instance, request, detail) -> {};
+    private Consumer<String> idleLossListener = instance -> {};
     private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
     private final Map<String, Long> reuseSuspendedUntilMillis = new HashMap<>();
 
@@ -195,6 +196,11 @@
         anomalyListener = listener;
     }
 
+    /** Sets the listener that gets the identifier of an instance that closed an idle connection before its time. */
+    public void setIdleLossListener(Consumer<String> listener) {
+        idleLossListener = listener;
+    }
+
     /**
      * Reports an anomaly. If it has cost a response, the next requests to the instance get connections of their own,
      * because what an instance writes behind a response can only spoil the next one of the same connection.
@@ -231,8 +237,9 @@
 
     void connectionClosed(UpstreamConnection connection) {
         Deque<UpstreamConnection> connections = idleConnections.get(connection.instanceId());
-        if (connections != null) {
-            connections.remove(connection);
+        // A connection that this entry closes is removed from the queue before.
+        if (connections != null && connections.remove(connection) && connection.isWithinKeepAlive()) {
+            idleLossListener.accept(connection.instanceId());
         }
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
@@ -1,5 +1,7 @@
 package io.oleandermoor.gateway.view;
 
+import io.oleandermoor.state.coldstart.ColdStartBounds;
+import io.oleandermoor.state.coldstart.ColdStarts;
 import io.oleandermoor.state.dispatch.InstanceTable;
 import io.oleandermoor.state.fleet.FleetDocument;
 import io.oleandermoor.state.fleet.TeamLimits;
@@ -11,6 +13,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.SplittableRandom;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 import org.jspecify.annotations.Nullable;
@@ -29,6 +32,7 @@
 
     private final String entry;
     private final InstanceTable instances;
+    private final ColdStarts coldStarts;
     private final Map<String, SharedTokenBucket> buckets = new HashMap<>();
     private final Map<String, Long> lastReportMillisByPeer = new HashMap<>();
     private final Set<String> silentPeers = new HashSet<>();
@@ -52,8 +56,21 @@
      * @param instances the table of instances
      */
     public DeploymentView(String entry, InstanceTable instances) {
+        this(entry, instances, new ColdStarts(new ColdStartBounds(1, 0), new SplittableRandom(0)));
+    }
+
+    /**
+     * Creates a view without a configuration or other entries.
+     *
+     * @param entry the unique name of this entry
+     * @param instances the table of instances
+     * @param coldStarts limits the requests to cold instances; added to the rules of the table
+     */
+    public DeploymentView(String entry, InstanceTable instances, ColdStarts coldStarts) {
         this.entry = entry;
         this.instances = instances;
+        this.coldStarts = coldStarts;
+        instances.addRule(coldStarts);
     }
 
     /** Returns the name of this entry. */
@@ -66,6 +83,11 @@
         return instances;
     }
 
+    /** Returns the rule that limits the requests to cold instances. */
+    public ColdStarts coldStarts() {
+        return coldStarts;
+    }
+
     /** Returns the configuration in force. */
     public Optional<FleetDocument> document() {
         return Optional.ofNullable(document);
@@ -97,6 +119,7 @@
             firstDocumentMillis = nowMillis;
         }
         document = candidate;
+        coldStarts.configure(candidate.services(), nowMillis);
         Set<String> limited = new HashSet<>();
         for (TeamLimits team : candidate.teams()) {
             if (team.rateLimited()) {
@@ -130,6 +153,9 @@
     /** Sets whether this entry is registered in the store. */
     public void setRegistered(boolean registered) {
         entryRegistered = registered;
+        if (registered) {
+            coldStarts.recordRegistration(Timestamp.monotonicNowMillis());
+        }
     }
 
     /** Returns whether this entry is registered in the store. */
@@ -178,6 +204,9 @@
     /** Replaces the names of the other registered entries. */
     public void setPeers(Set<String> names) {
         peers = Set.copyOf(names);
+        int rank =
+                (int) names.stream().filter(name -> name.compareTo(entry) < 0).count();
+        coldStarts.recordEntries(entryCount(), rank, Timestamp.monotonicNowMillis());
         peersKnown = true;
         lastReportMillisByPeer.keySet().retainAll(names);
         updateSilentPeers();
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/settings/GatewaySettingsTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/settings/GatewaySettingsTest.java
@@ -48,6 +48,28 @@
         }
     }
 
+    @Nested
+    class BoundsOfColdInstances {
+
+        private static final String LIMITS = "[limits]\nrevocation = 5s\ngrace = 8s\n[retries]\nwindow = 10s\n"
+                + "ratio = 0.25\nfixed = 4\n[orders]\nholder-gap = 3s\n";
+
+        /** Guards against an entry that does not start because the platform does not give these bounds. */
+        @Test
+        void mayBeMissing() throws InvalidInputException {
+            Settings settings = read(LIMITS + "[cold]\n\n\n");
+            assertThat(settings.get(GatewaySettings.COLD_OVERRUN)).isEqualTo(1.5);
+            assertThat(settings.get(GatewaySettings.COLD_SLACK)).isEqualTo(5);
+        }
+
+        @Test
+        void areRead() throws InvalidInputException {
+            Settings settings = read(LIMITS + "[cold]\noverrun = 2.5\nslack = 7\n");
+            assertThat(settings.get(GatewaySettings.COLD_OVERRUN)).isEqualTo(2.5);
+            assertThat(settings.get(GatewaySettings.COLD_SLACK)).isEqualTo(7);
+        }
+    }
+
     @Nested
     class DisabledMechanisms {
 
