--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -4,6 +4,7 @@
 import io.netty.channel.nio.NioEventLoopGroup;
 import io.oleandermoor.gateway.follow.EntryMembership;
 import io.oleandermoor.gateway.follow.FleetFollower;
+import io.oleandermoor.gateway.follow.RestoreObserver;
 import io.oleandermoor.gateway.metrics.GatewayMetrics;
 import io.oleandermoor.gateway.order.OrderLease;
 import io.oleandermoor.gateway.order.PlacementController;
@@ -97,6 +98,7 @@
                         settings.get(GatewaySettings.FAILURE_DOMAIN), System.nanoTime(), dispatchMechanisms()));
         store = new StoreClient(
                 loop, settings.get(GatewaySettings.STORE_ADDRESS).toSocketAddress(), STORE_TIMEOUT_MILLIS);
+        RestoreObserver.start(store, view, metrics);
         NoticeRecorder noticeRecorder = new NoticeRecorder(view, metrics);
         pool.setNoticeListener(noticeRecorder);
         dispatcher = new RequestDispatcher(
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/EntryMembership.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/EntryMembership.java
@@ -3,20 +3,25 @@
 import io.netty.channel.EventLoop;
 import io.oleandermoor.gateway.view.DeploymentView;
 import io.oleandermoor.gateway.view.Timestamp;
+import io.oleandermoor.platform.StaleEraException;
 import io.oleandermoor.platform.StoreClient;
 import io.oleandermoor.platform.StoreItem;
+import io.oleandermoor.platform.StoreLease;
 import io.oleandermoor.platform.StoreReadResult;
 import io.oleandermoor.platform.StoreStatusException;
 import io.oleandermoor.transport.settings.Address;
+import io.reactivex.rxjava3.core.Maybe;
 import io.reactivex.rxjava3.core.Single;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
+import org.jspecify.annotations.Nullable;
 
 /**
  * Registers this entry in the store under a lease and watches the registrations of other entries. Used on the event
@@ -46,7 +51,8 @@
     private final DeploymentView view;
     private final Address ownAddress;
     private final Map<String, InetSocketAddress> peers = new HashMap<>();
-    private long leaseId;
+    private @Nullable StoreLease lease;
+    private boolean registering;
 
     /**
      * Creates a membership that has not started.
@@ -65,66 +71,98 @@
 
     /** Registers this entry and starts watching the others. */
     public void start() {
+        store.addEraListener((era, restored) -> {
+            if (restored) {
+                registerAgain(era);
+            }
+        });
         register();
         new StoreFollower(loop, store, KEY_PREFIX, WATCH_TIMING, new EntryListener()).start();
     }
 
+    /** Registers this entry at once, because the copy from which the store was restored may lack its registration. */
+    private void registerAgain(long era) {
+        if (!view.isStopping() && !registering) {
+            LOG.info("event=register_again entry={} era={}", view.entry(), era);
+            register();
+        }
+    }
+
     /** Returns the report addresses of the other entries by entry name. */
     public Map<String, InetSocketAddress> peers() {
         return peers;
     }
 
     private void register() {
+        registering = true;
         String key = KEY_PREFIX + view.entry();
         byte[] value = ownAddress.toString().getBytes(StandardCharsets.UTF_8);
         store.grantLease(LEASE_DURATION_MILLIS)
-                .flatMap(grantedId -> {
-                    leaseId = grantedId;
-                    return store.read(key).flatMap(item -> {
-                        long revision = item.map(StoreItem::revision).orElse(0L);
-                        return store.write(List.of(new StoreClient.ConditionalWrite(key, revision, value, grantedId)));
-                    });
+                .flatMap(granted -> {
+                    lease = granted;
+                    return store.read(key)
+                            .flatMap(item -> {
+                                long revision = item.map(StoreItem::revision).orElse(0L);
+                                return store.write(
+                                        granted.era(),
+                                        List.of(new StoreClient.ConditionalWrite(key, revision, value, granted.id())));
+                            })
+                            .map(revision -> new Registration(granted, revision));
                 })
-                .subscribe(
-                        revision -> {
-                            view.setRegistered(true);
-                            LOG.info("event=registered entry={} lease={} revision={}", view.entry(), leaseId, revision);
-                            loop.schedule(this::renew, RENEWAL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-                        },
-                        cause -> {
-                            LOG.warn(
-                                    "event=registration_failed entry={} cause=\"{}\"",
-                                    view.entry(),
-                                    cause.getMessage());
-                            loop.schedule(this::register, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-                        });
+                .subscribe(this::registered, cause -> {
+                    LOG.warn("event=registration_failed entry={} cause=\"{}\"", view.entry(), cause.getMessage());
+                    long delayMillis = cause instanceof StaleEraException ? 0 : RETRY_DELAY_MILLIS;
+                    loop.schedule(this::register, delayMillis, TimeUnit.MILLISECONDS);
+                });
+    }
+
+    private void registered(Registration registration) {
+        registering = false;
+        view.setRegistered(true);
+        LOG.info(
+                "event=registered entry={} lease={} revision={} era={}",
+                view.entry(),
+                registration.lease().id(),
+                registration.revision(),
+                registration.lease().era());
+        scheduleRenewal(registration.lease(), RENEWAL_INTERVAL_MILLIS);
     }
 
-    private void renew() {
-        if (view.isStopping()) {
+    private void scheduleRenewal(StoreLease granted, long delayMillis) {
+        loop.schedule(() -> renew(granted), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void renew(StoreLease granted) {
+        // After a restore, the registration under a new lease starts renewals of its own.
+        if (view.isStopping() || granted.era() != store.era()) {
             return;
         }
-        store.renewLease(leaseId)
-                .subscribe(() -> loop.schedule(this::renew, RENEWAL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS), cause -> {
-                    if (cause instanceof StoreStatusException exception && exception.notFound()) {
-                        LOG.warn("event=registration_lost entry={} lease={}", view.entry(), leaseId);
-                        register();
-                    } else {
-                        loop.schedule(this::renew, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
-                    }
-                });
+        store.renewLease(granted).subscribe(() -> scheduleRenewal(granted, RENEWAL_INTERVAL_MILLIS), cause -> {
+            if (cause instanceof StoreStatusException exception && exception.notFound()) {
+                LOG.warn("event=registration_lost entry={} lease={}", view.entry(), granted.id());
+                register();
+            } else {
+                scheduleRenewal(granted, RETRY_DELAY_MILLIS);
+            }
+        });
     }
 
     /** Ends the lease, which removes the registration of this entry. */
     public Single<Boolean> leave() {
-        return store.revokeLease(leaseId).toSingleDefault(true);
+        return Maybe.fromOptional(Optional.ofNullable(lease))
+                .flatMapCompletable(store::revokeLease)
+                .toSingleDefault(true);
     }
 
+    private record Registration(StoreLease lease, long revision) {}
+
     private final class EntryListener implements StoreFollower.Listener {
 
         @Override
         public void onSnapshot(StoreReadResult reading, Timestamp confirmedAt) {
-            peers.clear();
+            if (view.restoreWindow().trustsAbsence(confirmedAt.monotonicMillis())) {
+                peers.clear();
+            }
             onChanges(reading, confirmedAt);
         }
 
@@ -135,10 +173,11 @@
                 if (name.equals(view.entry())) {
                     continue;
                 }
-                if (item.removed()) {
-                    peers.remove(name);
-                } else {
+                if (!item.removed()) {
                     putPeer(name, item);
+                } else if (view.restoreWindow().trustsAbsence(confirmedAt.monotonicMillis())) {
+                    // Otherwise a lease from the copy may have ended before its entry registered again.
+                    peers.remove(name);
                 }
             }
             view.setPeers(peers.keySet());
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -10,7 +10,9 @@
 import io.oleandermoor.platform.StoreReadResult;
 import io.oleandermoor.platform.UpstreamInstanceDecoder;
 import io.oleandermoor.state.fleet.UpstreamInstance;
+import io.oleandermoor.state.restore.EndedRuns;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -39,6 +41,7 @@
     private static final double BATCH_DELAY_DRAIN_RATIO = 0.35;
 
     private final DeploymentView view;
+    private final EndedRuns endedRuns = new EndedRuns();
 
     private FleetFollower(DeploymentView view) {
         this.view = view;
@@ -55,6 +58,11 @@
     public static void start(EventLoop loop, StoreClient store, DeploymentView view, long drainMillis) {
         long batchDelayMillis = (long) (drainMillis * BATCH_DELAY_DRAIN_RATIO);
         FleetFollower follower = new FleetFollower(view);
+        store.addEraListener((era, restored) -> {
+            if (restored) {
+                follower.endedRuns.recordRestore(Timestamp.monotonicNowMillis());
+            }
+        });
         ConfigurationListener configurationListener = new ConfigurationListener(view, FleetDocumentDecoder::decode);
         new StoreFollower(loop, store, ConfigurationListener.KEY_PREFIX, CONFIGURATION_TIMING, configurationListener)
                 .start();
@@ -81,7 +89,11 @@
                     .states()
                     .forEach(state -> removedIds.add(state.instance().id()));
             removedIds.removeAll(listedIds);
-            removedIds.forEach(this::removeInstance);
+            if (view.restoreWindow().trustsAbsence(confirmedAt.monotonicMillis())) {
+                removedIds.forEach(this::removeInstance);
+            } else if (!removedIds.isEmpty()) {
+                LOG.info("event=absences_ignored prefix={} absent={}", INSTANCE_PREFIX, removedIds.size());
+            }
             view.markInstancesLoaded();
             view.notifyChangeListeners();
         }
@@ -89,10 +101,12 @@
         @Override
         public void onChanges(StoreReadResult reading, Timestamp confirmedAt) {
             for (StoreItem item : reading.items()) {
-                if (item.removed()) {
-                    removeInstance(instanceId(item));
-                } else {
+                if (!item.removed()) {
                     putInstance(item);
+                } else if (view.restoreWindow().trustsAbsence(confirmedAt.monotonicMillis())) {
+                    // Otherwise a lease from the copy may have ended before the instance renewed its registration. The
+                    // full read after the window finds what was removed.
+                    removeInstance(instanceId(item));
                 }
             }
             if (!reading.items().isEmpty()) {
@@ -110,28 +124,25 @@
                         "event=instance_gone instance={} service={}",
                         id,
                         state.instance().service());
+                endedRuns.recordRemoved(state.instance(), Timestamp.monotonicNowMillis());
                 view.instances().remove(id);
             });
         }
 
         private void putInstance(StoreItem item) {
             try {
-                UpstreamInstance instance = UpstreamInstanceDecoder.decode(instanceId(item), item.value());
-                boolean isKnown = view.instances().state(instance.id()).isPresent();
-                boolean wasDraining = view.instances()
-                        .state(instance.id())
-                        .map(state -> state.instance().draining())
-                        .orElse(false);
-                view.instances().put(instance, Timestamp.monotonicNowMillis());
-                if (!isKnown || instance.draining() != wasDraining) {
+                UpstreamInstance described = UpstreamInstanceDecoder.decode(instanceId(item), item.value());
+                Optional<UpstreamInstance> reconciled = endedRuns.reconcile(described, Timestamp.monotonicNowMillis());
+                if (reconciled.isPresent()) {
+                    putInstance(reconciled.get());
+                }
+                if (!reconciled.equals(Optional.of(described))) {
                     LOG.info(
-                            "event=instance instance={} service={} address={}:{} draining={} models={}",
-                            instance.id(),
-                            instance.service(),
-                            instance.host(),
-                            instance.port(),
-                            instance.draining(),
-                            instance.models());
+                            "event=restored_description_ignored instance={} started={} revision={} removed={}",
+                            described.id(),
+                            described.startedMillis(),
+                            item.revision(),
+                            reconciled.isEmpty());
                 }
             } catch (DecodeException exception) {
                 LOG.warn("event=instance_unreadable revision={} cause=\"{}\"", item.revision(), exception.getMessage());
@@ -143,5 +154,25 @@
                 removeInstance(instanceId(item));
             }
         }
+
+        private void putInstance(UpstreamInstance instance) {
+            boolean isKnown = view.instances().state(instance.id()).isPresent();
+            boolean wasDraining = view.instances()
+                    .state(instance.id())
+                    .map(state -> state.instance().draining())
+                    .orElse(false);
+            view.instances().put(instance, Timestamp.monotonicNowMillis());
+            endedRuns.recordDescribed(instance);
+            if (!isKnown || instance.draining() != wasDraining) {
+                LOG.info(
+                        "event=instance instance={} service={} address={}:{} draining={} models={}",
+                        instance.id(),
+                        instance.service(),
+                        instance.host(),
+                        instance.port(),
+                        instance.draining(),
+                        instance.models());
+            }
+        }
     }
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/StoreFollower.java
@@ -8,6 +8,9 @@
 import io.oleandermoor.platform.StoreReadResult;
 import io.oleandermoor.platform.StoreStatusException;
 import io.oleandermoor.platform.UnusableResponseException;
+import io.oleandermoor.state.restore.RestoreWindow;
+import io.reactivex.rxjava3.functions.Consumer;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
@@ -15,7 +18,8 @@
 
 /**
  * Passes the items under a key prefix to a listener: reads all of them, then watches for changes. Reads all of them
- * again at intervals, and when the store has dropped the history that a watch needs. Used on the event loop only.
+ * again at intervals, when the store has dropped the history that a watch needs, and when the store was restored from a
+ * copy, also once more after its writers have written again what the copy lacks. Used on the event loop only.
  */
 // Calls complete with a response or a timeout, and tasks run until the event loop ends, so neither is cancelled.
 @SuppressWarnings({"FutureReturnValueIgnored", "CheckReturnValue"})
@@ -24,6 +28,8 @@
     private static final Logger LOG = LogManager.getLogger(StoreFollower.class);
     private static final long INITIAL_BACKOFF_MILLIS = 100;
     private static final long MAXIMUM_BACKOFF_MILLIS = 800;
+    /** Spreads the full reads of all entries after a restore of the store. */
+    private static final long MAXIMUM_RESTORE_DELAY_MILLIS = 200;
     /** The revision before the first full read, which is followed by a full read. */
     private static final long UNKNOWN_REVISION = -1;
 
@@ -35,6 +41,8 @@
     private long revision = UNKNOWN_REVISION;
     private long consecutiveFailures;
     private long lastListMillis;
+    /** Identifies the request whose answer is used; a restore abandons the one in flight. */
+    private long currentRequest;
 
     /**
      * Timing of the requests to the store.
@@ -49,7 +57,8 @@
     public interface Listener {
 
         /**
-         * Called when all items under the prefix have been read. Items that are not included no longer exist.
+         * Called when all items under the prefix have been read. Items that are not included no longer exist, unless
+         * the store was just restored from a copy (see {@link io.oleandermoor.state.restore.RestoreWindow}).
          *
          * @param reading all items
          * @param confirmedAt a time at which these items were current
@@ -80,18 +89,53 @@
         this.prefix = prefix;
         this.timing = timing;
         this.listener = listener;
+        store.addEraListener((era, restored) -> {
+            if (restored) {
+                readAgain();
+            }
+        });
+    }
+
+    /**
+     * Forgets the revision, which means nothing in the restored store, and reads all items now and after the window.
+     */
+    private void readAgain() {
+        LOG.info("event=read_again prefix={} revision={}", prefix, revision);
+        abandonRequest();
+        scheduleNext(ThreadLocalRandom.current().nextLong(MAXIMUM_RESTORE_DELAY_MILLIS));
+        loop.schedule(
+                () -> {
+                    abandonRequest();
+                    start();
+                },
+                RestoreWindow.DURATION_MILLIS + ThreadLocalRandom.current().nextLong(1, MAXIMUM_RESTORE_DELAY_MILLIS),
+                TimeUnit.MILLISECONDS);
+    }
+
+    private void abandonRequest() {
+        currentRequest++;
+        revision = UNKNOWN_REVISION;
     }
 
     /** Sends the next request to the store: a full read if one is due, otherwise a watch. */
     public void start() {
         Timestamp requestedAt = Timestamp.now();
+        long request = ++currentRequest;
+        Consumer<Throwable> failureHandler = cause -> {
+            if (request == currentRequest) {
+                handleFailure(cause);
+            }
+        };
         boolean relistDue = requestedAt.monotonicMillis() - lastListMillis >= timing.relistIntervalMillis();
         if (revision < 0 || relistDue) {
             lastListMillis = requestedAt.monotonicMillis();
-            store.list(prefix).subscribe(reading -> handleList(reading, requestedAt), this::handleFailure);
+            store.list(prefix)
+                    .filter(reading -> request == currentRequest)
+                    .subscribe(reading -> handleList(reading, requestedAt), failureHandler);
         } else {
             store.watch(prefix, revision, timing.watchTimeoutMillis())
-                    .subscribe(reading -> handleChanges(reading, requestedAt), this::handleFailure);
+                    .filter(reading -> request == currentRequest)
+                    .subscribe(reading -> handleChanges(reading, requestedAt), failureHandler);
         }
     }
 
@@ -167,7 +211,16 @@
         scheduleNext(backoffMillis);
     }
 
+    /** Schedules the next request, unless a restore of the store makes another one due before. */
     private void scheduleNext(long delayMillis) {
-        loop.schedule(this::start, delayMillis, TimeUnit.MILLISECONDS);
+        long request = currentRequest;
+        loop.schedule(
+                () -> {
+                    if (request == currentRequest) {
+                        start();
+                    }
+                },
+                delayMillis,
+                TimeUnit.MILLISECONDS);
     }
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
@@ -43,6 +43,11 @@
             .labelNames("outcome", "reason")
             .register(registry);
 
+    private final Counter storeRestores = Counter.builder()
+            .name("oleandermoor_store_restores_total")
+            .help("Restores of the store from a copy that this entry has observed")
+            .register(registry);
+
     /** What happens to the quarantine of a trait. */
     public enum QuarantineChange {
         /** It begins because of a crash. */
@@ -63,6 +68,11 @@
         quarantines.labelValues(change.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /** Counts a restore of the store from a copy. */
+    public void countStoreRestore() {
+        storeRestores.inc();
+    }
+
     /** Counts a notice of an instance. */
     public void countNotice(InstanceNotices.Reason reason) {
         notices.labelValues(reason.name().toLowerCase(Locale.ROOT)).inc();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
@@ -5,11 +5,15 @@
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.StoreClient;
 import io.oleandermoor.platform.StoreItem;
+import io.oleandermoor.platform.StoreLease;
 import io.oleandermoor.platform.StoreReadResult;
 import io.oleandermoor.platform.StoreStatusException;
+import io.oleandermoor.state.restore.HolderRecord;
+import io.oleandermoor.state.restore.HolderRecord.Succession;
 import io.reactivex.rxjava3.core.Single;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Locale;
 import java.util.Optional;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
@@ -21,7 +25,8 @@
  * The exclusive right of one entry to give orders to engines, based on a lease of the store. Its validity is measured
  * from the time at which the last successful renewal was sent, so that a holder that was suspended stops before another
  * entry may start. A holder that follows another entry waits for a gap before its first order. The store revision at
- * which the lease was acquired is the fencing token. Must be used on the event loop only.
+ * which the lease was acquired, with the era of the store above it, is the fencing token. A restore of the store ends
+ * the right. Must be used on the event loop only.
  */
 // Calls complete with a response or a timeout, and tasks run until the event loop ends, so neither is cancelled.
 @SuppressWarnings({"FutureReturnValueIgnored", "CheckReturnValue"})
@@ -51,12 +56,16 @@
     private final String entry;
     private final long holderGapMillis;
     private final long acquisitionDelayMillis;
-    private long leaseId;
+    private @Nullable StoreLease lease;
     private long fencingToken;
     private long ordersAllowedFromMillis;
     private boolean holder;
     private boolean stopped;
     private boolean acquisitionPending;
+    private boolean restoreSeen;
+    /** Whether the holder has been read in the current era; its revision means nothing in another one. */
+    private boolean holderKnown;
+
     private Optional<StoreItem> holderItem = Optional.empty();
     private @Nullable Timestamp lastRenewal;
 
@@ -80,6 +89,11 @@
 
     /** Starts to follow the holder and to acquire the lease when it is free. */
     public void start() {
+        store.addEraListener((era, restored) -> {
+            if (restored) {
+                endByRestore(era);
+            }
+        });
         new StoreFollower(loop, store, KEY_PREFIX, FOLLOWER_TIMING, new HolderListener()).start();
     }
 
@@ -101,13 +115,25 @@
     /** Releases the lease and makes no further attempt to acquire it. */
     public void stop() {
         stopped = true;
-        if (holder) {
+        StoreLease held = lease;
+        if (holder && held != null) {
             holder = false;
-            store.revokeLease(leaseId)
+            store.revokeLease(held)
                     .subscribe(() -> LOG.info("event=orders_released entry={}", entry), this::logFailure);
         }
     }
 
+    /** Ends the right: another entry may have acquired it in the restored store, whose lease may have the same id. */
+    private void endByRestore(long era) {
+        restoreSeen = true;
+        holderKnown = false;
+        holderItem = Optional.empty();
+        if (holder) {
+            LOG.warn("event=orders_lost entry={} token={} cause=\"store restored\" era={}", entry, fencingToken, era);
+            holder = false;
+        }
+    }
+
     private void logFailure(Throwable cause) {
         LOG.warn("event=orders_release_failed entry={} cause=\"{}\"", entry, cause.getMessage());
     }
@@ -117,6 +143,7 @@
         @Override
         public void onSnapshot(StoreReadResult reading, Timestamp current) {
             holderItem = Optional.empty();
+            holderKnown = true;
             onChanges(reading, current);
         }
 
@@ -140,11 +167,19 @@
         }
     }
 
-    /** Returns whether the lease is free. A holder with this entry's name is this entry before its restart. */
+    /**
+     * Returns whether the lease is free. A holder with this entry's name is this entry before its restart. A holder of
+     * an older era comes from the copy, or from a write that was delayed until after the restore and may be bound to
+     * the lease of any entry, so that it might never end.
+     */
     private boolean mayAcquire() {
         return !stopped
                 && !holder
-                && holderItem.map(OrderLease::textOf).orElse(entry).equals(entry);
+                && holderKnown
+                && holderItem
+                        .map(OrderLease::recordOf)
+                        .map(record -> record.entry().equals(entry) || record.isOfOlderEra(store.era()))
+                        .orElse(true);
     }
 
     private void tryToAcquire() {
@@ -153,26 +188,37 @@
             return;
         }
         Timestamp requestSent = Timestamp.now();
-        byte[] name = entry.getBytes(StandardCharsets.UTF_8);
         // The write must depend on the state that was checked above, as another entry may acquire the lease meanwhile.
         long holderRevision = holderItem.map(StoreItem::revision).orElse(0L);
+        long era = store.era();
         Single.zip(store.read(LAST_HOLDER_KEY), store.grantLease(LEASE_DURATION_MILLIS), LeaseGrant::new)
-                .flatMap(grant -> {
-                    leaseId = grant.leaseId();
-                    long lastRevision =
-                            grant.lastHolder().map(StoreItem::revision).orElse(0L);
-                    boolean previousHolderDiffers = grant.lastHolder().isPresent()
-                            && !textOf(grant.lastHolder().get()).equals(entry);
-                    return store.write(List.of(
-                                    new StoreClient.ConditionalWrite(HOLDER_KEY, holderRevision, name, grant.leaseId()),
-                                    new StoreClient.ConditionalWrite(LAST_HOLDER_KEY, lastRevision, name, 0)))
-                            .map(revision -> new Acquisition(revision, previousHolderDiffers));
-                })
+                .flatMap(grant -> acquire(grant, holderRevision, era))
                 .subscribe(acquisition -> acquired(acquisition, requestSent), this::acquisitionFailed);
     }
 
-    private static String textOf(StoreItem item) {
-        return new String(item.value(), StandardCharsets.UTF_8);
+    private Single<Acquisition> acquire(LeaseGrant grant, long holderRevision, long era) {
+        long lastRevision = grant.lastHolder().map(StoreItem::revision).orElse(0L);
+        Succession succession =
+                HolderRecord.succession(grant.lastHolder().map(OrderLease::recordOf), entry, era, restoreSeen);
+        HolderRecord last = new HolderRecord(entry, succession.olderErasEnded() ? era : HolderRecord.NO_ERA);
+        return store.write(
+                        era,
+                        List.of(
+                                new StoreClient.ConditionalWrite(
+                                        HOLDER_KEY,
+                                        holderRevision,
+                                        encode(new HolderRecord(entry, era)),
+                                        grant.lease().id()),
+                                new StoreClient.ConditionalWrite(LAST_HOLDER_KEY, lastRevision, encode(last), 0)))
+                .map(revision -> new Acquisition(grant.lease(), HolderRecord.fencingToken(era, revision), succession));
+    }
+
+    private static HolderRecord recordOf(StoreItem item) {
+        return HolderRecord.parse(new String(item.value(), StandardCharsets.UTF_8));
+    }
+
+    private static byte[] encode(HolderRecord record) {
+        return record.text().getBytes(StandardCharsets.UTF_8);
     }
 
     private void acquisitionFailed(Throwable cause) {
@@ -184,44 +230,110 @@
     private void acquired(Acquisition acquisition, Timestamp requestSent) {
         acquisitionPending = false;
         holder = true;
+        lease = acquisition.lease();
         fencingToken = acquisition.fencingToken();
         lastRenewal = requestSent;
-        ordersAllowedFromMillis =
-                Timestamp.monotonicNowMillis() + (acquisition.previousHolderDiffers() ? holderGapMillis : 0);
+        Succession succession = acquisition.succession();
+        ordersAllowedFromMillis = Timestamp.monotonicNowMillis() + (succession.needsGap() ? holderGapMillis : 0);
         LOG.info(
-                "event=orders_taken entry={} token={} other_before={}",
+                "event=orders_taken entry={} token={} era={} succession={}",
                 entry,
                 fencingToken,
-                acquisition.previousHolderDiffers());
-        loop.schedule(this::renew, RENEWAL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+                acquisition.lease().era(),
+                succession.name().toLowerCase(Locale.ROOT));
+        scheduleRenewal(acquisition.lease(), RENEWAL_INTERVAL_MILLIS);
+        if (!succession.olderErasEnded()) {
+            scheduleEndOfOlderEras(acquisition.lease(), holderGapMillis);
+        }
+    }
+
+    private void scheduleRenewal(StoreLease held, long delayMillis) {
+        loop.schedule(() -> renew(held), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private boolean isCurrent(StoreLease held) {
+        return !stopped && holder && held.equals(lease);
     }
 
-    private void renew() {
-        if (stopped) {
+    private void renew(StoreLease held) {
+        if (!isCurrent(held)) {
             return;
         }
         Timestamp requestSent = Timestamp.now();
-        store.renewLease(leaseId)
-                .subscribe(
-                        () -> {
-                            lastRenewal = requestSent;
-                            loop.schedule(this::renew, RENEWAL_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
-                        },
-                        cause -> renewalFailed(cause));
+        store.renewLease(held)
+                .andThen(Single.defer(() -> isOwnHolderRecord(held)))
+                .subscribe(own -> renewed(held, own, requestSent), cause -> renewalFailed(held, cause));
     }
 
-    private void renewalFailed(Throwable cause) {
-        boolean leaseEnded = cause instanceof StoreStatusException failure && failure.notFound();
-        if (leaseEnded) {
-            LOG.warn("event=orders_lost entry={} token={} cause=\"{}\"", entry, fencingToken, cause.getMessage());
-            holder = false;
-            scheduleAcquisition(ACQUISITION_RETRY_MILLIS);
+    /**
+     * Reads whether the holder is still this entry. A write of another entry that was delayed until after a restore may
+     * have replaced it, if its expected revision was assigned again; the lease does not show it.
+     */
+    private Single<Boolean> isOwnHolderRecord(StoreLease held) {
+        if (held.era() == HolderRecord.NO_ERA) {
+            return Single.just(true);
+        }
+        HolderRecord own = new HolderRecord(entry, held.era());
+        return store.read(HOLDER_KEY)
+                .map(item -> item.map(OrderLease::recordOf).filter(own::equals).isPresent());
+    }
+
+    private void renewed(StoreLease held, boolean own, Timestamp requestSent) {
+        if (!isCurrent(held)) {
+            return;
+        }
+        if (own) {
+            lastRenewal = requestSent;
+            scheduleRenewal(held, RENEWAL_INTERVAL_MILLIS);
         } else {
-            loop.schedule(this::renew, RENEWAL_RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            lose("holder replaced");
+        }
+    }
+
+    private void renewalFailed(StoreLease held, Throwable cause) {
+        if (!isCurrent(held)) {
+            return;
+        }
+        if (cause instanceof StoreStatusException failure && failure.notFound()) {
+            lose("lease ended");
+        } else {
+            scheduleRenewal(held, RENEWAL_RETRY_MILLIS);
+        }
+    }
+
+    private void lose(String cause) {
+        LOG.warn("event=orders_lost entry={} token={} cause=\"{}\"", entry, fencingToken, cause);
+        holder = false;
+        scheduleAcquisition(ACQUISITION_RETRY_MILLIS);
+    }
+
+    /**
+     * Schedules the record that no holder of an older era gives orders any more. It is written after the gap only: an
+     * entry that acquires the lease before has to wait itself, also this entry after a restart.
+     */
+    private void scheduleEndOfOlderEras(StoreLease held, long delayMillis) {
+        loop.schedule(() -> recordEndOfOlderEras(held), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private void recordEndOfOlderEras(StoreLease held) {
+        if (!isCurrent(held) || !holdsLease()) {
+            return;
         }
+        store.read(LAST_HOLDER_KEY)
+                .toMaybe()
+                .mapOptional(item -> item)
+                // Another entry that has acquired the lease since then writes its own record.
+                .filter(item -> recordOf(item).entry().equals(entry))
+                .flatMapSingle(item -> store.write(
+                        held.era(),
+                        List.of(new StoreClient.ConditionalWrite(
+                                LAST_HOLDER_KEY, item.revision(), encode(new HolderRecord(entry, held.era())), 0))))
+                .subscribe(
+                        revision -> LOG.info("event=older_eras_ended entry={} era={}", entry, held.era()),
+                        cause -> scheduleEndOfOlderEras(held, RENEWAL_RETRY_MILLIS));
     }
 
-    private record LeaseGrant(Optional<StoreItem> lastHolder, long leaseId) {}
+    private record LeaseGrant(Optional<StoreItem> lastHolder, StoreLease lease) {}
 
-    private record Acquisition(long fencingToken, boolean previousHolderDiffers) {}
+    private record Acquisition(StoreLease lease, long fencingToken, Succession succession) {}
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -22,6 +22,7 @@
 import io.oleandermoor.protocol.message.TargetDemand;
 import io.oleandermoor.state.dispatch.InstanceState;
 import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.fleet.FleetDocument;
 import io.oleandermoor.state.quarantine.CrashReport;
 import io.oleandermoor.state.residency.DemandTracker;
 import io.oleandermoor.state.share.ReportRotation;
@@ -304,7 +305,9 @@
                 .setEntry(view.entry())
                 .setIncarnation(incarnation)
                 .setUptimeMillis(Timestamp.monotonicNowMillis() - startedMillis)
-                .setGivesOrders(view.givesOrders());
+                .setGivesOrders(view.givesOrders())
+                .setConfigurationVersion(
+                        view.document().map(FleetDocument::version).orElse(0L));
         view.buckets().forEach((team, bucket) -> report.putGrantedTokens(team, bucket.grantedTokens()));
         for (InstanceState state : view.instances().states()) {
             if (state.localLoad() > 0) {
@@ -371,6 +374,7 @@
                 .forEach((team, granted) -> view.bucket(team)
                         .ifPresent(bucket -> bucket.recordPeerGrants(peer, granted, restarted, startedEarlier)));
         view.recordReport(peer);
+        view.recordPeerVersion(peer, report.getConfigurationVersion());
         view.instances()
                 .updatePeerLoads(
                         peer,
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/quarantine/QuarantineStore.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/quarantine/QuarantineStore.java
@@ -11,6 +11,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -26,6 +27,9 @@
     private static final Logger LOG = LogManager.getLogger(QuarantineStore.class);
     private static final String KEY_PREFIX = "oleandermoor/quarantines/";
     private static final long RETRY_DELAY_MILLIS = 500;
+    /** One entry writes a quarantine within it, and the others find it written. */
+    private static final long MAXIMUM_RESTORE_DELAY_MILLIS = 1_000;
+
     private static final String REPEATED = "repeated";
     private static final String FIRST = "first";
 
@@ -49,6 +53,11 @@
     /** Reads the quarantines that entries have begun before, and keeps those that begin from now on. */
     public void start() {
         coordinator.addBeginListener(this::write);
+        store.addEraListener((era, restored) -> {
+            if (restored) {
+                writeAgain();
+            }
+        });
         read();
     }
 
@@ -59,6 +68,14 @@
         });
     }
 
+    /** Writes all active quarantines, which the copy may lack. Each entry does, after a delay that spreads them. */
+    private void writeAgain() {
+        for (Quarantine quarantine : List.copyOf(coordinator.active())) {
+            long delayMillis = ThreadLocalRandom.current().nextLong(MAXIMUM_RESTORE_DELAY_MILLIS);
+            loop.schedule(() -> write(quarantine), delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
     private void restore(StoreReadResult reading) {
         for (StoreItem item : reading.items()) {
             List<String> fields = List.of(new String(item.value(), StandardCharsets.UTF_8).split(" "));
@@ -90,7 +107,9 @@
                         ? Single.just(item.get().revision())
                         : store.grantLease(remainingMillis).flatMap(lease -> {
                             long revision = item.map(StoreItem::revision).orElse(0L);
-                            return store.write(List.of(new StoreClient.ConditionalWrite(key, revision, value, lease)));
+                            return store.write(
+                                    lease.era(),
+                                    List.of(new StoreClient.ConditionalWrite(key, revision, value, lease.id())));
                         }))
                 .subscribe(
                         revision ->
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
@@ -3,6 +3,8 @@
 import io.oleandermoor.state.dispatch.InstanceTable;
 import io.oleandermoor.state.fleet.FleetDocument;
 import io.oleandermoor.state.fleet.TeamLimits;
+import io.oleandermoor.state.restore.RestoreWindow;
+import io.oleandermoor.state.restore.VersionConfirmation;
 import io.oleandermoor.state.share.SharedTokenBucket;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -33,9 +35,12 @@
     private final Map<String, Long> lastReportMillisByPeer = new HashMap<>();
     private final Set<String> silentPeers = new HashSet<>();
     private final List<Runnable> changeListeners = new ArrayList<>();
+    private final RestoreWindow restoreWindow = new RestoreWindow();
+    private final VersionConfirmation versions = new VersionConfirmation();
     private Set<String> peers = Set.of();
     private @Nullable FleetDocument document;
     private @Nullable Timestamp confirmedAt;
+    private @Nullable Timestamp confirmedBeforeRestore;
     private boolean peersKnown;
     private long reportIntervalMillis = 100;
     private boolean startupBalancesSettled;
@@ -112,9 +117,57 @@
         return true;
     }
 
-    /** Records that the configuration in force was the newest one at a point in time. */
+    /**
+     * Records that the configuration in force was the newest one in the store at a point in time. It does not count as
+     * confirmed if another entry has a newer one in force, which the store has lost or this entry has not received yet.
+     */
     public void confirmDocument(Timestamp timestamp) {
-        confirmedAt = timestamp;
+        if (document == null || versions.isNewestKnown(document.version())) {
+            confirmedAt = timestamp;
+        }
+    }
+
+    /** Records the version of the configuration that another entry has in force; 0 if it has none or states none. */
+    public void recordPeerVersion(String peer, long version) {
+        boolean newer = versions.recordReported(peer, version);
+        boolean storeMayLackVersion = restoreWindow.isOpen(nowMillis()) || versions.isWaiting();
+        if (newer && storeMayLackVersion && document != null && version > document.version()) {
+            // What the restored store has confirmed may be older than what this entry would have read before.
+            LOG.warn(
+                    "event=configuration_superseded peer={} version={} in_force={} confirmation_age_ms={}",
+                    peer,
+                    version,
+                    document.version(),
+                    confirmationAgeMillis());
+            confirmedAt = confirmedBeforeRestore;
+        }
+    }
+
+    /**
+     * Records that the store was restored from a copy.
+     *
+     * @param seen whether this entry has used the store before the restore; otherwise it starts after it, and does not
+     *     serve before it has heard which version of the configuration the other entries have in force
+     */
+    public void beginRestore(boolean seen) {
+        if (!seen) {
+            versions.awaitReports(nowMillis());
+            return;
+        }
+        // If a second restore follows within the window, the copy of the first may have confirmed an older version.
+        if (!restoreWindow.isOpen(nowMillis())) {
+            confirmedBeforeRestore = confirmedAt;
+        }
+        restoreWindow.begin(nowMillis());
+    }
+
+    /** Returns the window after a restore of the store in which absence from a full read removes nothing. */
+    public RestoreWindow restoreWindow() {
+        return restoreWindow;
+    }
+
+    private static long nowMillis() {
+        return Timestamp.monotonicNowMillis();
     }
 
     /** Returns the time since the configuration was last known to be the newest one. */
@@ -164,7 +217,7 @@
 
     /**
      * Returns whether requests can be served: the configuration and instances have been read, this entry is registered,
-     * and the configuration was confirmed recently.
+     * and the configuration was confirmed recently, also by the other entries if this one starts after a restore.
      *
      * @param maximumConfirmationAgeMillis the age of the confirmation from which requests are not served
      */
@@ -172,6 +225,7 @@
         return document != null
                 && instancesLoaded
                 && entryRegistered
+                && !versions.awaitsReports(peersKnown, peers, nowMillis())
                 && confirmationAgeMillis() < maximumConfirmationAgeMillis;
     }
 
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/ConfigurationListenerTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/ConfigurationListenerTest.java
@@ -15,6 +15,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.EnumSet;
 import java.util.List;
+import java.util.Set;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
@@ -143,4 +144,49 @@
             assertNotConfirmedByLaterWatches();
         }
     }
+
+    /** Guards against a revoked key that is accepted because the restored store holds an older version. */
+    @Nested
+    class WhenOtherEntryHasNewerVersion {
+
+        @Test
+        void storeDoesNotConfirmTheOlderVersion() {
+            view.recordPeerVersion("entry-2", 4);
+            listener.onSnapshot(reading(document(3)), Timestamp.now());
+            assertNotConfirmedByLaterWatches();
+            listener.onChanges(reading(document(4)), Timestamp.now());
+            assertThat(view.confirmationAgeMillis()).isLessThan(OLD_MILLIS);
+        }
+
+        /** Guards against requests that are refused whenever another entry receives a version first. */
+        @Test
+        void earlierConfirmationCountsUntilItIsTooOld() {
+            listener.onSnapshot(reading(document(3)), Timestamp.now());
+            view.recordPeerVersion("entry-2", 4);
+            assertThat(view.confirmationAgeMillis()).isLessThan(OLD_MILLIS);
+        }
+
+        @Test
+        void confirmationByRestoredStoreEnds() {
+            view.beginRestore(true);
+            listener.onSnapshot(reading(document(3)), Timestamp.now());
+            view.beginRestore(true);
+            view.recordPeerVersion("entry-2", 4);
+            assertThat(view.confirmationAgeMillis()).isGreaterThanOrEqualTo(OLD_MILLIS);
+        }
+
+        @Test
+        void entryThatStartsAfterRestoreWaitsForReports() {
+            view.beginRestore(false);
+            view.markInstancesLoaded();
+            view.setRegistered(true);
+            view.setPeers(Set.of("entry-2"));
+            listener.onSnapshot(reading(document(3)), Timestamp.now());
+            assertThat(view.canServe(OLD_MILLIS)).isFalse();
+            view.recordPeerVersion("entry-2", 4);
+            assertThat(view.canServe(OLD_MILLIS)).isFalse();
+            listener.onChanges(reading(document(4)), Timestamp.now());
+            assertThat(view.canServe(OLD_MILLIS)).isTrue();
+        }
+    }
 }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
@@ -7,12 +7,17 @@
 import io.oleandermoor.gateway.metrics.GatewayMetrics;
 import io.oleandermoor.gateway.quarantine.QuarantineCoordinator;
 import io.oleandermoor.gateway.view.DeploymentView;
+import io.oleandermoor.gateway.view.Timestamp;
+import io.oleandermoor.platform.DecodeException;
+import io.oleandermoor.platform.FleetDocumentDecoder;
 import io.oleandermoor.state.dispatch.InstanceState;
 import io.oleandermoor.state.dispatch.InstanceTable;
 import io.oleandermoor.state.dispatch.ModelTarget;
+import io.oleandermoor.state.fleet.FleetDocument;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import io.oleandermoor.state.residency.DemandTracker;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -127,6 +132,28 @@
         }
     }
 
+    /** Guards against an entry that takes an older version in a restored store for the newest one. */
+    @Test
+    void versionInForceIsReported() throws Exception {
+        DeploymentView newer = entries.get(0).view;
+        DeploymentView older = entries.get(1).view;
+        onLoop(() -> newer.applyDocument(document(7)));
+        onLoop(() -> {
+            older.beginRestore(false);
+            older.applyDocument(document(6));
+            older.confirmDocument(Timestamp.now());
+            return older;
+        });
+        startAll();
+        await().atMost(Duration.ofSeconds(20)).until(() -> onLoop(older::confirmationAgeMillis) == Long.MAX_VALUE);
+    }
+
+    private static FleetDocument document(long version) throws DecodeException {
+        String text = "{\"version\":" + version + ",\"limits\":{\"max-header-bytes\":1,\"max-body-bytes\":1,"
+                + "\"header-timeout-ms\":1,\"idle-timeout-ms\":1}}";
+        return FleetDocumentDecoder.decode(text.getBytes(StandardCharsets.UTF_8));
+    }
+
     /** Guards against entries that send prompts to an engine together because they hear of each other's too late. */
     @Test
     void sentPromptIsReportedToAllEntriesAtOnce() throws Exception {
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/Disturbance.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/Disturbance.java
@@ -53,6 +53,13 @@
         void play(SoakFleet fleet, UniformRandomProvider random) throws Exception {
             fleet.replaceInstance(random, false);
         }
+    },
+    /** The store is away for a moment and comes back from a copy. */
+    RESTORED_STORE {
+        @Override
+        void play(SoakFleet fleet, UniformRandomProvider random) {
+            fleet.restoreStore(random);
+        }
     };
 
     private static final int MAXIMUM_SERIES = 5;
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/SoakFleet.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/SoakFleet.java
@@ -9,7 +9,10 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.locks.LockSupport;
 import org.apache.commons.rng.UniformRandomProvider;
 
 /** Two entry processes with a store and stuttering instances of two services. */
@@ -17,6 +20,7 @@
 
     private static final int INSTANCES_OF_SERVICE = 4;
     private static final int MAXIMUM_BODY_BYTES = 64 << 10;
+    private static final int MAXIMUM_COPY_AGE_MILLIS = 1_500;
     private static final Duration START_TIMEOUT = Duration.ofSeconds(60);
 
     private final long seed;
@@ -25,6 +29,7 @@
     private final List<Place> places = new ArrayList<>();
     private final List<EntryProcess> entries = new ArrayList<>();
     private final AtomicInteger configurationVersion = new AtomicInteger();
+    private final Queue<String> endedInstances = new ConcurrentLinkedQueue<>();
     private final AtomicInteger instanceCount = new AtomicInteger();
 
     /** An address at which one instance after another runs. */
@@ -43,6 +48,7 @@
 
     SoakFleet(long seed, Path directory) throws IOException {
         this.seed = seed;
+        store.setEra(1);
         for (String service : List.of("shop", "words")) {
             for (int count = 0; count < INSTANCES_OF_SERVICE; count++) {
                 int port = EntryFixture.freePort();
@@ -84,6 +90,32 @@
         store.put("op/config", EntryFixture.configuration(version, "\"key-1\"", MAXIMUM_BODY_BYTES + version));
     }
 
+    /**
+     * Takes the store away and restores it from a copy that is up to seconds old. The operator and the instances write
+     * again what they wrote since the copy.
+     */
+    synchronized void restoreStore(UniformRandomProvider random) {
+        store.takeCopy();
+        LockSupport.parkNanos(random.nextInt(MAXIMUM_COPY_AGE_MILLIS) * 1_000_000L);
+        store.setUnavailable(true);
+        Disturbance.pause(random);
+        store.restore();
+        store.setUnavailable(false);
+        Disturbance.pause(random);
+        int version = configurationVersion.get();
+        store.put("op/config", EntryFixture.configuration(version, "\"key-1\"", MAXIMUM_BODY_BYTES + version));
+        for (Place place : places) {
+            synchronized (place) {
+                store.put("servers/" + place.instance.id(), place.instance.registration("ready"));
+            }
+        }
+        // The registrations that the copy holds of ended instances end with their leases.
+        endedInstances.stream()
+                .map(id -> "servers/" + id)
+                .filter(key -> !store.value(key).isEmpty())
+                .forEach(store::remove);
+    }
+
     private StutteringInstance startInstance(String service, int port) throws IOException {
         String id = "i-" + instanceCount.incrementAndGet();
         StutteringInstance instance = new StutteringInstance(id, service, port, seed, ledger);
@@ -100,6 +132,7 @@
                 store.put(key, place.instance.registration("draining"));
                 Disturbance.pause(random);
             }
+            endedInstances.add(place.instance.id());
             place.instance.close();
             boolean removedFirst = announced || random.nextBoolean();
             if (removedFirst) {
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
@@ -18,7 +18,10 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.locks.LockSupport;
 
-/** In-memory stand-in for the platform's store with items, watches, conditional writes and leases that never expire. */
+/**
+ * In-memory stand-in for the platform's store with items, watches, conditional writes and leases. It can be restored
+ * from a copy: writes and leases since the copy are lost, and their revisions and identifiers are assigned again.
+ */
 public final class StoreStandIn implements AutoCloseable {
 
     private static final long WATCH_POLL_INTERVAL_MILLIS = 10;
@@ -26,6 +29,7 @@
     private final HttpServer server;
     private final ExecutorService workers = Executors.newCachedThreadPool();
     private final TreeMap<String, Map<String, Object>> items = new TreeMap<>();
+    private final TreeMap<Long, Lease> leases = new TreeMap<>();
     private final List<Map<String, Object>> history = new ArrayList<>();
     private long revision = 1;
     private long lastLeaseId;
@@ -34,6 +38,27 @@
     private long droppedRevision;
     private volatile long leaseDelayMillis;
     private volatile int leaseRequests;
+    private Copy copy = new Copy(Map.of(), Map.of(), List.of(), 1, 0);
+    /** The stated era; 0 for none. */
+    private volatile long era;
+
+    private volatile boolean eraOmitted;
+    private volatile boolean writesHeld;
+    private volatile int heldWrites;
+
+    private record Lease(long timeToLiveMillis, long endNanos) {
+
+        Lease renewed() {
+            return new Lease(timeToLiveMillis, System.nanoTime() + timeToLiveMillis * 1_000_000);
+        }
+    }
+
+    private record Copy(
+            Map<String, Map<String, Object>> items,
+            Map<Long, Lease> leases,
+            List<Map<String, Object>> history,
+            long revision,
+            long lastLeaseId) {}
 
     /** Starts the store on a free loopback port. */
     public StoreStandIn() throws IOException {
@@ -49,10 +74,60 @@
     }
 
     /** Sets whether every request fails with status 503. */
-    public void setUnavailable(boolean enabled) {
+    public synchronized void setUnavailable(boolean enabled) {
+        // A store that is away ends no leases.
+        if (unavailable && !enabled) {
+            leases.replaceAll((id, lease) -> lease.renewed());
+        }
         unavailable = enabled;
     }
 
+    /** Sets the era that all answers state. */
+    public void setEra(long number) {
+        era = number;
+    }
+
+    /** Sets whether answers omit the era. */
+    public void omitEra(boolean enabled) {
+        eraOmitted = enabled;
+    }
+
+    /** Sets whether conditional writes wait before they are carried out; they are when it is reset. */
+    public void holdWrites(boolean enabled) {
+        writesHeld = enabled;
+    }
+
+    /** Returns the number of conditional writes that wait. */
+    public int heldWrites() {
+        return heldWrites;
+    }
+
+    /** Takes the copy from which the store is restored. */
+    public synchronized void takeCopy() {
+        endLeases();
+        copy = new Copy(Map.copyOf(items), Map.copyOf(leases), List.copyOf(history), revision, lastLeaseId);
+    }
+
+    /** Restores the store from its copy, in a new era. */
+    public synchronized void restore() {
+        items.clear();
+        items.putAll(copy.items());
+        leases.clear();
+        copy.leases().forEach((id, lease) -> leases.put(id, lease.renewed()));
+        history.clear();
+        history.addAll(copy.history());
+        revision = copy.revision();
+        lastLeaseId = copy.lastLeaseId();
+        era++;
+    }
+
+    /** Returns the identifier of the lease of an item; 0 if it has none or does not exist. */
+    public synchronized long leaseOf(String key) {
+        endLeases();
+        Map<String, Object> item = items.get(key);
+        return item == null ? 0 : ((Number) item.getOrDefault("lease", 0L)).longValue();
+    }
+
     /** Sets whether watches omit all changes. */
     public void suppressWatches(boolean enabled) {
         watchesSuppressed = enabled;
@@ -76,6 +151,7 @@
 
     /** Returns the value of an item, or an empty string if the item does not exist. */
     public synchronized String value(String key) {
+        endLeases();
         Map<String, Object> item = items.get(key);
         return item == null
                 ? ""
@@ -84,11 +160,16 @@
 
     /** Writes an item unconditionally, as the operator or an instance would. */
     public synchronized void put(String key, String value) {
+        put(key, value, 0);
+    }
+
+    private void put(String key, String value, long lease) {
         revision++;
         Map<String, Object> item = new HashMap<>();
         item.put("key", key);
         item.put("value", Base64.getEncoder().encodeToString(value.getBytes(StandardCharsets.UTF_8)));
         item.put("revision", revision);
+        item.put("lease", lease);
         items.put(key, item);
         history.add(item);
     }
@@ -100,6 +181,31 @@
         history.add(Map.of("key", key, "tombstone", true, "revision", revision));
     }
 
+    /** Ends the leases whose time is over, and removes their items. */
+    private void endLeases() {
+        if (unavailable) {
+            return;
+        }
+        long now = System.nanoTime();
+        List<Long> ended = leases.entrySet().stream()
+                .filter(lease -> lease.getValue().endNanos() - now <= 0)
+                .map(Map.Entry::getKey)
+                .toList();
+        ended.forEach(this::endLease);
+    }
+
+    private boolean endLease(long id) {
+        if (leases.remove(id) == null) {
+            return false;
+        }
+        items.values().stream()
+                .filter(item -> item.get("lease").equals(id))
+                .map(item -> String.valueOf(item.get("key")))
+                .toList()
+                .forEach(this::remove);
+        return true;
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
         String path = exchange.getRequestURI().getPath();
         Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
@@ -115,26 +221,50 @@
         } else if (path.equals("/api/kv-key")) {
             response = key(query.get("key"));
         } else if (path.equals("/api/kv-txn")) {
+            awaitRelease();
             response = write(JSON.std.mapFrom(body));
         } else if (path.equals("/api/kv-lease")) {
-            response = lease();
+            response = lease(((Number) JSON.std.mapFrom(body).get("ttl-ms")).longValue());
         } else {
-            response = new Response(200, Map.of("ttl-ms", 1_000));
+            response = useLease(path);
         }
         byte[] bytes = JSON.std.asBytes(response.body());
+        if (era > 0 && !eraOmitted) {
+            exchange.getResponseHeaders().set("Store-Era", Long.toString(era));
+        }
         exchange.sendResponseHeaders(response.status(), bytes.length);
         exchange.getResponseBody().write(bytes);
         exchange.close();
     }
 
-    private Response lease() {
+    private void awaitRelease() {
+        if (writesHeld) {
+            heldWrites++;
+            while (writesHeld) {
+                LockSupport.parkNanos(WATCH_POLL_INTERVAL_MILLIS * 1_000_000);
+            }
+        }
+    }
+
+    private Response lease(long timeToLiveMillis) {
         long leaseId;
         synchronized (this) {
             leaseRequests++;
             leaseId = ++lastLeaseId;
+            leases.put(leaseId, new Lease(timeToLiveMillis, 0).renewed());
         }
         LockSupport.parkNanos(leaseDelayMillis * 1_000_000);
-        return new Response(200, Map.of("lease", leaseId, "ttl-ms", 1_000));
+        return new Response(200, Map.of("lease", leaseId, "ttl-ms", timeToLiveMillis));
+    }
+
+    /** Renews or ends the lease that the path names. */
+    private synchronized Response useLease(String path) {
+        endLeases();
+        long id = Long.parseLong(path.substring(path.lastIndexOf('/') + 1));
+        boolean found = path.startsWith("/api/kv-lease-end/")
+                ? endLease(id)
+                : leases.computeIfPresent(id, (key, lease) -> lease.renewed()) != null;
+        return new Response(found ? 200 : 404, Map.of());
     }
 
     private record Response(int status, Map<String, Object> body) {}
@@ -150,6 +280,7 @@
     }
 
     private synchronized Response range(String prefix) {
+        endLeases();
         List<Object> found = new ArrayList<>();
         items.forEach((key, item) -> {
             if (key.startsWith(prefix)) {
@@ -163,7 +294,8 @@
         long end = System.nanoTime() + waitMillis * 1_000_000;
         while (true) {
             synchronized (this) {
-                if (after < droppedRevision) {
+                endLeases();
+                if (after < droppedRevision || after > revision) {
                     return new Response(410, Map.of());
                 }
                 List<Object> events = new ArrayList<>();
@@ -182,11 +314,13 @@
     }
 
     private synchronized Response key(String key) {
+        endLeases();
         Map<String, Object> item = items.get(key);
         return item == null ? new Response(404, Map.of()) : new Response(200, item);
     }
 
     private synchronized Response write(Map<String, Object> transaction) {
+        endLeases();
         for (Object element : (List<?>) transaction.get("expected")) {
             Map<?, ?> row = (Map<?, ?>) element;
             Map<String, Object> item = items.get(String.valueOf(row.get("key")));
@@ -198,7 +332,10 @@
         for (Object element : (List<?>) transaction.get("writes")) {
             Map<?, ?> row = (Map<?, ?>) element;
             byte[] value = Base64.getDecoder().decode(String.valueOf(row.get("value")));
-            put(String.valueOf(row.get("key")), new String(value, StandardCharsets.UTF_8));
+            put(
+                    String.valueOf(row.get("key")),
+                    new String(value, StandardCharsets.UTF_8),
+                    ((Number) row.get("lease")).longValue());
         }
         return new Response(200, Map.of("revision", revision));
     }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/UpstreamInstance.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/UpstreamInstance.java
@@ -37,4 +37,20 @@
         models = Map.copyOf(models);
         modelsWithLocalWeights = Set.copyOf(modelsWithLocalWeights);
     }
+
+    /** Returns this instance as one that accepts no new requests. */
+    public UpstreamInstance asDraining() {
+        return new UpstreamInstance(
+                id,
+                service,
+                host,
+                port,
+                failureDomain,
+                slots,
+                true,
+                remainingMillis,
+                models,
+                modelsWithLocalWeights,
+                startedMillis);
+    }
 }
