--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -5,6 +5,7 @@
 import io.oleandermoor.gateway.follow.EntryMembership;
 import io.oleandermoor.gateway.follow.EvacuationListener;
 import io.oleandermoor.gateway.follow.FleetFollower;
+import io.oleandermoor.gateway.follow.RestoreObserver;
 import io.oleandermoor.gateway.metrics.GatewayMetrics;
 import io.oleandermoor.gateway.order.OrderLease;
 import io.oleandermoor.gateway.order.PlacementController;
@@ -114,6 +115,7 @@
         view.instances().addRule(new RegionRule(regions()));
         store = new StoreClient(
                 loop, settings.get(GatewaySettings.STORE_ADDRESS).toSocketAddress(), STORE_TIMEOUT_MILLIS);
+        RestoreObserver.start(store, view, metrics);
         NoticeRecorder noticeRecorder = new NoticeRecorder(view, metrics);
         pool.setNoticeListener(noticeRecorder);
         pool.setIdleLossListener(view.coldStarts()::recordContactLost);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/EvacuationListener.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/EvacuationListener.java
@@ -61,7 +61,10 @@
                 begin(domain, item.revision());
             });
         }
-        ended.forEach(domain -> end(domain, reading.storeRevision()));
+        // After a restore of the store, the operator may still be writing the request again.
+        if (view.restoreWindow().trustsAbsence(confirmedAt.monotonicMillis())) {
+            ended.forEach(domain -> end(domain, reading.storeRevision()));
+        }
         lastConfirmedAt = confirmedAt;
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -11,7 +11,9 @@
 import io.oleandermoor.platform.UpstreamInstanceDecoder;
 import io.oleandermoor.state.fleet.InstanceDescription;
 import io.oleandermoor.state.fleet.UpstreamInstance;
+import io.oleandermoor.state.restore.EndedRuns;
 import java.util.HashSet;
+import java.util.Optional;
 import java.util.Set;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -45,6 +47,7 @@
     private static final double BATCH_DELAY_DRAIN_RATIO = 0.35;
 
     private final DeploymentView view;
+    private final EndedRuns endedRuns = new EndedRuns();
 
     private FleetFollower(DeploymentView view) {
         this.view = view;
@@ -67,6 +70,11 @@
             StoreFollower.Listener evacuationListener) {
         long batchDelayMillis = (long) (drainMillis * BATCH_DELAY_DRAIN_RATIO);
         FleetFollower follower = new FleetFollower(view);
+        store.addEraListener((era, restored) -> {
+            if (restored) {
+                follower.endedRuns.recordRestore(Timestamp.monotonicNowMillis());
+            }
+        });
         // The evacuations come first, so that a confirmed configuration implies that they are in force.
         StoreFollower.Listener operatorListener =
                 evacuationListener.andThen(new ConfigurationListener(view, FleetDocumentDecoder::decode));
@@ -99,7 +107,11 @@
                     .states()
                     .forEach(state -> removedIds.add(state.instance().id()));
             removedIds.removeAll(listedIds);
-            removedIds.forEach(this::removeInstance);
+            if (view.restoreWindow().trustsAbsence(confirmedAt.monotonicMillis())) {
+                removedIds.forEach(this::removeInstance);
+            } else if (!removedIds.isEmpty()) {
+                LOG.info("event=absences_ignored prefix={} absent={}", INSTANCE_PREFIX, removedIds.size());
+            }
             view.coldStarts().recordListRead();
             view.markInstancesLoaded();
             view.notifyChangeListeners();
@@ -108,10 +120,12 @@
         @Override
         public void onChanges(StoreReadResult reading, Timestamp confirmedAt) {
             for (StoreItem item : reading.items()) {
-                if (item.removed()) {
-                    removeInstance(instanceId(item));
-                } else {
+                if (!item.removed()) {
                     putInstance(item);
+                } else if (view.restoreWindow().trustsAbsence(confirmedAt.monotonicMillis())) {
+                    // Otherwise a lease from the copy may have ended before the instance renewed its registration. The
+                    // full read after the window finds what was removed.
+                    removeInstance(instanceId(item));
                 }
             }
             if (!reading.items().isEmpty()) {
@@ -129,6 +143,7 @@
                         "event=instance_gone instance={} service={}",
                         id,
                         state.instance().service());
+                endedRuns.recordRemoved(state.instance(), Timestamp.monotonicNowMillis());
                 view.instances().remove(id);
                 view.coldStarts().remove(id);
             });
@@ -138,24 +153,20 @@
             try {
                 InstanceDescription description =
                         UpstreamInstanceDecoder.decodeDescription(instanceId(item), item.value());
-                UpstreamInstance instance = description.instance();
-                boolean isKnown = view.instances().state(instance.id()).isPresent();
-                boolean wasDraining = view.instances()
-                        .state(instance.id())
-                        .map(state -> state.instance().draining())
-                        .orElse(false);
+                UpstreamInstance described = description.instance();
                 long now = Timestamp.monotonicNowMillis();
-                view.instances().put(instance, now);
-                view.coldStarts().recordDescription(description, item.revision(), now);
-                if (!isKnown || instance.draining() != wasDraining) {
+                Optional<UpstreamInstance> reconciled = endedRuns.reconcile(described, now);
+                if (reconciled.isPresent()) {
+                    putInstance(reconciled.get());
+                    view.coldStarts().recordDescription(description, item.revision(), now);
+                }
+                if (!reconciled.equals(Optional.of(described))) {
                     LOG.info(
-                            "event=instance instance={} service={} address={}:{} draining={} models={}",
-                            instance.id(),
-                            instance.service(),
-                            instance.host(),
-                            instance.port(),
-                            instance.draining(),
-                            instance.models());
+                            "event=restored_description_ignored instance={} started={} revision={} removed={}",
+                            described.id(),
+                            described.startedMillis(),
+                            item.revision(),
+                            reconciled.isEmpty());
                 }
             } catch (DecodeException exception) {
                 LOG.warn("event=instance_unreadable revision={} cause=\"{}\"", item.revision(), exception.getMessage());
@@ -167,5 +178,25 @@
                 removeInstance(instanceId(item));
             }
         }
+
+        private void putInstance(UpstreamInstance instance) {
+            boolean isKnown = view.instances().state(instance.id()).isPresent();
+            boolean wasDraining = view.instances()
+                    .state(instance.id())
+                    .map(state -> state.instance().draining())
+                    .orElse(false);
+            view.instances().put(instance, Timestamp.monotonicNowMillis());
+            endedRuns.recordDescribed(instance);
+            if (!isKnown || instance.draining() != wasDraining) {
+                LOG.info(
+                        "event=instance instance={} service={} address={}:{} draining={} models={}",
+                        instance.id(),
+                        instance.service(),
+                        instance.host(),
+                        instance.port(),
+                        instance.draining(),
+                        instance.models());
+            }
+        }
     }
 }
