Report loads and grants by hash, and only what changed

Each report between entries carried all loads and grants with names in text, although few of them change within a second.

Instances and teams are named by 32 bits of xxHash in packed fields; a name whose hash is not unique among the known names is sent in text. An entry gets a full report each second, and in between absolute values of what changed since then, including zeros. A silent or restarted entry gets a full report next. A report is split into parts of at most 1,400 bytes; each part of a full report covers a range of hashes. Reports of the previous version are still applied. The sent datagrams and bytes are counted by kind.

PeerExchangeTest passes unchanged except for the constructor.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -114,7 +114,8 @@
         callerServer = new CallerServer(loop, dispatcher);
         DemandTracker demands = new DemandTracker();
         membership = new EntryMembership(loop, store, view, settings.get(GatewaySettings.PEER_ADDRESS));
-        peerExchange = new PeerExchange(loop, view, demands, quarantine, membership::peers, dispatcher::demand);
+        peerExchange =
+                new PeerExchange(loop, view, demands, quarantine, metrics, membership::peers, dispatcher::demand);
         orderLease = new OrderLease(
                 loop, store, entryName, settings.get(GatewaySettings.HOLDER_GAP).toMillis(), orderLeaseDelayMillis());
         placementController = new PlacementController(
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
@@ -43,6 +43,30 @@
             .labelNames("outcome", "reason")
             .register(registry);
 
+    private final Counter peerDatagrams = Counter.builder()
+            .name("oleandermoor_peer_datagrams_total")
+            .help("Datagrams sent to other entries, by kind of report")
+            .labelNames("kind")
+            .register(registry);
+
+    private final Counter peerBytes = Counter.builder()
+            .name("oleandermoor_peer_bytes_total")
+            .help("Bytes sent to other entries, without the headers of UDP and IP, by kind of report")
+            .labelNames("kind")
+            .register(registry);
+
+    /** The kinds of reports to other entries. */
+    public enum PeerMessage {
+        /** All loads and grants. */
+        FULL,
+        /** Loads and grants that changed since the last full report. */
+        CHANGES,
+        /** Loads that are reported at once or after a short delay. */
+        LOADS,
+        /** An instance that has ended. */
+        CRASH
+    }
+
     /** What happens to the quarantine of a trait. */
     public enum QuarantineChange {
         /** It begins because of a crash. */
@@ -83,6 +107,13 @@
         unserved.labelValues(outcome, reason.split("[^A-Za-z0-9_]", 2)[0]).inc();
     }
 
+    /** Counts what was sent to another entry. */
+    public void countPeerMessage(PeerMessage kind, int datagrams, long bytes) {
+        String label = kind.name().toLowerCase(Locale.ROOT);
+        peerDatagrams.labelValues(label).inc(datagrams);
+        peerBytes.labelValues(label).inc(bytes);
+    }
+
     /** Returns all metrics in the text format of Prometheus. */
     public byte[] text() {
         ByteArrayOutputStream output = new ByteArrayOutputStream();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -1,23 +1,15 @@
 package io.oleandermoor.gateway.peer;
 
-import com.google.protobuf.InvalidProtocolBufferException;
-import io.netty.bootstrap.Bootstrap;
-import io.netty.buffer.ByteBufUtil;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
-import io.netty.channel.FixedRecvByteBufAllocator;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.DatagramPacket;
-import io.netty.channel.socket.nio.NioDatagramChannel;
+import io.oleandermoor.gateway.metrics.GatewayMetrics;
+import io.oleandermoor.gateway.metrics.GatewayMetrics.PeerMessage;
 import io.oleandermoor.gateway.quarantine.QuarantineCoordinator;
 import io.oleandermoor.gateway.view.DeploymentView;
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.protocol.message.EngineResidents;
 import io.oleandermoor.protocol.message.EntryReport;
 import io.oleandermoor.protocol.message.InstanceLoad;
+import io.oleandermoor.protocol.message.ReportKind;
 import io.oleandermoor.protocol.message.ResidentModel;
 import io.oleandermoor.protocol.message.TargetDemand;
 import io.oleandermoor.state.dispatch.InstanceState;
@@ -26,7 +18,6 @@
 import io.oleandermoor.state.residency.DemandTracker;
 import io.oleandermoor.state.share.ReportRotation;
 import java.net.InetSocketAddress;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashSet;
@@ -37,9 +28,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.apache.logging.log4j.LogManager;
-import org.apache.logging.log4j.Logger;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Sends reports to the other entries over UDP and applies their reports. Loads and rate grants go to all entries in
@@ -49,7 +37,6 @@
 @SuppressWarnings("FutureReturnValueIgnored") // Channel handlers receive failures; tasks run on the event loop.
 public final class PeerExchange {
 
-    private static final Logger LOG = LogManager.getLogger(PeerExchange.class);
     /** Entries choose instances by each other's request counts, which are about ten requests old at most. */
     private static final long TICK_INTERVAL_MILLIS = 100;
     /** Reports sent per tick. Up to this number of other entries, each one gets a report at every tick. */
@@ -75,7 +62,10 @@
     /** Entries that started within this time of each other are assumed to have been down at the same time. */
     private static final long SIMULTANEOUS_START_MILLIS = 1_500;
 
-    private static final int MAXIMUM_DATAGRAM_BYTES = 32 << 10;
+    /** Maximum number of ticks between full reports to the same entry. */
+    private static final int FULL_REPORT_TICKS = 10;
+    /** Maximum size of a datagram; with the headers of UDP and IP and of a tunnel, it fits into a packet of 1,500. */
+    static final int MAXIMUM_REPORT_BYTES = 1_400;
 
     private final EventLoop loop;
     private final DeploymentView view;
@@ -85,7 +75,12 @@
     private final Supplier<Map<ModelTarget, DemandTracker.RequestCounts>> ownDemand;
     private final long incarnation = System.currentTimeMillis();
     private final long startedMillis = Timestamp.monotonicNowMillis();
-    private final Map<String, Long> peerIncarnations = new HashMap<>();
+    private final NameHashes instanceNames = new NameHashes();
+    private final NameHashes teamNames = new NameHashes();
+    private final OwnLoads ownLoads = new OwnLoads(FULL_REPORT_TICKS);
+    private final PeerReports peerReports = new PeerReports(instanceNames, teamNames);
+    private final Map<String, Map<ModelTarget, DemandTracker.RequestCounts>> reportedDemands = new HashMap<>();
+    private final ReportChannel channel;
     private final ReportRotation rotation = new ReportRotation(REPORTS_PER_TICK);
     private final Set<String> changedLoads = new LinkedHashSet<>();
     private final ResidentReportQueue residentQueue = new ResidentReportQueue(MAXIMUM_RESIDENTS_BYTES);
@@ -96,7 +91,6 @@
     private long tickCount;
     private long lastEarlyReportMillis;
     private boolean earlyReportScheduled;
-    private @Nullable Channel channel;
 
     /**
      * Creates an exchange that has not started.
@@ -105,6 +99,7 @@
      * @param view the view that receives loads and grants of other entries
      * @param demands the tracker that receives the demand of other entries
      * @param quarantine combines what the entries observe of requests that end instances
+     * @param metrics counts the datagrams sent
      * @param peers the addresses of the other entries
      * @param ownDemand the demand of this entry for each target
      */
@@ -113,6 +108,7 @@
             DeploymentView view,
             DemandTracker demands,
             QuarantineCoordinator quarantine,
+            GatewayMetrics metrics,
             Supplier<Map<String, InetSocketAddress>> peers,
             Supplier<Map<ModelTarget, DemandTracker.RequestCounts>> ownDemand) {
         this.loop = loop;
@@ -121,6 +117,7 @@
         this.quarantine = quarantine;
         this.peers = peers;
         this.ownDemand = ownDemand;
+        this.channel = new ReportChannel(loop, metrics, this::handleReport);
     }
 
     /** Binds to an address and starts to send reports periodically. */
@@ -140,16 +137,7 @@
      * @return the bound address
      */
     InetSocketAddress bind(InetSocketAddress address) {
-        Channel bound = new Bootstrap()
-                .group(loop)
-                .channel(NioDatagramChannel.class)
-                .option(ChannelOption.RCVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAXIMUM_DATAGRAM_BYTES))
-                .handler(new Receiver())
-                .bind(address)
-                .syncUninterruptibly()
-                .channel();
-        channel = bound;
-        return (InetSocketAddress) bound.localAddress();
+        return channel.bind(address);
     }
 
     /** Reports the load of an instance to other entries at once, because a prompt was sent to it or read by it. */
@@ -169,38 +157,58 @@
                 .toByteArray();
         for (long repetition = 0; repetition < CRASH_REPORT_REPETITIONS; repetition++) {
             loop.schedule(
-                    () -> write(peers.get().values(), report),
+                    () -> channel.send(peers.get().values(), List.of(report), PeerMessage.CRASH),
                     TICK_INTERVAL_MILLIS * repetition,
                     TimeUnit.MILLISECONDS);
         }
     }
 
     private void sendChangedLoads() {
-        EntryReport.Builder report =
-                EntryReport.newBuilder().setEntry(view.entry()).setIncarnation(incarnation);
+        updateNames();
+        Map<String, EntryLoad> changes = new HashMap<>();
         for (String id : changedLoads) {
-            view.instances()
-                    .state(id)
-                    .ifPresent(state -> report.addLoadChanges(InstanceLoad.newBuilder()
-                            .setInstance(id)
-                            .setRunning(state.localLoad())
-                            .setUnreadPromptTokens(state.pendingPrefillTokens())));
+            view.instances().state(id).ifPresent(state -> changes.put(id, load(state)));
         }
         changedLoads.clear();
         Map<String, InetSocketAddress> addresses = peers.get();
-        if (report.getLoadChangesCount() > 0 && addresses.size() <= MAXIMUM_LOAD_CHANGE_RECEIVERS) {
-            write(addresses.values(), report.build().toByteArray());
+        if (changes.isEmpty() || addresses.size() > MAXIMUM_LOAD_CHANGE_RECEIVERS) {
+            return;
         }
+        changes.forEach(ownLoads::updateLoad);
+        // An entry of the previous version takes a report without load changes for a complete one.
+        EntryReport header = EntryReport.newBuilder()
+                .setKind(ReportKind.REPORT_KIND_LOADS)
+                .setEntry(view.entry())
+                .setIncarnation(incarnation)
+                .addLoadChanges(InstanceLoad.getDefaultInstance())
+                .build();
+        List<byte[]> parts = parts(header).addLoads(changes).build();
+        channel.send(addresses.values(), parts, PeerMessage.LOADS);
     }
 
-    private void write(Collection<InetSocketAddress> receivers, byte[] report) {
-        Channel current = channel;
-        if (current == null) {
-            return;
+    private static EntryLoad load(InstanceState state) {
+        return new EntryLoad(state.localLoad(), state.pendingPrefillTokens());
+    }
+
+    private ReportParts parts(EntryReport header) {
+        return new ReportParts(header, MAXIMUM_REPORT_BYTES, instanceNames, teamNames);
+    }
+
+    /** Updates the hashes. Names that are newly ambiguous are reported in text in full reports to all entries. */
+    private void updateNames() {
+        boolean changed = instanceNames.update(view.instances().ids());
+        changed |= teamNames.update(view.buckets().keySet());
+        if (changed) {
+            ownLoads.requireFullReports();
+        }
+    }
+
+    private void updateNamesIfResized() {
+        boolean changed = instanceNames.updateIfResized(view.instances().ids());
+        changed |= teamNames.updateIfResized(view.buckets().keySet());
+        if (changed) {
+            ownLoads.requireFullReports();
         }
-        receivers.forEach(address ->
-                current.write(new DatagramPacket(Unpooled.wrappedBuffer(report), address), current.voidPromise()));
-        current.flush();
     }
 
     /** Schedules an early report, because other entries wait for new information. */
@@ -243,6 +251,11 @@
         silent.forEach(view.instances()::removePeer);
         demands.retain(view.entry(), addresses.keySet());
         silent.forEach(demands::remove);
+        reportedDemands.keySet().retainAll(addresses.keySet());
+        peerReports.retainLoads(addresses.keySet());
+        ownLoads.retainPeers(addresses.keySet());
+        // The full report that ends the silence tells the entry at once what it has missed.
+        silent.forEach(ownLoads::requireFullReport);
         view.settleStartupBalances(olderPeerSeen);
         view.refillBuckets();
         Map<ModelTarget, DemandTracker.RequestCounts> own = ownDemand.get();
@@ -253,11 +266,8 @@
         if (tickCount % ticksPerHolderReport == 0) {
             holder.ifPresent(targets::add);
         }
-        EntryReport.Builder report = newReport();
-        if (view.givesOrders()) {
-            report.addAllResidents(residentsForRound(addresses.size()));
-        }
-        send(targets, addresses, report, holder, own);
+        List<EngineResidents> residents = view.givesOrders() ? residentsForRound(addresses.size()) : List.of();
+        send(targets, addresses, residents, holder, own);
     }
 
     /** Returns the part of the engine contents to report; it is the same for all entries within one rotation. */
@@ -275,11 +285,10 @@
         Map<String, InetSocketAddress> addresses = peers.get();
         // Determine the targets first: they depend on the changes that are polled below.
         Set<String> targets = earlyTargets();
-        EntryReport.Builder report = newReport();
         Map<ModelTarget, DemandTracker.RequestCounts> own = ownDemand.get();
         demands.report(view.entry(), own);
         List<EngineResidents> part = view.givesOrders() ? residentQueue.pollChanges() : List.of();
-        send(targets, addresses, report.addAllResidents(part), liveOrderHolder(), own);
+        send(targets, addresses, part, liveOrderHolder(), own);
         if (residentQueue.hasChanges() && view.givesOrders()) {
             reportSoon();
         }
@@ -299,52 +308,83 @@
         return orderHolder.filter(name -> reportedRecently && peers.get().containsKey(name));
     }
 
-    private EntryReport.Builder newReport() {
-        EntryReport.Builder report = EntryReport.newBuilder()
+    /** Returns the fields that all parts of a regular report have. */
+    private EntryReport newHeader(ReportKind kind) {
+        return EntryReport.newBuilder()
+                .setKind(kind)
                 .setEntry(view.entry())
                 .setIncarnation(incarnation)
                 .setUptimeMillis(Timestamp.monotonicNowMillis() - startedMillis)
-                .setGivesOrders(view.givesOrders());
-        view.buckets().forEach((team, bucket) -> report.putGrantedTokens(team, bucket.grantedTokens()));
-        for (InstanceState state : view.instances().states()) {
-            if (state.localLoad() > 0) {
-                report.putRunning(state.instance().id(), state.localLoad());
-            }
-            if (state.pendingPrefillTokens() > 0) {
-                report.putUnreadPromptTokens(state.instance().id(), state.pendingPrefillTokens());
-            }
-        }
-        QuarantineMessages.addTo(
-                report, quarantine.active(), quarantine.recentlyDisproved(), Timestamp.monotonicNowMillis());
-        return report;
+                .setGivesOrders(view.givesOrders())
+                .build();
     }
 
+    /** The content of a report in which reports of the same tick differ. */
+    private record Variant(long since, boolean withDemand) {}
+
     private void send(
             Set<String> targets,
             Map<String, InetSocketAddress> addresses,
-            EntryReport.Builder report,
+            List<EngineResidents> residents,
             Optional<String> holder,
             Map<ModelTarget, DemandTracker.RequestCounts> own) {
-        Channel current = channel;
-        if (current == null || targets.isEmpty()) {
+        if (!channel.isBound() || targets.isEmpty()) {
             return;
         }
-        byte[] withoutDemand = report.build().toByteArray();
-        own.forEach((target, wanted) -> report.addDemands(TargetDemand.newBuilder()
-                .setTarget(target.toString())
-                .setRunning(wanted.running())
-                .setWaiting(wanted.waiting())));
-        byte[] withDemand = report.build().toByteArray();
+        updateNames();
+        updateOwnLoads();
+        Map<Variant, List<byte[]>> encoded = new HashMap<>();
+        int roundTicks = rotation.roundTicks(addresses.size());
         for (String name : targets) {
             InetSocketAddress address = addresses.get(name);
             if (address != null) {
                 boolean wantsDemand = holder.map(name::equals).orElse(!view.givesOrders());
-                current.write(
-                        new DatagramPacket(Unpooled.wrappedBuffer(wantsDemand ? withDemand : withoutDemand), address),
-                        current.voidPromise());
+                Variant variant = new Variant(ownLoads.beginReport(name, tickCount, roundTicks), wantsDemand);
+                List<byte[]> parts = encoded.computeIfAbsent(
+                        variant, key -> encode(key, residents, key.withDemand() ? own : Map.of()));
+                channel.write(
+                        address,
+                        parts,
+                        variant.since() == OwnLoads.NO_VERSION ? PeerMessage.FULL : PeerMessage.CHANGES);
             }
         }
-        current.flush();
+        channel.flush();
+    }
+
+    private void updateOwnLoads() {
+        Map<String, EntryLoad> loads = new HashMap<>();
+        for (InstanceState state : view.instances().states()) {
+            EntryLoad load = load(state);
+            if (!load.equals(EntryLoad.NONE)) {
+                loads.put(state.instance().id(), load);
+            }
+        }
+        Map<String, Long> totals = new HashMap<>();
+        view.buckets().forEach((team, bucket) -> totals.put(team, bucket.grantedTokens()));
+        ownLoads.update(loads, totals);
+    }
+
+    private List<byte[]> encode(
+            Variant variant, List<EngineResidents> residents, Map<ModelTarget, DemandTracker.RequestCounts> demand) {
+        boolean full = variant.since() == OwnLoads.NO_VERSION;
+        long nowMillis = Timestamp.monotonicNowMillis();
+        return parts(newHeader(full ? ReportKind.REPORT_KIND_FULL : ReportKind.REPORT_KIND_CHANGES))
+                .addDemands(demand.entrySet().stream()
+                        .map(each -> TargetDemand.newBuilder()
+                                .setTarget(each.getKey().toString())
+                                .setRunning(each.getValue().running())
+                                .setWaiting(each.getValue().waiting())
+                                .build())
+                        .toList())
+                .addLoads(ownLoads.loadsSince(variant.since()))
+                .addTotals(ownLoads.totalsSince(variant.since()))
+                .addResidents(residents)
+                .addQuarantines(
+                        quarantine.active().stream()
+                                .map(each -> QuarantineMessages.encode(each, nowMillis))
+                                .toList(),
+                        quarantine.recentlyDisproved())
+                .build();
     }
 
     private void handleReport(EntryReport report) {
@@ -352,7 +392,9 @@
         if (peer.equals(view.entry())) {
             return;
         }
-        if (report.getLoadChangesCount() > 0) {
+        updateNamesIfResized();
+        boolean previousVersion = report.getKind() == ReportKind.REPORT_KIND_UNSPECIFIED;
+        if (report.getKind() == ReportKind.REPORT_KIND_LOADS || (previousVersion && report.getLoadChangesCount() > 0)) {
             applyLoadChanges(report);
             return;
         }
@@ -362,21 +404,16 @@
             return;
         }
         view.refillBuckets();
-        Long previousIncarnation = peerIncarnations.put(peer, report.getIncarnation());
-        boolean restarted = previousIncarnation == null || previousIncarnation != report.getIncarnation();
+        if (peerReports.record(report)) {
+            ownLoads.requireFullReport(peer);
+        }
         boolean startedEarlier = report.getUptimeMillis() > Timestamp.monotonicNowMillis() - startedMillis;
         olderPeerSeen |=
                 report.getUptimeMillis() > Timestamp.monotonicNowMillis() - startedMillis + SIMULTANEOUS_START_MILLIS;
-        report.getGrantedTokensMap()
-                .forEach((team, granted) -> view.bucket(team)
-                        .ifPresent(bucket -> bucket.recordPeerGrants(peer, granted, restarted, startedEarlier)));
+        peerReports.applyTotals(peer, startedEarlier, view::bucket);
         view.recordReport(peer);
-        view.instances()
-                .updatePeerLoads(
-                        peer,
-                        report.getRunningMap(),
-                        report.getUnreadPromptTokensMap(),
-                        Timestamp.monotonicNowMillis());
+        PeerReports.Loads loads = peerReports.loads(peer);
+        view.instances().updatePeerLoads(peer, loads.running(), loads.unreadTokens(), Timestamp.monotonicNowMillis());
         if (report.getGivesOrders()) {
             orderHolder = Optional.of(peer);
             orderHolderReportMillis = Timestamp.monotonicNowMillis();
@@ -394,25 +431,27 @@
             return;
         }
         long now = Timestamp.monotonicNowMillis();
-        for (InstanceLoad change : report.getLoadChangesList()) {
-            view.instances()
-                    .updatePeerLoad(
-                            report.getEntry(),
-                            change.getInstance(),
-                            change.getRunning(),
-                            change.getUnreadPromptTokens(),
-                            now);
-        }
+        peerReports
+                .recordLoadChanges(report)
+                .forEach((id, load) -> view.instances()
+                        .updatePeerLoad(report.getEntry(), id, load.running(), load.unreadTokens(), now));
     }
 
-    /** Replaces the demand of a peer. A report without demand means that the peer sends its demand to another entry. */
+    /**
+     * Replaces the demand of a peer, or adds to it if the report continues another one. A report without demand means
+     * that the peer sends its demand to another entry.
+     */
     private void applyDemand(String peer, EntryReport report) {
         Map<ModelTarget, DemandTracker.RequestCounts> wanted = new HashMap<>();
+        if (report.getContinuation()) {
+            wanted.putAll(reportedDemands.getOrDefault(peer, Map.of()));
+        }
         for (TargetDemand demand : report.getDemandsList()) {
             wanted.put(
                     ModelTarget.parse(demand.getTarget()),
                     new DemandTracker.RequestCounts(demand.getRunning(), demand.getWaiting()));
         }
+        reportedDemands.put(peer, wanted);
         demands.report(peer, wanted);
     }
 
@@ -431,22 +470,4 @@
             view.notifyChangeListeners();
         }
     }
-
-    private final class Receiver extends SimpleChannelInboundHandler<DatagramPacket> {
-
-        @Override
-        protected void channelRead0(ChannelHandlerContext context, DatagramPacket packet) {
-            try {
-                handleReport(EntryReport.parseFrom(ByteBufUtil.getBytes(packet.content())));
-            } catch (InvalidProtocolBufferException exception) {
-                LOG.warn("event=report_unreadable sender={} cause=\"{}\"", packet.sender(), exception.getMessage());
-            }
-        }
-
-        @Override
-        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            // A full send buffer or a closed port of a peer loses one datagram; the next report replaces it.
-            LOG.debug("event=report_failed cause=\"{}\"", cause.getMessage());
-        }
-    }
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/QuarantineMessages.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/QuarantineMessages.java
@@ -1,7 +1,6 @@
 package io.oleandermoor.gateway.peer;
 
 import io.oleandermoor.protocol.message.CrashSuspect;
-import io.oleandermoor.protocol.message.EntryReport;
 import io.oleandermoor.protocol.message.InstanceCrash;
 import io.oleandermoor.protocol.message.TraitQuarantine;
 import io.oleandermoor.state.quarantine.CrashReport;
@@ -48,11 +47,4 @@
                 nowMillis + message.getRemainingMillis(),
                 message.getAfterFirst());
     }
-
-    /** Adds to a regular report what other entries may have missed. */
-    static void addTo(
-            EntryReport.Builder report, Iterable<Quarantine> active, Iterable<String> disproved, long nowMillis) {
-        active.forEach(quarantine -> report.addQuarantines(encode(quarantine, nowMillis)));
-        report.addAllDisprovedTraits(disproved);
-    }
 }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
@@ -52,6 +52,7 @@
                     view,
                     demands,
                     new QuarantineCoordinator(new GatewayMetrics()),
+                    new GatewayMetrics(),
                     () -> others(name),
                     () -> Map.of(TARGET, new DemandTracker.RequestCounts(1, 0)));
         }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -221,6 +221,11 @@
         return draining || notices.current(instance, nowMillis).isPresent();
     }
 
+    /** Returns the identifiers of all instances. */
+    public Set<String> ids() {
+        return Collections.unmodifiableSet(states.keySet());
+    }
+
     /** Returns the states of all instances. */
     public Collection<InstanceState> states() {
         return Collections.unmodifiableCollection(states.values());
