--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -27,6 +27,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Predicate;
 import java.util.function.Supplier;
 
 /**
@@ -81,8 +82,8 @@
     private final PeerReports peerReports = new PeerReports(instanceNames, teamNames);
     private final Map<String, Map<ModelTarget, DemandTracker.RequestCounts>> reportedDemands = new HashMap<>();
     private final ReportChannel channel;
+    private final LoadChangeQueue loadChanges;
     private final ReportRotation rotation = new ReportRotation(REPORTS_PER_TICK);
-    private final Set<String> changedLoads = new LinkedHashSet<>();
     private final ResidentReportQueue residentQueue = new ResidentReportQueue(MAXIMUM_RESIDENTS_BYTES);
     private List<EngineResidents> roundResidents = List.of();
     private Optional<String> orderHolder = Optional.empty();
@@ -118,6 +119,7 @@
         this.peers = peers;
         this.ownDemand = ownDemand;
         this.channel = new ReportChannel(loop, metrics, this::handleReport);
+        this.loadChanges = new LoadChangeQueue(loop, view.instances().failureDomain(), this::sendLoads);
     }
 
     /** Binds to an address and starts to send reports periodically. */
@@ -140,11 +142,12 @@
         return channel.bind(address);
     }
 
-    /** Reports the load of an instance to other entries at once, because a prompt was sent to it or read by it. */
+    /**
+     * Reports the load of an instance to other entries, because a prompt was sent to it or read by it: at once to those
+     * of the own failure domain, and soon to the others.
+     */
     public void reportLoad(String instance) {
-        if (changedLoads.add(instance) && changedLoads.size() == 1) {
-            loop.execute(this::sendChangedLoads);
-        }
+        loadChanges.add(instance);
     }
 
     /** Reports at once to all other entries that an instance has ended, and repeats it in case a datagram is lost. */
@@ -163,15 +166,18 @@
         }
     }
 
-    private void sendChangedLoads() {
+    private void sendLoads(Set<String> instances, Predicate<String> receivers) {
         updateNames();
         Map<String, EntryLoad> changes = new HashMap<>();
-        for (String id : changedLoads) {
+        for (String id : instances) {
             view.instances().state(id).ifPresent(state -> changes.put(id, load(state)));
         }
-        changedLoads.clear();
         Map<String, InetSocketAddress> addresses = peers.get();
-        if (changes.isEmpty() || addresses.size() > MAXIMUM_LOAD_CHANGE_RECEIVERS) {
+        List<InetSocketAddress> selected = addresses.entrySet().stream()
+                .filter(peer -> receivers.test(peer.getKey()))
+                .map(Map.Entry::getValue)
+                .toList();
+        if (changes.isEmpty() || selected.isEmpty() || addresses.size() > MAXIMUM_LOAD_CHANGE_RECEIVERS) {
             return;
         }
         changes.forEach(ownLoads::updateLoad);
@@ -183,7 +189,7 @@
                 .addLoadChanges(InstanceLoad.getDefaultInstance())
                 .build();
         List<byte[]> parts = parts(header).addLoads(changes).build();
-        channel.send(addresses.values(), parts, PeerMessage.LOADS);
+        channel.send(selected, parts, PeerMessage.LOADS);
     }
 
     private static EntryLoad load(InstanceState state) {
@@ -254,6 +260,7 @@
         reportedDemands.keySet().retainAll(addresses.keySet());
         peerReports.retainLoads(addresses.keySet());
         ownLoads.retainPeers(addresses.keySet());
+        loadChanges.retainPeers(addresses.keySet());
         // The full report that ends the silence tells the entry at once what it has missed.
         silent.forEach(ownLoads::requireFullReport);
         view.settleStartupBalances(olderPeerSeen);
@@ -310,8 +317,10 @@
 
     /** Returns the fields that all parts of a regular report have. */
     private EntryReport newHeader(ReportKind kind) {
+        boolean full = kind == ReportKind.REPORT_KIND_FULL;
         return EntryReport.newBuilder()
                 .setKind(kind)
+                .setFailureDomain(full ? view.instances().failureDomain() : "")
                 .setEntry(view.entry())
                 .setIncarnation(incarnation)
                 .setUptimeMillis(Timestamp.monotonicNowMillis() - startedMillis)
@@ -411,6 +420,7 @@
         olderPeerSeen |=
                 report.getUptimeMillis() > Timestamp.monotonicNowMillis() - startedMillis + SIMULTANEOUS_START_MILLIS;
         peerReports.applyTotals(peer, startedEarlier, view::bucket);
+        loadChanges.recordFailureDomain(peer, report.getFailureDomain());
         view.recordReport(peer);
         PeerReports.Loads loads = peerReports.loads(peer);
         view.instances().updatePeerLoads(peer, loads.running(), loads.unreadTokens(), Timestamp.monotonicNowMillis());
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -221,6 +221,11 @@
         return draining || notices.current(instance, nowMillis).isPresent();
     }
 
+    /** Returns the failure domain of this entry. */
+    public String failureDomain() {
+        return failureDomain;
+    }
+
     /** Returns the identifiers of all instances. */
     public Set<String> ids() {
         return Collections.unmodifiableSet(states.keySet());
