Send loads and grants in text to entries of the previous version

An entry of the previous version does not read hashes. It would neither count the loads of new entries nor subtract the tokens that they grant, so that the rates of teams would be exceeded during an upgrade.

A report to an entry whose last report was of the previous version also holds all loads and totals in text. A change of the ambiguous names is logged.

The upgrade is tested in PeerReportsTest only, not with processes of both versions.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/EntryLoad.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/EntryLoad.java
@@ -1,5 +1,7 @@
 package io.oleandermoor.gateway.peer;
 
+import io.oleandermoor.state.dispatch.InstanceState;
+
 /**
  * The load that one entry puts on an instance.
  *
@@ -9,4 +11,9 @@
 record EntryLoad(int running, long unreadTokens) {
 
     static final EntryLoad NONE = new EntryLoad(0, 0);
+
+    /** Returns the load that this entry puts on an instance. */
+    static EntryLoad of(InstanceState state) {
+        return new EntryLoad(state.localLoad(), state.pendingPrefillTokens());
+    }
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/OwnLoads.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/OwnLoads.java
@@ -1,5 +1,8 @@
 package io.oleandermoor.gateway.peer;
 
+import io.oleandermoor.protocol.message.EntryReport;
+import io.oleandermoor.state.dispatch.InstanceState;
+import io.oleandermoor.state.share.SharedTokenBucket;
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
@@ -33,6 +36,20 @@
         this.fullIntervalTicks = fullIntervalTicks;
     }
 
+    /** Replaces the loads by those on the given instances, and the totals by those of the given buckets. */
+    void update(Collection<InstanceState> states, Map<String, SharedTokenBucket> buckets) {
+        Map<String, EntryLoad> currentLoads = new HashMap<>();
+        for (InstanceState state : states) {
+            EntryLoad load = EntryLoad.of(state);
+            if (!load.equals(EntryLoad.NONE)) {
+                currentLoads.put(state.instance().id(), load);
+            }
+        }
+        Map<String, Long> currentTotals = new HashMap<>();
+        buckets.forEach((team, bucket) -> currentTotals.put(team, bucket.grantedTokens()));
+        update(currentLoads, currentTotals);
+    }
+
     /**
      * Replaces the loads and the totals.
      *
@@ -123,4 +140,19 @@
         });
         return changed;
     }
+
+    /**
+     * Adds all loads and totals in text, as entries of the previous version read them. Without the totals, these
+     * entries would exceed the rates of teams during an upgrade.
+     */
+    EntryReport withText(EntryReport header) {
+        EntryReport.Builder report = header.toBuilder();
+        loadsSince(NO_VERSION).forEach((id, load) -> {
+            report.putRunning(id, load.running());
+            if (load.unreadTokens() > 0) {
+                report.putUnreadPromptTokens(id, load.unreadTokens());
+            }
+        });
+        return report.putAllGrantedTokens(totalsSince(NO_VERSION)).build();
+    }
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -12,7 +12,6 @@
 import io.oleandermoor.protocol.message.ReportKind;
 import io.oleandermoor.protocol.message.ResidentModel;
 import io.oleandermoor.protocol.message.TargetDemand;
-import io.oleandermoor.state.dispatch.InstanceState;
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.quarantine.CrashReport;
 import io.oleandermoor.state.residency.DemandTracker;
@@ -27,8 +26,11 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiPredicate;
 import java.util.function.Predicate;
 import java.util.function.Supplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
 
 /**
  * Sends reports to the other entries over UDP and applies their reports. Loads and rate grants go to all entries in
@@ -38,6 +40,7 @@
 @SuppressWarnings("FutureReturnValueIgnored") // Channel handlers receive failures; tasks run on the event loop.
 public final class PeerExchange {
 
+    private static final Logger LOG = LogManager.getLogger(PeerExchange.class);
     /** Entries choose instances by each other's request counts, which are about ten requests old at most. */
     private static final long TICK_INTERVAL_MILLIS = 100;
     /** Reports sent per tick. Up to this number of other entries, each one gets a report at every tick. */
@@ -167,10 +170,10 @@
     }
 
     private void sendLoads(Set<String> instances, Predicate<String> receivers) {
-        updateNames();
+        updateNames(NameHashes::update);
         Map<String, EntryLoad> changes = new HashMap<>();
         for (String id : instances) {
-            view.instances().state(id).ifPresent(state -> changes.put(id, load(state)));
+            view.instances().state(id).ifPresent(state -> changes.put(id, EntryLoad.of(state)));
         }
         Map<String, InetSocketAddress> addresses = peers.get();
         List<InetSocketAddress> selected = addresses.entrySet().stream()
@@ -192,27 +195,20 @@
         channel.send(selected, parts, PeerMessage.LOADS);
     }
 
-    private static EntryLoad load(InstanceState state) {
-        return new EntryLoad(state.localLoad(), state.pendingPrefillTokens());
-    }
-
     private ReportParts parts(EntryReport header) {
-        return new ReportParts(header, MAXIMUM_REPORT_BYTES, instanceNames, teamNames);
+        return parts(header, MAXIMUM_REPORT_BYTES);
     }
 
-    /** Updates the hashes. Names that are newly ambiguous are reported in text in full reports to all entries. */
-    private void updateNames() {
-        boolean changed = instanceNames.update(view.instances().ids());
-        changed |= teamNames.update(view.buckets().keySet());
-        if (changed) {
-            ownLoads.requireFullReports();
-        }
+    private ReportParts parts(EntryReport header, int maximumBytes) {
+        return new ReportParts(header, maximumBytes, instanceNames, teamNames);
     }
 
-    private void updateNamesIfResized() {
-        boolean changed = instanceNames.updateIfResized(view.instances().ids());
-        changed |= teamNames.updateIfResized(view.buckets().keySet());
-        if (changed) {
+    /** Updates the hashes. Names that are newly ambiguous are reported in text in full reports to all entries. */
+    private void updateNames(BiPredicate<NameHashes, Set<String>> update) {
+        boolean instancesChanged = update.test(instanceNames, view.instances().ids());
+        boolean teamsChanged = update.test(teamNames, view.buckets().keySet());
+        if (instancesChanged || teamsChanged) {
+            LOG.info("event=report_names_changed instances={} teams={}", instancesChanged, teamsChanged);
             ownLoads.requireFullReports();
         }
     }
@@ -329,7 +325,7 @@
     }
 
     /** The content of a report in which reports of the same tick differ. */
-    private record Variant(long since, boolean withDemand) {}
+    private record Variant(long since, boolean withDemand, boolean withText) {}
 
     private void send(
             Set<String> targets,
@@ -340,15 +336,18 @@
         if (!channel.isBound() || targets.isEmpty()) {
             return;
         }
-        updateNames();
-        updateOwnLoads();
+        updateNames(NameHashes::update);
+        ownLoads.update(view.instances().states(), view.buckets());
         Map<Variant, List<byte[]>> encoded = new HashMap<>();
         int roundTicks = rotation.roundTicks(addresses.size());
         for (String name : targets) {
             InetSocketAddress address = addresses.get(name);
             if (address != null) {
                 boolean wantsDemand = holder.map(name::equals).orElse(!view.givesOrders());
-                Variant variant = new Variant(ownLoads.beginReport(name, tickCount, roundTicks), wantsDemand);
+                Variant variant = new Variant(
+                        ownLoads.beginReport(name, tickCount, roundTicks),
+                        wantsDemand,
+                        peerReports.isPreviousVersion(name));
                 List<byte[]> parts = encoded.computeIfAbsent(
                         variant, key -> encode(key, residents, key.withDemand() ? own : Map.of()));
                 channel.write(
@@ -360,24 +359,14 @@
         channel.flush();
     }
 
-    private void updateOwnLoads() {
-        Map<String, EntryLoad> loads = new HashMap<>();
-        for (InstanceState state : view.instances().states()) {
-            EntryLoad load = load(state);
-            if (!load.equals(EntryLoad.NONE)) {
-                loads.put(state.instance().id(), load);
-            }
-        }
-        Map<String, Long> totals = new HashMap<>();
-        view.buckets().forEach((team, bucket) -> totals.put(team, bucket.grantedTokens()));
-        ownLoads.update(loads, totals);
-    }
-
     private List<byte[]> encode(
             Variant variant, List<EngineResidents> residents, Map<ModelTarget, DemandTracker.RequestCounts> demand) {
         boolean full = variant.since() == OwnLoads.NO_VERSION;
         long nowMillis = Timestamp.monotonicNowMillis();
-        return parts(newHeader(full ? ReportKind.REPORT_KIND_FULL : ReportKind.REPORT_KIND_CHANGES))
+        EntryReport header = newHeader(full ? ReportKind.REPORT_KIND_FULL : ReportKind.REPORT_KIND_CHANGES);
+        EntryReport withText = variant.withText() ? ownLoads.withText(header) : header;
+        int textBytes = withText.getSerializedSize() - header.getSerializedSize();
+        return parts(withText, MAXIMUM_REPORT_BYTES + textBytes)
                 .addDemands(demand.entrySet().stream()
                         .map(each -> TargetDemand.newBuilder()
                                 .setTarget(each.getKey().toString())
@@ -401,7 +390,7 @@
         if (peer.equals(view.entry())) {
             return;
         }
-        updateNamesIfResized();
+        updateNames(NameHashes::updateIfResized);
         boolean previousVersion = report.getKind() == ReportKind.REPORT_KIND_UNSPECIFIED;
         if (report.getKind() == ReportKind.REPORT_KIND_LOADS || (previousVersion && report.getLoadChangesCount() > 0)) {
             applyLoadChanges(report);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerReports.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerReports.java
@@ -33,6 +33,8 @@
         /** The teams whose bucket has received a total of this run. */
         private final Set<String> receivedTeams = new HashSet<>();
 
+        private boolean previousVersion;
+
         private Peer(long incarnation) {
             this.incarnation = incarnation;
         }
@@ -64,11 +66,18 @@
             peer = new Peer(report.getIncarnation());
             peers.put(report.getEntry(), peer);
         }
+        peer.previousVersion = report.getKind() == ReportKind.REPORT_KIND_UNSPECIFIED;
         recordNamed(peer, report);
         recordHashed(peer, report);
         return restarted;
     }
 
+    /** Returns whether the last report of an entry was one of the previous version, which names everything in text. */
+    boolean isPreviousVersion(String entry) {
+        Peer peer = peers.get(entry);
+        return peer != null && peer.previousVersion;
+    }
+
     private void recordNamed(Peer peer, EntryReport report) {
         boolean previousVersion = report.getKind() == ReportKind.REPORT_KIND_UNSPECIFIED;
         boolean full = previousVersion || report.getKind() == ReportKind.REPORT_KIND_FULL;
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerReportsTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerReportsTest.java
@@ -297,5 +297,19 @@
             link.totals.put("team-0", 80L);
             link.assertAgreement();
         }
+
+        /** Guards against rates that are exceeded because an entry of the previous version does not read hashes. */
+        @Test
+        void loadsAndTotalsAreSentInText() {
+            Link link = Link.withRealHash(3, 1);
+            assertThat(link.received.isPreviousVersion(SENDER)).isFalse();
+            link.receive(EntryReport.newBuilder().setEntry(SENDER).build());
+            assertThat(link.received.isPreviousVersion(SENDER)).isTrue();
+            link.own.update(Map.of("engine-0", new EntryLoad(2, 500)), Map.of("team-0", 70L));
+            EntryReport report = link.own.withText(EntryReport.getDefaultInstance());
+            assertThat(report.getRunningMap()).isEqualTo(Map.of("engine-0", 2));
+            assertThat(report.getUnreadPromptTokensMap()).isEqualTo(Map.of("engine-0", 500L));
+            assertThat(report.getGrantedTokensMap()).isEqualTo(Map.of("team-0", 70L));
+        }
     }
 }
