--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -244,6 +244,16 @@
         return rules.stream().allMatch(rule -> rule.judgeInstance(instance, nowMillis) == Verdict.ALLOWED);
     }
 
+    /** Returns the failure domain of this entry. */
+    public String failureDomain() {
+        return failureDomain;
+    }
+
+    /** Returns the identifiers of all instances. */
+    public Set<String> ids() {
+        return Collections.unmodifiableSet(states.keySet());
+    }
+
     /** Returns the states of all instances. */
     public Collection<InstanceState> states() {
         return Collections.unmodifiableCollection(states.values());
