Print how many restores of the store a soak has played

Cause: the output of a soak did not show whether entries saw a restore.

Change: the line of each seed has the number of restores that entries logged.

--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/StutterSoakTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/StutterSoakTest.java
@@ -107,7 +107,12 @@
             }
         }
         System.out.println("soak seed=" + seed + " seconds=" + DURATION.toSeconds() + " violations=" + violations.size()
-                + " rules=" + brokenRules + " answers=" + counts + " connections="
+                + " rules=" + brokenRules + " restores="
+                + fleet.entries().stream()
+                        .mapToInt(
+                                entry -> entry.linesWith("event=store_restored").size())
+                        .sum()
+                + " answers=" + counts + " connections="
                 + fleet.ledger().played());
         violations.stream().limit(MAXIMUM_SHOWN_VIOLATIONS).forEach(System.out::println);
         assertThat(brokenRules).as("violations with seed " + seed).isEmpty();
