--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/StoreRestoreTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/StoreRestoreTest.java
@@ -13,6 +13,7 @@
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.StoreClient;
 import io.oleandermoor.state.dispatch.InstanceTable;
+import io.oleandermoor.state.evacuation.EvacuationSchedule;
 import io.oleandermoor.state.quarantine.RequestQuarantine.Quarantine;
 import io.oleandermoor.state.restore.RestoreWindow;
 import io.oleandermoor.transport.settings.Address;
@@ -41,6 +42,7 @@
     private final NioEventLoopGroup group = new NioEventLoopGroup(1);
     private final EventLoop loop = group.next();
     private final GatewayMetrics metrics = new GatewayMetrics();
+    private final EvacuationSchedule evacuations = new EvacuationSchedule(5_000);
     private final DeploymentView view = new DeploymentView("entry-1", new InstanceTable("a", 1));
     private StoreStandIn store;
     private StoreClient client;
@@ -67,6 +69,11 @@
         await().atMost(LIMIT).until(() -> onLoop(condition));
     }
 
+    private void startFleetFollower() {
+        loop.execute(() -> FleetFollower.start(
+                loop, client, view, 3_000, new EvacuationListener(loop, view, evacuations, metrics)));
+    }
+
     private void awaitRestoreSeen() {
         awaitOnLoop(() -> view.restoreWindow().isOpen(Timestamp.monotonicNowMillis()));
     }
@@ -76,6 +83,27 @@
                 + state + "\",\"models\":[],\"born\":1}";
     }
 
+    @Nested
+    class Evacuations {
+
+        private boolean isEvacuated() {
+            return evacuations.failureDomains().contains("a");
+        }
+
+        /** Guards against requests to an evacuated failure domain because the copy lacks the operator's request. */
+        @Test
+        void absenceEndsNoneBeforeTheWindowEnds() {
+            store.takeCopy();
+            store.put("op/evacuate/a", "{}");
+            startFleetFollower();
+            awaitOnLoop(this::isEvacuated);
+            store.restore();
+            awaitRestoreSeen();
+            await().during(WITHIN_WINDOW).atMost(LIMIT).until(() -> onLoop(this::isEvacuated));
+            awaitOnLoop(() -> !isEvacuated());
+        }
+    }
+
     @Nested
     class Instances {
 
@@ -83,7 +111,7 @@
         void follow() {
             store.put("servers/old", registration("ready", 9));
             store.takeCopy();
-            loop.execute(() -> FleetFollower.start(loop, client, view, 3_000));
+            startFleetFollower();
             awaitOnLoop(() -> isKnown("old"));
         }
 
