--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -387,7 +387,9 @@
     private void recordNotAccepted(long now) {
         DeploymentView view = exchange.dispatcher().view();
         view.instances().recordNotAccepted(instance.id(), now);
-        view.coldStarts().giveBack(instance.id(), countedSendMillis);
+        if (!shareSpent) {
+            view.coldStarts().giveBack(instance.id(), countedSendMillis);
+        }
     }
 
     @Override
