--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/EntryProcess.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/soak/EntryProcess.java
@@ -17,12 +17,16 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 
 /** An entry in a process of its own, which keeps its ports and its log over all restarts. */
-final class EntryProcess implements AutoCloseable {
+public final class EntryProcess implements AutoCloseable {
 
     private static final Duration GRACE = Duration.ofSeconds(3);
     private static final int READY_TIMEOUT_MILLIS = 500;
 
+    private static final List<String> DEFAULT_COMMAND =
+            List.of(javaCommand(), "-Xmx200m", "-XX:TieredStopAtLevel=1", "-Djava.net.preferIPv4Stack=true");
+
     private final String name;
+    private final List<String> command;
     private final Path settings;
     private final int callerPort = EntryFixture.freePort();
     private final int readyPort = EntryFixture.freePort();
@@ -34,24 +38,29 @@
 
     /** Starts an entry whose settings are written to a directory. */
     EntryProcess(String name, StoreStandIn store, Path directory) throws IOException {
+        this(name, store, directory, DEFAULT_COMMAND);
+    }
+
+    /** Starts an entry with a command that ends with the options of the virtual machine. */
+    public EntryProcess(String name, StoreStandIn store, Path directory, List<String> command) throws IOException {
         this.name = name;
+        this.command = command;
         settings = Files.writeString(
                 directory.resolve(name + ".ini"), EntryFixture.settings(name, store, GRACE, callerPort, readyPort));
         process = start();
     }
 
+    /** Returns the path of the java command of this process. */
+    public static String javaCommand() {
+        return Path.of(System.getProperty("java.home"), "bin", "java").toString();
+    }
+
     private Process start() throws IOException {
-        Process started = new ProcessBuilder(
-                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
-                        "-Xmx200m",
-                        "-XX:TieredStopAtLevel=1",
-                        "-Djava.net.preferIPv4Stack=true",
-                        "-cp",
-                        System.getProperty("java.class.path"),
-                        GatewayMain.class.getName(),
-                        settings.toString())
-                .redirectErrorStream(true)
-                .start();
+        List<String> arguments = new ArrayList<>(command);
+        arguments.addAll(List.of(
+                "-cp", System.getProperty("java.class.path"), GatewayMain.class.getName(), settings.toString()));
+        Process started =
+                new ProcessBuilder(arguments).redirectErrorStream(true).start();
         Thread reader = new Thread(() -> readLines(started), "log-" + name);
         reader.setDaemon(true);
         reader.start();
@@ -71,12 +80,13 @@
         }
     }
 
-    int callerPort() {
+    /** Returns the port on which the entry accepts requests of callers. */
+    public int callerPort() {
         return callerPort;
     }
 
     /** Returns the log lines of all runs that contain a text. */
-    List<String> linesWith(String text) {
+    public List<String> linesWith(String text) {
         List<String> found = new ArrayList<>();
         for (String line : lines) {
             if (line.contains(text)) {
@@ -86,7 +96,8 @@
         return found;
     }
 
-    boolean isReady() {
+    /** Returns whether the readiness check succeeds. */
+    public boolean isReady() {
         try {
             HttpURLConnection connection =
                     (HttpURLConnection) URI.create("http://127.0.0.1:" + readyPort + "/api/ready")
@@ -128,7 +139,7 @@
     }
 
     /** Returns the ends of processes that no signal had caused. */
-    synchronized List<String> unexpectedEnds() {
+    public synchronized List<String> unexpectedEnds() {
         noteUnexpectedEnd();
         return unexpectedEnds;
     }
@@ -145,6 +156,11 @@
         return process;
     }
 
+    /** Returns the identifier of the current process. */
+    public synchronized long pid() {
+        return process.pid();
+    }
+
     private synchronized Process current() {
         return process;
     }
