Bound the heads, bodies and connections of callers, and end a process without event loop

Cause: heads that never end filled the heap without being counted, because a head was known only when complete. An error of the read of a connection closes it silently; the same error elsewhere ended the event loop and left the ports open.

Change: CallerRequestDecoder counts heads at their cost while they arrive. Beyond limits.caller-memory (a quarter of the heap) the oldest unfinished request of the address that holds the most is dropped, never one that is being served or costs at most 8 KB. Connections are limited to the descriptors less 700, and one address to an eighth once three quarters are used. Small parts of bodies are collected into parts of 8 KB. The bound on bodies follows the direct memory (three eighths, at most 64 MB; 48 MB with the deployed command). A connection is read with at most 16 KB.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -10,6 +10,7 @@
 import io.oleandermoor.gateway.peer.PeerExchange;
 import io.oleandermoor.gateway.quarantine.QuarantineCoordinator;
 import io.oleandermoor.gateway.quarantine.QuarantineStore;
+import io.oleandermoor.gateway.request.CallerBounds;
 import io.oleandermoor.gateway.request.CallerServer;
 import io.oleandermoor.gateway.request.ReadinessServer;
 import io.oleandermoor.gateway.request.RequestDispatcher;
@@ -111,7 +112,7 @@
                 dispatchMechanisms(),
                 quarantine,
                 metrics);
-        callerServer = new CallerServer(loop, dispatcher);
+        callerServer = new CallerServer(loop, dispatcher, CallerBounds.of(settings));
         DemandTracker demands = new DemandTracker();
         membership = new EntryMembership(loop, store, view, settings.get(GatewaySettings.PEER_ADDRESS));
         peerExchange = new PeerExchange(loop, view, demands, quarantine, membership::peers, dispatcher::demand);
@@ -181,6 +182,11 @@
         callerServer.start(settings.get(GatewaySettings.CALLER_ADDRESS).toSocketAddress());
     }
 
+    /** Returns a check of whether the event loop of this entry still runs. */
+    EventLoopCheck eventLoopCheck() {
+        return new EventLoopCheck(loop);
+    }
+
     private boolean isReady() {
         boolean ready = !view.isStopping()
                 && view.canServe((long) (maximumKeyConfirmationAgeMillis() * READY_CONFIRMATION_AGE_RATIO));
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/GatewayMain.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/GatewayMain.java
@@ -18,6 +18,9 @@
     private static final String SETTINGS_VARIABLE = "OLEANDERMOOR_SETTINGS";
     private static final int INVALID_SETTINGS_EXIT_CODE = 2;
 
+    /** Status of a process whose event loop no longer runs. */
+    private static final int EVENT_LOOP_EXIT_CODE = 70;
+
     private static final Logger LOG = LogManager.getLogger(GatewayMain.class);
     private static final String HANGUP_SIGNAL = "HUP";
     private static final String DRY_RUN_OPTION = "--dry-run";
@@ -71,6 +74,8 @@
         Runtime.getRuntime().addShutdownHook(new Thread(gateway::stop, "stop"));
         gateway.start();
         gateway.listen();
+        // Not an exit, because the stop of the entry needs its event loop.
+        gateway.eventLoopCheck().start(() -> Runtime.getRuntime().halt(EVENT_LOOP_EXIT_CODE));
     }
 
     /**
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
@@ -43,6 +43,22 @@
             .labelNames("outcome", "reason")
             .register(registry);
 
+    private final Counter callerDrops = Counter.builder()
+            .name("oleandermoor_caller_drops_total")
+            .help("Connections and unfinished requests of callers that were dropped to stay within bounds, by kind")
+            .labelNames("kind")
+            .register(registry);
+
+    /** What is dropped so that callers stay within the bounds of this process. */
+    public enum CallerDrop {
+        /** A connection that was refused. */
+        CONNECTION,
+        /** What was received of a request. */
+        REQUEST,
+        /** A response that its caller has not read. */
+        RESPONSE
+    }
+
     /** What happens to the quarantine of a trait. */
     public enum QuarantineChange {
         /** It begins because of a crash. */
@@ -63,6 +79,11 @@
         quarantines.labelValues(change.name().toLowerCase(Locale.ROOT)).inc();
     }
 
+    /** Counts what was dropped so that callers stay within the bounds of this process. */
+    public void countCallerDrop(CallerDrop kind) {
+        callerDrops.labelValues(kind.name().toLowerCase(Locale.ROOT)).inc();
+    }
+
     /** Counts a notice of an instance. */
     public void countNotice(InstanceNotices.Reason reason) {
         notices.labelValues(reason.name().toLowerCase(Locale.ROOT)).inc();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
@@ -37,6 +37,8 @@
 
     private final CallerServer server;
     private final Admission admission;
+    private final String address;
+    private final RequestMemory requestMemory;
     private final Deque<FullHttpRequest> pendingRequests = new ArrayDeque<>();
     private @Nullable ChannelHandlerContext context;
     private @Nullable RequestExchange exchange;
@@ -44,6 +46,7 @@
     private boolean keepAlive;
     private boolean streamStarted;
     private boolean closing;
+    private boolean dropped;
     private long idleSinceMillis = Timestamp.monotonicNowMillis();
     private long receivingSinceMillis = -1;
     /** The size of the body that is being received. */
@@ -53,9 +56,45 @@
 
     private long currentBodyBytes;
 
-    CallerConnection(CallerServer server, Admission admission) {
+    CallerConnection(CallerServer server, Admission admission, String address) {
         this.server = server;
         this.admission = admission;
+        this.address = address;
+        this.requestMemory = new RequestMemory(server.memory().open(address, this));
+    }
+
+    /** Returns the address of the caller. */
+    String address() {
+        return address;
+    }
+
+    /** Returns the memory for the heads of the requests of this connection. */
+    RequestMemory requestMemory() {
+        return requestMemory;
+    }
+
+    /** Drops what was received and not passed on, and closes the connection after the response that is due. */
+    void dropUnserved() {
+        closing = true;
+        dropped = true;
+        requestMemory.dropUnserved();
+        pendingRequests.forEach(ReferenceCountUtil::release);
+        pendingRequests.clear();
+        server.bodies().release(unansweredBodyBytes - currentBodyBytes);
+        unansweredBodyBytes = currentBodyBytes;
+        ChannelHandlerContext currentContext = context;
+        if (currentContext == null) {
+            return;
+        }
+        if (responding) {
+            currentContext.channel().config().setAutoRead(false);
+            // The decoder holds what was received of the next head.
+            if (currentContext.pipeline().get(CallerRequestDecoder.class) != null) {
+                currentContext.pipeline().remove(CallerRequestDecoder.class);
+            }
+        } else {
+            currentContext.close();
+        }
     }
 
     @Override
@@ -159,6 +198,10 @@
             return;
         }
         receivingSinceMillis = -1;
+        if (dropped) {
+            request.release();
+            return;
+        }
         if (request.decoderResult().isFailure()) {
             request.release();
             rejectMalformed(handlerContext);
@@ -166,6 +209,7 @@
         }
         unansweredBodyBytes += receivingBodyBytes;
         receivingBodyBytes = 0;
+        requestMemory.requestReceived();
         pendingRequests.addLast(request);
         if (pendingRequests.size() >= MAXIMUM_PIPELINED_REQUESTS) {
             handlerContext.channel().config().setAutoRead(false);
@@ -199,6 +243,7 @@
         if (pendingRequests.isEmpty()) {
             currentContext.channel().config().setAutoRead(true);
         }
+        requestMemory.serviceBegun();
         responding = true;
         currentBodyBytes = request.content().readableBytes();
         streamStarted = false;
@@ -289,6 +334,7 @@
     private void responseCompleted() {
         exchange = null;
         responding = false;
+        requestMemory.serviceEnded();
         server.bodies().release(currentBodyBytes);
         unansweredBodyBytes -= currentBodyBytes;
         currentBodyBytes = 0;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.AdaptiveRecvByteBufAllocator;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
@@ -10,12 +11,19 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.SocketChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.http.HttpServerCodec;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.util.internal.PlatformDependent;
+import io.oleandermoor.gateway.metrics.GatewayMetrics.CallerDrop;
 import io.oleandermoor.gateway.view.Timestamp;
+import io.oleandermoor.state.callers.CallerMemory;
+import io.oleandermoor.state.callers.ConnectionShares;
 import io.oleandermoor.state.fleet.CallerLimits;
 import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.HashSet;
+import java.util.Optional;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -31,6 +39,15 @@
     /** Header size that the decoder accepts at most, since it is kept for each connection. */
     private static final int MAXIMUM_HEADER_BUFFER_BYTES = 1 << 20;
 
+    /**
+     * Size of the buffer with which a connection is read. A connection keeps the buffer while a line is not complete,
+     * so that larger ones would use up the direct memory with many connections.
+     */
+    private static final int MAXIMUM_READ_BYTES = 16 << 10;
+
+    private static final int INITIAL_READ_BYTES = 2 << 10;
+    private static final int MINIMUM_READ_BYTES = 64;
+
     private static final int MAXIMUM_PENDING_CONNECTIONS = 1_024;
     private static final long TIMEOUT_CHECK_INTERVAL_MILLIS = 500;
     /** Limits that apply until the first configuration is known. */
@@ -39,7 +56,9 @@
     private final EventLoop loop;
     private final RequestDispatcher dispatcher;
     private final Admission admission;
-    private final RequestBodyBudget bodies = new RequestBodyBudget();
+    private final RequestBodyBudget bodies = new RequestBodyBudget(PlatformDependent.maxDirectMemory());
+    private final CallerMemory<CallerConnection> memory;
+    private final ConnectionShares shares;
     private final Set<CallerConnection> connections = new HashSet<>();
     private @Nullable Channel serverChannel;
 
@@ -48,11 +67,14 @@
      *
      * @param loop the event loop
      * @param dispatcher the dispatcher that all requests share
+     * @param bounds what all callers together may occupy
      */
-    public CallerServer(EventLoop loop, RequestDispatcher dispatcher) {
+    public CallerServer(EventLoop loop, RequestDispatcher dispatcher, CallerBounds bounds) {
         this.loop = loop;
         this.dispatcher = dispatcher;
         this.admission = new Admission(dispatcher);
+        this.memory = new CallerMemory<>(bounds.memoryBytes());
+        this.shares = new ConnectionShares(bounds.connections());
     }
 
     /** Starts listening on an address. */
@@ -62,10 +84,13 @@
                 .channel(NioServerSocketChannel.class)
                 .option(ChannelOption.SO_BACKLOG, MAXIMUM_PENDING_CONNECTIONS)
                 .childOption(ChannelOption.TCP_NODELAY, true)
+                .childOption(
+                        ChannelOption.RCVBUF_ALLOCATOR,
+                        new AdaptiveRecvByteBufAllocator(MINIMUM_READ_BYTES, INITIAL_READ_BYTES, MAXIMUM_READ_BYTES))
                 .childHandler(new ChannelInitializer<SocketChannel>() {
                     @Override
                     protected void initChannel(SocketChannel channel) {
-                        configurePipeline(channel);
+                        acceptOrRefuse(channel);
                     }
                 })
                 .bind(address)
@@ -78,10 +103,26 @@
                 TimeUnit.MILLISECONDS);
     }
 
-    private void configurePipeline(SocketChannel channel) {
+    private void acceptOrRefuse(SocketChannel channel) {
+        InetSocketAddress remote = channel.remoteAddress();
+        // A connection that its caller has already closed has no address any more.
+        String address = remote == null ? "" : remote.getAddress().getHostAddress();
+        if (!shares.tryOpen(address)) {
+            dispatcher.metrics().countCallerDrop(CallerDrop.CONNECTION);
+            dispatcher.eventLog().log("connection_refused", "address={} open={}", address, shares.open());
+            channel.close();
+            return;
+        }
+        channel.closeFuture().addListener(closed -> shares.close(address));
+        configurePipeline(channel, address);
+    }
+
+    private void configurePipeline(SocketChannel channel, String address) {
         int maximumHeaderBytes = Math.max(
                 MINIMUM_HEADER_BUFFER_BYTES, Math.min(MAXIMUM_HEADER_BUFFER_BYTES, limits().maximumHeaderBytes()));
-        CallerConnection connection = new CallerConnection(this, admission);
+        CallerConnection connection = new CallerConnection(this, admission, address);
+        channel.closeFuture().addListener(closed -> connection.requestMemory().close());
+        Queue<HttpMethod> methods = new ArrayDeque<>();
         channel.pipeline()
                 .addLast(new ChannelInboundHandlerAdapter() {
                     @Override
@@ -90,13 +131,43 @@
                             connection.bytesReceived();
                         }
                         context.fireChannelRead(message);
+                        dropExcess();
                     }
                 })
-                .addLast(new HttpServerCodec(MAXIMUM_REQUEST_LINE_BYTES, maximumHeaderBytes, MAXIMUM_CHUNK_BYTES))
+                .addLast(new CallerResponseEncoder(methods))
+                .addLast(new CallerRequestDecoder(
+                        MAXIMUM_REQUEST_LINE_BYTES,
+                        maximumHeaderBytes,
+                        MAXIMUM_CHUNK_BYTES,
+                        connection.requestMemory(),
+                        methods))
                 .addLast(new RequestLimitHandler(this::limits, connection))
                 .addLast(connection);
     }
 
+    /** Drops unfinished requests until the memory for all callers is within its bound. */
+    private void dropExcess() {
+        Optional<CallerConnection> excess = memory.excess();
+        while (excess.isPresent()) {
+            CallerConnection connection = excess.get();
+            dispatcher.metrics().countCallerDrop(CallerDrop.REQUEST);
+            dispatcher
+                    .eventLog()
+                    .log(
+                            "request_dropped",
+                            "address={} bytes={} all_bytes={}",
+                            connection.address(),
+                            connection.requestMemory().bytes(),
+                            memory.usedBytes());
+            connection.dropUnserved();
+            excess = memory.excess();
+        }
+    }
+
+    CallerMemory<CallerConnection> memory() {
+        return memory;
+    }
+
     private CallerLimits limits() {
         return dispatcher.view().document().map(document -> document.limits()).orElse(DEFAULT_LIMITS);
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestBodyBudget.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestBodyBudget.java
@@ -6,7 +6,7 @@
  */
 final class RequestBodyBudget {
 
-    /** Half of the direct memory of an entry; the rest is for partly used buffers and for what is sent. */
+    /** Maximum on machines with more memory, so that what an entry keeps does not depend on its machine. */
     private static final long MAXIMUM_BYTES = 64 << 20;
     /**
      * Size up to which a body is accepted even beyond that maximum, so that large bodies do not affect the requests of
@@ -14,8 +14,19 @@
      */
     private static final long GUARANTEED_BODY_BYTES = 16 << 10;
 
+    private final long maximumBytes;
     private long reservedBytes;
 
+    /**
+     * Creates a budget without reservations.
+     *
+     * @param directBytes the direct memory of this process, three eighths of which are for bodies; the rest is for the
+     *     guaranteed size of each body, for partly used buffers and for what is sent
+     */
+    RequestBodyBudget(long directBytes) {
+        maximumBytes = Math.min(MAXIMUM_BYTES, directBytes / 8 * 3);
+    }
+
     /**
      * Reserves memory for a part of a body.
      *
@@ -24,7 +35,7 @@
      * @return whether the part may be kept; if not, nothing is reserved
      */
     boolean tryReserve(long bytes, long bodyBytes) {
-        if (reservedBytes + bytes > MAXIMUM_BYTES && bodyBytes > GUARANTEED_BODY_BYTES) {
+        if (reservedBytes + bytes > maximumBytes && bodyBytes > GUARANTEED_BODY_BYTES) {
             return false;
         }
         reservedBytes += bytes;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestLimitHandler.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestLimitHandler.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.handler.codec.DecoderResult;
+import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObjectAggregator;
@@ -27,6 +28,7 @@
     private final Supplier<CallerLimits> limits;
     private final CallerConnection connection;
     private HttpObjectAggregator aggregator;
+    private final BodyParts parts = new BodyParts();
     private boolean refused;
 
     RequestLimitHandler(Supplier<CallerLimits> limits, CallerConnection connection) {
@@ -48,6 +50,7 @@
     public void channelRead(ChannelHandlerContext context, Object message) {
         if (message instanceof HttpRequest request) {
             connection.releaseReceivedBody();
+            parts.release();
             applyLimits(context, request);
         }
         if (message instanceof HttpContent content) {
@@ -60,11 +63,12 @@
     private void handleContent(ChannelHandlerContext context, HttpContent content) {
         if (!refused && !connection.reserveBody(content.content().readableBytes())) {
             refused = true;
+            parts.release();
             replaceAggregator(context, limits.get());
             connection.refuseUnread();
         }
         if (!refused) {
-            context.fireChannelRead(isCompleteBody(content) ? content : compact(context, content));
+            forward(context, content);
             return;
         }
         content.release();
@@ -73,12 +77,35 @@
         }
     }
 
+    private void forward(ChannelHandlerContext context, HttpContent content) {
+        if (isCompleteBody(content)) {
+            context.fireChannelRead(content);
+            return;
+        }
+        if (!(content instanceof LastHttpContent)) {
+            parts.add(context.alloc(), content.content()).ifPresent(part -> forwardPart(context, part));
+            content.release();
+            return;
+        }
+        parts.take().ifPresent(part -> forwardPart(context, part));
+        context.fireChannelRead(compact(context, content));
+    }
+
+    private static void forwardPart(ChannelHandlerContext context, ByteBuf part) {
+        context.fireChannelRead(new DefaultHttpContent(part));
+    }
+
+    @Override
+    public void handlerRemoved(ChannelHandlerContext context) {
+        parts.release();
+    }
+
     private boolean isCompleteBody(HttpContent content) {
         return content instanceof LastHttpContent
                 && connection.receivingBodyBytes() == content.content().readableBytes();
     }
 
-    /** Copies a part of a body, which otherwise keeps the larger buffer that it was received with. */
+    /** Copies the last part of a body, which otherwise keeps the larger buffer that it was received with. */
     private static HttpContent compact(ChannelHandlerContext context, HttpContent content) {
         ByteBuf part = content.content();
         HttpContent copy = content.replace(context.alloc()
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
@@ -59,6 +59,19 @@
     public static final Setting<Duration> GRACE =
             Setting.duration("limits.grace", "Time between the stop signal and the forced termination of the process.");
 
+    /** Heap memory for the heads of the requests of all callers. */
+    public static final Setting<Long> CALLER_MEMORY = Setting.size(
+                    "limits.caller-memory",
+                    "Heap memory for the heads of all requests; a quarter of the maximum heap by default.")
+            .optional();
+
+    /** Number of descriptors that the process may use; the platform may state it as a fraction. */
+    public static final Setting<Double> DESCRIPTORS = Setting.decimal(
+                    "limits.descriptors",
+                    "Descriptors that the process may open, of which 700 are not for callers; by default what the "
+                            + "operating system permits.")
+            .optional();
+
     /** Length of the window of the retry budget. */
     public static final Setting<Duration> RETRY_WINDOW =
             Setting.duration("retries.window", "Length of the window in which retries are counted.");
@@ -107,6 +120,8 @@
                     REVOCATION,
                     DRAIN,
                     GRACE,
+                    CALLER_MEMORY,
+                    DESCRIPTORS,
                     RETRY_WINDOW,
                     RETRY_RATIO,
                     RETRY_FIXED,
