End a process only after ten minutes without progress of its event loop

As long as a turn of the event loop is not bounded, chunks of one byte keep it from its tasks for over half a minute on a full core, and longer on a slow machine. With 60 missed checks, the check could end a process that would have continued. It is 600 now; an event loop that has ended is still detected at once.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/EventLoopCheck.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/EventLoopCheck.java
@@ -14,9 +14,10 @@
     /** Time between two checks. */
     static final long INTERVAL_MILLIS = 1_000;
     /**
-     * Checks without progress, after which the loop does not recover. Checks that a frozen process omits do not count.
+     * Checks without progress, after which the loop does not recover. Chunks of one byte on many connections kept the
+     * loop busy for over half a minute on a full core. Checks that a frozen process omits do not count.
      */
-    static final int MAXIMUM_MISSED_CHECKS = 60;
+    static final int MAXIMUM_MISSED_CHECKS = 600;
 
     private static final Logger LOG = LogManager.getLogger(EventLoopCheck.class);
 
