--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/EventLoopCheck.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/EventLoopCheck.java
@@ -1,7 +1,11 @@
 package io.oleandermoor.gateway;
 
 import io.netty.channel.EventLoop;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
 import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -9,6 +13,7 @@
  * Detects that the event loop has ended, for example because of an error of its thread, or runs no tasks any more. The
  * ports of such a process stay open although nothing serves them.
  */
+@SuppressWarnings("FutureReturnValueIgnored") // The checks go on until the process ends.
 final class EventLoopCheck {
 
     /** Time between two checks. */
@@ -29,24 +34,25 @@
         this.loop = loop;
     }
 
-    /** Starts a thread that checks periodically and runs an action once if the event loop no longer runs. */
+    /** Checks periodically, on a thread of its own, and runs an action once if the event loop no longer runs. */
     void start(Runnable action) {
-        Thread thread = new Thread(() -> checkUntilFailure(action), "event-loop-check");
+        ScheduledExecutorService checker = Executors.newSingleThreadScheduledExecutor(EventLoopCheck::newThread);
+        checker.scheduleWithFixedDelay(
+                () -> checkOnce(checker, action), INTERVAL_MILLIS, INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private static Thread newThread(Runnable task) {
+        Thread thread = new Thread(task, "event-loop-check");
         thread.setDaemon(true);
-        thread.start();
+        return thread;
     }
 
-    private void checkUntilFailure(Runnable action) {
-        try {
-            while (isRunning()) {
-                Thread.sleep(INTERVAL_MILLIS);
-            }
-        } catch (InterruptedException exception) {
-            Thread.currentThread().interrupt();
-            return;
+    private void checkOnce(ExecutorService checker, Runnable action) {
+        if (!isRunning()) {
+            checker.shutdown();
+            LOG.error("event=event_loop_stopped ended={} missed_checks={}", loop.isShuttingDown(), missedChecks);
+            action.run();
         }
-        LOG.error("event=event_loop_stopped ended={} missed_checks={}", loop.isShuttingDown(), missedChecks);
-        action.run();
     }
 
     /** Returns whether the event loop has run a task since one of the last checks. */
