--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/metrics/GatewayMetrics.java
@@ -102,9 +102,7 @@
         /** A connection that was refused. */
         CONNECTION,
         /** What was received of a request. */
-        REQUEST,
-        /** A response that its caller has not read. */
-        RESPONSE
+        REQUEST
     }
 
     /** What happens to the quarantine of a trait. */
