Mend what the review of the merged parts found

Cause, from a reading of the code by two reviewers who had not written it, unless said otherwise: totals of granted tokens were applied again to the new bucket of a team that got its limit back; a version reported by any entry kept others from confirming theirs also where the store states no era; an entry without a recent confirmation trusted the copy; a report of changes ended a silence before the grants in it were known; registration looped without a pause; an absence within the window after a restore counted for the deadline of an evacuation; spoilt responses counted as a loss of contact, and the early end of an idle connection, or a stall, did not; a description from before a readmission ended the cold time; the guarantees of very many connections exceeded heap and direct memory; a chunked body that could not be decoded was passed on as if complete. Change: one correction each; the batch delay of instance descriptions is that of all deployments again. Tests: requestWithMalformedBodyIsRejected, doesNotEndWithADescriptionThatArrivesAtOnce (replaces an expectation that a description 0.5 s after the readmission ends the cold time), includesSmallRequestsWhenTheyAloneExceedTheBound, storeWithoutErasConfirmsVersionBelowThatOfAnotherEntry; the cases of restores state an era first.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -119,7 +119,7 @@
         RestoreObserver.start(store, view, metrics);
         NoticeRecorder noticeRecorder = new NoticeRecorder(view, metrics);
         pool.setNoticeListener(noticeRecorder);
-        pool.setIdleLossListener(view.coldStarts()::recordContactLost);
+        pool.setContactLossListener(view.coldStarts()::recordContactLost);
         dispatcher = new RequestDispatcher(
                 loop,
                 view,
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/EntryMembership.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/EntryMembership.java
@@ -95,6 +95,7 @@
 
     private void register() {
         registering = true;
+        long era = store.era();
         String key = KEY_PREFIX + view.entry();
         byte[] value = ownAddress.toString().getBytes(StandardCharsets.UTF_8);
         store.grantLease(LEASE_DURATION_MILLIS)
@@ -111,7 +112,8 @@
                 })
                 .subscribe(this::registered, cause -> {
                     LOG.warn("event=registration_failed entry={} cause=\"{}\"", view.entry(), cause.getMessage());
-                    long delayMillis = cause instanceof StaleEraException ? 0 : RETRY_DELAY_MILLIS;
+                    boolean eraRisen = cause instanceof StaleEraException && store.era() != era;
+                    long delayMillis = eraRisen ? 0 : RETRY_DELAY_MILLIS;
                     loop.schedule(this::register, delayMillis, TimeUnit.MILLISECONDS);
                 });
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/EvacuationListener.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/EvacuationListener.java
@@ -65,7 +65,7 @@
         if (view.restoreWindow().trustsAbsence(confirmedAt.monotonicMillis())) {
             ended.forEach(domain -> end(domain, reading.storeRevision()));
         }
-        lastConfirmedAt = confirmedAt;
+        recordConfirmation(confirmedAt);
     }
 
     @Override
@@ -79,7 +79,14 @@
                 }
             });
         }
-        lastConfirmedAt = confirmedAt;
+        recordConfirmation(confirmedAt);
+    }
+
+    /** Records when the store last lacked all other requests, unless a restore may just have lost one. */
+    private void recordConfirmation(Timestamp confirmedAt) {
+        if (view.restoreWindow().trustsAbsence(confirmedAt.monotonicMillis())) {
+            lastConfirmedAt = confirmedAt;
+        }
     }
 
     /** Returns the failure domain that a key names; the value of the key has no meaning. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -38,11 +38,6 @@
     private static final long INSTANCE_WATCH_TIMEOUT_MILLIS = 2_000;
     /** Maximum batch delay at the entry that gives orders to engines, which waits for loads to complete. */
     private static final long ORDER_HOLDER_BATCH_DELAY_MILLIS = 250;
-    /**
-     * Maximum batch delay if a service has cold instances. An entry sends to an instance that it takes for warm until
-     * the description arrives.
-     */
-    private static final long COLD_START_BATCH_DELAY_MILLIS = 250;
     /** Batch delay of instance changes as a ratio of the time within which a draining instance must be avoided. */
     private static final double BATCH_DELAY_DRAIN_RATIO = 0.35;
 
@@ -82,17 +77,13 @@
                 .start();
         StoreFollower.WatchTiming instanceTiming = new StoreFollower.WatchTiming(
                 INSTANCE_WATCH_TIMEOUT_MILLIS,
-                () -> Math.min(batchDelayMillis, follower.maximumBatchDelayMillis()),
+                () -> view.givesOrders()
+                        ? Math.min(ORDER_HOLDER_BATCH_DELAY_MILLIS, batchDelayMillis)
+                        : batchDelayMillis,
                 RELIST_INTERVAL_MILLIS);
         new StoreFollower(loop, store, INSTANCE_PREFIX, instanceTiming, follower.new InstanceListener()).start();
     }
 
-    private long maximumBatchDelayMillis() {
-        long orderMillis = view.givesOrders() ? ORDER_HOLDER_BATCH_DELAY_MILLIS : Long.MAX_VALUE;
-        long coldMillis = view.coldStarts().hasColdServices() ? COLD_START_BATCH_DELAY_MILLIS : Long.MAX_VALUE;
-        return Math.min(orderMillis, coldMillis);
-    }
-
     private final class InstanceListener implements StoreFollower.Listener {
 
         @Override
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/RestoreObserver.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/RestoreObserver.java
@@ -20,6 +20,7 @@
     /** Starts to observe the era of the store. */
     public static void start(StoreClient store, DeploymentView view, GatewayMetrics metrics) {
         store.addEraListener((era, restored) -> {
+            view.recordEraStated();
             if (restored) {
                 LOG.warn("event=store_restored era={} configuration_age_ms={}", era, view.confirmationAgeMillis());
                 metrics.countStoreRestore();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -370,6 +370,8 @@
         EntryReport withText = variant.withText() ? ownLoads.withText(header) : header;
         int textBytes = withText.getSerializedSize() - header.getSerializedSize();
         return parts(withText, MAXIMUM_REPORT_BYTES + textBytes)
+                // The first part ends a silence, which releases the tokens reserved for it, so it has to hold these.
+                .addTotals(ownLoads.totalsSince(variant.since()))
                 .addDemands(demand.entrySet().stream()
                         .map(each -> TargetDemand.newBuilder()
                                 .setTarget(each.getKey().toString())
@@ -378,7 +380,6 @@
                                 .build())
                         .toList())
                 .addLoads(ownLoads.loadsSince(variant.since()))
-                .addTotals(ownLoads.totalsSince(variant.since()))
                 .addResidents(residents)
                 .addQuarantines(
                         quarantine.active().stream()
@@ -411,9 +412,12 @@
         boolean startedEarlier = report.getUptimeMillis() > Timestamp.monotonicNowMillis() - startedMillis;
         olderPeerSeen |=
                 report.getUptimeMillis() > Timestamp.monotonicNowMillis() - startedMillis + SIMULTANEOUS_START_MILLIS;
-        peerReports.applyTotals(peer, startedEarlier, view::bucket);
+        // A report of changes may lack what was granted in a silence; the full report follows within a second.
+        if (report.getKind() != ReportKind.REPORT_KIND_CHANGES || !view.isSilent(peer)) {
+            peerReports.applyTotals(peer, startedEarlier, view::bucket);
+            view.recordReport(peer);
+        }
         loadChanges.recordFailureDomain(peer, report.getFailureDomain());
-        view.recordReport(peer);
         view.recordPeerVersion(peer, report.getConfigurationVersion());
         PeerReports.Loads loads = peerReports.loads(peer);
         view.instances().updatePeerLoads(peer, loads.running(), loads.unreadTokens(), Timestamp.monotonicNowMillis());
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerReports.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerReports.java
@@ -202,6 +202,10 @@
         if (peer == null) {
             return;
         }
+        // The bucket of a team that gets its limit back starts anew, and so do the totals of all entries.
+        peer.namedTotals.keySet().removeIf(team -> buckets.apply(team).isEmpty());
+        peer.totals.keySet().removeIf(hash -> teamNames.names(hash).isEmpty());
+        peer.receivedTeams.removeIf(team -> buckets.apply(team).isEmpty());
         Map<String, Long> totals = new HashMap<>(peer.namedTotals);
         peer.totals.forEach((hash, total) -> {
             List<String> teams = teamNames.names(hash);
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestBodyBudget.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestBodyBudget.java
@@ -9,12 +9,13 @@
     /** Maximum on machines with more memory, so that what an entry keeps does not depend on its machine. */
     private static final long MAXIMUM_BYTES = 64 << 20;
     /**
-     * Size up to which a body is accepted even beyond that maximum, so that large bodies do not affect the requests of
-     * other callers.
+     * Size up to which a body is accepted even beyond that maximum, up to three quarters of the direct memory, so that
+     * large bodies do not affect the requests of other callers.
      */
     private static final long GUARANTEED_BODY_BYTES = 16 << 10;
 
     private final long maximumBytes;
+    private final long guaranteedMaximumBytes;
     private long reservedBytes;
 
     /**
@@ -25,6 +26,7 @@
      */
     RequestBodyBudget(long directBytes) {
         maximumBytes = Math.min(MAXIMUM_BYTES, directBytes / 8 * 3);
+        guaranteedMaximumBytes = directBytes / 4 * 3;
     }
 
     /**
@@ -35,7 +37,8 @@
      * @return whether the part may be kept; if not, nothing is reserved
      */
     boolean tryReserve(long bytes, long bodyBytes) {
-        if (reservedBytes + bytes > maximumBytes && bodyBytes > GUARANTEED_BODY_BYTES) {
+        long limit = bodyBytes > GUARANTEED_BODY_BYTES ? maximumBytes : guaranteedMaximumBytes;
+        if (reservedBytes + bytes > limit) {
             return false;
         }
         reservedBytes += bytes;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -36,6 +36,9 @@
     /** Maximum interval between dispatches of queued requests; released capacity triggers a dispatch immediately. */
     private static final long DISPATCH_INTERVAL_MILLIS = 25;
 
+    /** Time between two dispatches within which an instance could have ended and started again unnoticed. */
+    private static final long STALL_MILLIS = 1_500;
+
     /** Maximum size of all unary responses and stream events that are buffered until complete: a sixth of the heap. */
     private static final long MAXIMUM_BUFFERED_BYTES = 16 << 20;
     /**
@@ -64,6 +67,7 @@
     private Runnable shortageListener = () -> {};
     private Consumer<String> promptListener = instance -> {};
     private boolean dispatchScheduled;
+    private long lastTickMillis = Timestamp.monotonicNowMillis();
     private long bufferedBytes;
     private long nextSequenceNumber;
 
@@ -139,6 +143,11 @@
     }
 
     private void tick() {
+        long now = Timestamp.monotonicNowMillis();
+        if (now - lastTickMillis > STALL_MILLIS) {
+            view.coldStarts().recordStall();
+        }
+        lastTickMillis = now;
         queue.dispatchWaiting();
         eventLog.tick();
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestLimitHandler.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestLimitHandler.java
@@ -78,7 +78,8 @@
     }
 
     private void forward(ChannelHandlerContext context, HttpContent content) {
-        if (isCompleteBody(content)) {
+        // The copy of a part would lose that it could not be decoded, and a cut body would count as complete.
+        if (isCompleteBody(content) || content.decoderResult().isFailure()) {
             context.fireChannelRead(content);
             return;
         }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -399,7 +399,7 @@
         }
         exchange.closeCurrentAttempt();
         long now = Timestamp.monotonicNowMillis();
-        if (how != FailureKind.WITHDRAWN) {
+        if (how == FailureKind.NOT_SENT) {
             exchange.dispatcher().view().coldStarts().recordContactLost(instance.id());
         }
         if (how != FailureKind.OUTCOME_UNKNOWN) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamConnection.java
@@ -4,6 +4,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.handler.codec.DecoderException;
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
@@ -91,9 +92,9 @@
                 && Timestamp.monotonicNowMillis() < usableUntilMillis;
     }
 
-    /** Returns whether the instance should keep this idle connection open for now. */
-    boolean isWithinKeepAlive() {
-        return Timestamp.monotonicNowMillis() < usableUntilMillis;
+    /** Returns whether this idle connection has ended although the instance should keep it open for now. */
+    boolean isClosedEarly() {
+        return channel != null && !channel.isActive() && Timestamp.monotonicNowMillis() < usableUntilMillis;
     }
 
     /**
@@ -122,6 +123,7 @@
         brokenLines.reset();
         current.writeAndFlush(request).addListener(future -> {
             if (!future.isSuccess()) {
+                pool.reportContactLost(this);
                 fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, "send failed: " + future.cause());
             }
         });
@@ -345,6 +347,9 @@
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
+        if (listener != null) {
+            pool.reportContactLost(this);
+        }
         fail(
                 ResponseListener.FailureKind.OUTCOME_UNKNOWN,
                 receivingResponse ? "connection closed during the response" : "connection closed before the response");
@@ -354,6 +359,9 @@
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         connectionFailed = true;
+        if (listener != null && !(cause instanceof DecoderException)) {
+            pool.reportContactLost(this);
+        }
         fail(ResponseListener.FailureKind.OUTCOME_UNKNOWN, String.valueOf(cause.getMessage()));
         close();
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
@@ -44,7 +44,7 @@
     private final EventLoop loop;
     private EngineClient.NoticeListener noticeListener = (instance, notice) -> {};
     private ResponseAnomaly.Listener anomalyListener = (anomaly, instance, request, detail) -> {};
-    private Consumer<String> idleLossListener = instance -> {};
+    private Consumer<String> contactLossListener = instance -> {};
     private final Map<String, Deque<UpstreamConnection>> idleConnections = new HashMap<>();
     private final Map<String, Long> reuseSuspendedUntilMillis = new HashMap<>();
 
@@ -141,6 +141,9 @@
             if (connection.isIdle() && !connection.mayRepeatResponseTo(id) && !isReuseSuspended(instanceId)) {
                 return Optional.of(connection);
             }
+            if (connection.isClosedEarly()) {
+                contactLossListener.accept(instanceId);
+            }
             connection.close();
         }
         return Optional.empty();
@@ -197,8 +200,8 @@
     }
 
     /** Sets the listener that gets the identifier of an instance that closed an idle connection before its time. */
-    public void setIdleLossListener(Consumer<String> listener) {
-        idleLossListener = listener;
+    public void setContactLossListener(Consumer<String> listener) {
+        contactLossListener = listener;
     }
 
     /**
@@ -235,11 +238,16 @@
         }
     }
 
+    /** Reports that a connection ended under a request, so that the instance may have restarted. */
+    void reportContactLost(UpstreamConnection connection) {
+        contactLossListener.accept(connection.instanceId());
+    }
+
     void connectionClosed(UpstreamConnection connection) {
         Deque<UpstreamConnection> connections = idleConnections.get(connection.instanceId());
         // A connection that this entry closes is removed from the queue before.
-        if (connections != null && connections.remove(connection) && connection.isWithinKeepAlive()) {
-            idleLossListener.accept(connection.instanceId());
+        if (connections != null && connections.remove(connection) && connection.isClosedEarly()) {
+            contactLossListener.accept(connection.instanceId());
         }
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
@@ -53,6 +53,7 @@
     private boolean entryRegistered;
     private @Nullable ShutdownSchedule shutdown;
     private boolean givesOrders;
+    private boolean eraStated;
 
     /**
      * Creates a view without a configuration or other entries.
@@ -141,11 +142,12 @@
     }
 
     /**
-     * Records that the configuration in force was the newest one in the store at a point in time. It does not count as
-     * confirmed if another entry has a newer one in force, which the store has lost or this entry has not received yet.
+     * Records that the configuration in force was the newest one in the store at a point in time. If the store states
+     * an era, it does not count as confirmed while another entry has a newer one in force, which the store has lost or
+     * this entry has not received yet.
      */
     public void confirmDocument(Timestamp timestamp) {
-        if (document == null || versions.isNewestKnown(document.version())) {
+        if (!eraStated || document == null || versions.isNewestKnown(document.version())) {
             confirmedAt = timestamp;
         }
     }
@@ -166,6 +168,11 @@
         }
     }
 
+    /** Records that the store states an era, so that it may be restored from a copy. */
+    public void recordEraStated() {
+        eraStated = true;
+    }
+
     /**
      * Records that the store was restored from a copy.
      *
@@ -173,8 +180,11 @@
      *     serve before it has heard which version of the configuration the other entries have in force
      */
     public void beginRestore(boolean seen) {
-        if (!seen) {
+        // Without a recent confirmation, this entry cannot tell an older version in the copy from the newest one.
+        if (!seen || confirmationAgeMillis() > RestoreWindow.DURATION_MILLIS) {
             versions.awaitReports(nowMillis());
+        }
+        if (!seen) {
             return;
         }
         // If a second restore follows within the window, the copy of the first may have confirmed an older version.
@@ -207,6 +217,7 @@
     public void setRegistered(boolean registered) {
         entryRegistered = registered;
         if (registered) {
+            versions.recordRegistration(nowMillis());
             coldStarts.recordRegistration(Timestamp.monotonicNowMillis());
         }
     }
@@ -319,6 +330,11 @@
         return silentPeers();
     }
 
+    /** Returns whether an entry was silent at the last update and has not reported since. */
+    public boolean isSilent(String peer) {
+        return silentPeers.contains(peer);
+    }
+
     /** Returns the entries that were silent at the last update and have not reported since. */
     public Set<String> silentPeers() {
         return Set.copyOf(silentPeers);
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/GatewayTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/GatewayTest.java
@@ -199,6 +199,23 @@
             }
             assertThat(shop.receivedRequests()).isEmpty();
         }
+
+        /** Guards against an instance that runs a request whose body was cut where it could not be decoded. */
+        @Test
+        void requestWithMalformedBodyIsRejected() throws Exception {
+            InstanceStandIn shop = entry.startInstance("i-1", "shop", Behaviour.ANSWER);
+            entry.awaitReady();
+            try (Socket socket = new Socket("127.0.0.1", entry.callerPort())) {
+                socket.getOutputStream()
+                        .write(("POST " + SAFE_PATH + " HTTP/1.1\r\nHost: 127.0.0.1\r\nRequest-Id: s1\r\n"
+                                        + "Authorization: Token key-1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                                        + "5\r\nhello\r\nZZ\r\n")
+                                .getBytes(StandardCharsets.US_ASCII));
+                byte[] statusLine = socket.getInputStream().readNBytes(12);
+                assertThat(new String(statusLine, StandardCharsets.US_ASCII)).isEqualTo("HTTP/1.1 400");
+            }
+            assertThat(shop.receivedRequests()).isEmpty();
+        }
     }
 
     @Nested
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/ConfigurationListenerTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/ConfigurationListenerTest.java
@@ -145,10 +145,23 @@
         }
     }
 
+    /** Guards against an entry that is never ready after an operator has put a lower version back. */
+    @Test
+    void storeWithoutErasConfirmsVersionBelowThatOfAnotherEntry() {
+        view.recordPeerVersion("entry-2", 4);
+        listener.onSnapshot(reading(document(3)), Timestamp.now());
+        assertThat(view.confirmationAgeMillis()).isLessThan(OLD_MILLIS);
+    }
+
     /** Guards against a revoked key that is accepted because the restored store holds an older version. */
     @Nested
     class WhenOtherEntryHasNewerVersion {
 
+        @BeforeEach
+        void stateEra() {
+            view.recordEraStated();
+        }
+
         @Test
         void storeDoesNotConfirmTheOlderVersion() {
             view.recordPeerVersion("entry-2", 4);
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/callers/CallerMemory.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/callers/CallerMemory.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.function.Function;
 
 /**
  * Accounts for the memory that connections of callers occupy, and chooses what is dropped when it exceeds its bound.
@@ -24,6 +25,8 @@
     private final long maximumBytes;
     private final Map<String, AddressUse<C>> addresses = new HashMap<>();
     private long usedBytes;
+    /** The memory of the unfinished requests within the guarantee. */
+    private long smallBytes;
 
     /**
      * Creates an empty account.
@@ -47,16 +50,23 @@
     /**
      * Returns the connection of which something must be dropped, if more memory is occupied than the bound allows: the
      * oldest with something that may be dropped, of the address that occupies the most memory among those with such
-     * connections.
+     * connections. Connections within the guarantee are chosen only when all of them together exceed the bound.
      */
     public Optional<C> excess() {
         if (usedBytes <= maximumBytes) {
             return Optional.empty();
         }
+        Optional<C> large = oldest(address -> address.droppable);
+        // With very many connections, what each of them is guaranteed exceeds the heap.
+        boolean guaranteed = smallBytes <= maximumBytes;
+        return large.isPresent() || guaranteed ? large : oldest(address -> address.small);
+    }
+
+    private Optional<C> oldest(Function<AddressUse<C>, Set<CallerMemory<C>.Holding>> candidates) {
         return addresses.values().stream()
-                .filter(address -> !address.droppable.isEmpty())
+                .filter(address -> !candidates.apply(address).isEmpty())
                 .max(Comparator.comparingLong(address -> address.usedBytes))
-                .map(address -> address.droppable.iterator().next().connection);
+                .map(address -> candidates.apply(address).iterator().next().connection);
     }
 
     /** What the connections of one address occupy. */
@@ -65,6 +75,9 @@
         /** The holdings that may be dropped, the oldest first. */
         private final Set<CallerMemory<C>.Holding> droppable = new LinkedHashSet<>();
 
+        /** The unfinished holdings within the guarantee, the oldest first. */
+        private final Set<CallerMemory<C>.Holding> small = new LinkedHashSet<>();
+
         private long usedBytes;
         private int holdings;
     }
@@ -76,6 +89,7 @@
         private final C connection;
         private final AddressUse<C> use;
         private long bytes;
+        private long countedSmallBytes;
         private boolean unfinished;
         private boolean closed;
 
@@ -104,10 +118,20 @@
         }
 
         private void updateDroppable() {
-            if (unfinished && !closed && bytes > GUARANTEED_BYTES) {
-                use.droppable.add(this);
+            boolean mayBeDropped = unfinished && !closed && bytes > 0;
+            move(use.droppable, mayBeDropped && bytes > GUARANTEED_BYTES);
+            boolean isSmall = mayBeDropped && bytes <= GUARANTEED_BYTES;
+            move(use.small, isSmall);
+            long small = isSmall ? bytes : 0;
+            smallBytes += small - countedSmallBytes;
+            countedSmallBytes = small;
+        }
+
+        private void move(Set<CallerMemory<C>.Holding> holdings, boolean member) {
+            if (member) {
+                holdings.add(this);
             } else {
-                use.droppable.remove(this);
+                holdings.remove(this);
             }
         }
 
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/coldstart/ColdCause.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/coldstart/ColdCause.java
@@ -32,7 +32,7 @@
     READMITTED {
         @Override
         long untilMillis(ColdInstance instance, long durationMillis) {
-            boolean saidSince = instance.describedMillis() > instance.readmittedMillis()
+            boolean saidSince = instance.describedMillis() > instance.readmittedMillis() + READMISSION_MARGIN_MILLIS
                     && instance.description().coldRemainingMillis().orElse(1) == 0;
             return saidSince ? Long.MIN_VALUE : end(instance.readmittedMillis(), durationMillis);
         }
@@ -40,6 +40,8 @@
 
     /** Covers the time between the writing of a description and its arrival at other entries. */
     private static final long DESCRIPTION_MARGIN_MILLIS = 300;
+    /** A description that arrives within this time after a readmission may have been written before it. */
+    private static final long READMISSION_MARGIN_MILLIS = 1_000;
 
     /**
      * Returns the time until which an instance is cold for this cause; {@link Long#MIN_VALUE} if it does not apply.
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/coldstart/ColdStarts.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/coldstart/ColdStarts.java
@@ -82,11 +82,6 @@
         instances.values().forEach(instance -> updateCold(instance, nowMillis));
     }
 
-    /** Returns whether a service has instances that are cold after they start. */
-    public boolean hasColdServices() {
-        return !profiles.isEmpty();
-    }
-
     /**
      * Records the registered entries.
      *
@@ -141,6 +136,11 @@
         }
     }
 
+    /** Records that instances may have restarted unnoticed, because this entry was suspended or stalled. */
+    public void recordStall() {
+        instances.values().forEach(ColdInstance::recordContactLost);
+    }
+
     /**
      * Records that a connection for a request was opened, which moves its send to this time. The instance may have
      * become cold since the request was assigned to it.
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/restore/VersionConfirmation.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/restore/VersionConfirmation.java
@@ -23,6 +23,11 @@
         waitingSinceMillis = nowMillis;
     }
 
+    /** Records that this entry has registered, because the other entries report to it only from then on. */
+    public void recordRegistration(long nowMillis) {
+        waitingSinceMillis = nowMillis;
+    }
+
     /**
      * Records the version that another entry has in force.
      *
@@ -55,7 +60,7 @@
      */
     public boolean awaitsReports(boolean peersKnown, Set<String> peers, long nowMillis) {
         if (waiting
-                && ((peersKnown && reporters.containsAll(peers))
+                && ((peersKnown && !peers.isEmpty() && reporters.containsAll(peers))
                         || nowMillis - waitingSinceMillis >= REPORT_WAIT_MILLIS)) {
             waiting = false;
             reporters.clear();
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/callers/CallerMemoryTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/callers/CallerMemoryTest.java
@@ -51,6 +51,19 @@
             assertThat(memory.excess()).contains("large");
         }
 
+        /** Guards against a heap that is exhausted by very many connections, each with a small unfinished request. */
+        @Test
+        void includesSmallRequestsWhenTheyAloneExceedTheBound() {
+            for (int connection = 0; connection < 12; connection++) {
+                hold("a", "a" + connection, CallerMemory.GUARANTEED_BYTES);
+            }
+            assertThat(memory.excess()).isEmpty();
+            CallerMemory<String>.Holding last = hold("b", "b0", CallerMemory.GUARANTEED_BYTES);
+            assertThat(memory.excess()).contains("a0");
+            last.setUnfinished(false);
+            assertThat(memory.excess()).isEmpty();
+        }
+
         /** Guards against an account that counts the memory of a connection again after its end. */
         @Test
         void ignoresChangesOfClosedConnections() {
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/coldstart/ColdStartsTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/coldstart/ColdStartsTest.java
@@ -236,10 +236,19 @@
 
         @Test
         void endsWithADescriptionThatSaysWarm() {
+            describe(1, WARM, 0);
+            coldStarts.domainReadmitted("a", 2_000);
+            describe(1, WARM, 3_100);
+            assertThat(sends(3_100, 3_200)).isEqualTo(10);
+        }
+
+        /** Guards against a description that was written before the readmission and arrives after it. */
+        @Test
+        void doesNotEndWithADescriptionThatArrivesAtOnce() {
             describe(1, WARM, 0);
             coldStarts.domainReadmitted("a", 2_000);
             describe(1, WARM, 2_500);
-            assertThat(sends(2_500, 2_600)).isEqualTo(10);
+            assertThat(sends(2_500, 4_999)).isLessThanOrEqualTo(3);
         }
     }
 
