Take the descriptors that the platform states, whatever the operating system says

Cause: the bound on connections took the smaller of the stated descriptors and the process's own limit. Change: the limit of the operating system counts only if the settings state none.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerBounds.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerBounds.java
@@ -32,10 +32,10 @@
     public static CallerBounds of(Settings settings) {
         long memoryBytes = settings.find(GatewaySettings.CALLER_MEMORY)
                 .orElseGet(() -> Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
-        int processLimit = descriptorLimit();
+        // The platform may enforce its own limit, to which that of the operating system says nothing.
         int descriptors = settings.find(GatewaySettings.DESCRIPTORS)
-                .map(limit -> Math.min(limit.intValue(), processLimit))
-                .orElse(processLimit);
+                .map(Double::intValue)
+                .orElseGet(CallerBounds::descriptorLimit);
         return new CallerBounds(memoryBytes, connections(descriptors));
     }
 
