Remove a notification of rules that no rule uses

Cause: InstanceRule.onNotAccepted was added for cold instances, which give a share back by the time of its send instead; the comment of the listener of lost contacts still named idle connections only. Change: the notification and its caller in InstanceTable are gone; SendAttempt names what is left. No behaviour changes.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -379,16 +379,15 @@
         exchange.closeCurrentAttempt();
         if (head.misdirected()) {
             exchange.allowInstanceAgain(instance.id());
-            recordNotAccepted(now);
+            giveShareBack();
         }
         exchange.retryOrFail("not_run_" + head.status() + " of " + instance.id());
     }
 
-    private void recordNotAccepted(long now) {
-        DeploymentView view = exchange.dispatcher().view();
-        view.instances().recordNotAccepted(instance.id(), now);
+    /** Gives the share in a cold instance back, because the instance certainly did not accept the request. */
+    private void giveShareBack() {
         if (!shareSpent) {
-            view.coldStarts().giveBack(instance.id(), countedSendMillis);
+            exchange.dispatcher().view().coldStarts().giveBack(instance.id(), countedSendMillis);
         }
     }
 
@@ -409,7 +408,7 @@
             if (shareSpent) {
                 exchange.allowInstanceAgain(instance.id());
             }
-            recordNotAccepted(now);
+            giveShareBack();
             exchange.onNotSent();
             return;
         }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
@@ -199,7 +199,10 @@
         anomalyListener = listener;
     }
 
-    /** Sets the listener that gets the identifier of an instance that closed an idle connection before its time. */
+    /**
+     * Sets the listener that gets the identifier of an instance whose connection ended under a request, or while idle
+     * before its time.
+     */
     public void setContactLossListener(Consumer<String> listener) {
         contactLossListener = listener;
     }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceRule.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceRule.java
@@ -45,7 +45,4 @@
 
     /** Called when a request is sent to an instance. */
     default void onSent(InstanceState state, long nowMillis) {}
-
-    /** Called when a sent request was certainly not accepted: the connection failed or the instance declined it. */
-    default void onNotAccepted(InstanceState state, long nowMillis) {}
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -183,11 +183,6 @@
         state(id).ifPresent(state -> rules.forEach(rule -> rule.onSent(state, nowMillis)));
     }
 
-    /** Records for the rules that a sent request was certainly not accepted by an instance. */
-    public void recordNotAccepted(String id, long nowMillis) {
-        state(id).ifPresent(state -> rules.forEach(rule -> rule.onNotAccepted(state, nowMillis)));
-    }
-
     /** Adds an instance or updates its description. A restart under the same identifier resets its state. */
     public void put(UpstreamInstance instance, long nowMillis) {
         InstanceState state = states.get(instance.id());
