--- a/review/standin-2/src/Run.java
+++ b/review/standin-2/src/Run.java
@@ -31,6 +31,7 @@
     private final Path root;
     private final Path folder;
     private final List<Entry> entries = new ArrayList<>();
+    private boolean closed;
 
     /** Opens the record in the folder of the case; the root is that of the repository. */
     Run(String root, String caseFolder) throws IOException {
@@ -54,6 +55,9 @@
     }
 
     synchronized void log(String format, Object... values) {
+        if (closed) {
+            return;
+        }
         try {
             record.write(String.format(Locale.ROOT, "%8.3f s  ", millis() / 1_000.0)
                     + String.format(Locale.ROOT, format, values) + "\n");
@@ -209,7 +213,8 @@
     }
 
     @Override
-    public void close() throws IOException {
+    public synchronized void close() throws IOException {
+        closed = true;
         endProcesses();
         record.close();
         File[] files = folder.toFile().listFiles();
