--- a/review/standin-2/src/Replica.java
+++ b/review/standin-2/src/Replica.java
@@ -9,7 +9,8 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicInteger;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 
 /** A sound replica: one request at a time on a connection, Target-Instance checked, identifiers echoed, answers signed. */
 class Replica {
@@ -40,7 +41,7 @@
     private final Work work;
     private final long born = System.currentTimeMillis();
     final List<Request> received = new ArrayList<>();
-    final AtomicInteger connections = new AtomicInteger();
+    private final Set<Socket> sockets = ConcurrentHashMap.newKeySet();
     volatile String state = "ready";
 
     Replica(Run run, Store store, String id, String service, String zone, Work work) throws IOException {
@@ -84,12 +85,25 @@
         store.put("servers/" + id, description());
     }
 
+    /** Ends the replica with all that it runs, as a crash does. */
+    void crash() {
+        try {
+            server.close();
+            for (Socket socket : sockets) {
+                socket.setSoLinger(true, 0);
+                socket.close();
+            }
+        } catch (IOException cause) {
+            run.log("replica %s: %s", id, cause.getMessage());
+        }
+    }
+
     private void accept() {
         try {
             while (true) {
                 Socket socket = server.accept();
                 socket.setTcpNoDelay(true);
-                connections.incrementAndGet();
+                sockets.add(socket);
                 thread("replica-" + id, () -> serve(socket));
             }
         } catch (IOException cause) {
@@ -99,6 +113,7 @@
 
     private void serve(Socket socket) {
         try (socket) {
+            sockets.removeIf(Socket::isClosed);
             InputStream input = new BufferedInputStream(socket.getInputStream());
             OutputStream output = socket.getOutputStream();
             String head = Run.readHead(input);
