--- a/review/standin-2/src/RetiredModel.java
+++ b/review/standin-2/src/RetiredModel.java
@@ -195,6 +195,7 @@
                 return;
             }
         }
+        run.log("the replica runs %s", request.id());
         Run.write(output, "HTTP/1.1 200 OK\r\nRequest-Id: " + request.id() + "\r\nResponse-Stamp: s." + request.id()
                 + "\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
         for (int event = 1; event <= EVENTS; event++) {
@@ -209,23 +210,26 @@
         int answered = 0;
         int cutOff = 0;
         for (int number = 0; !ended; number++) {
+            String id = model + "-" + caller + "-" + number;
             try (Socket socket = new Socket("127.0.0.1", port)) {
                 socket.setSoTimeout(13_000);
                 InputStream input = new BufferedInputStream(socket.getInputStream());
                 Run.write(
                         socket.getOutputStream(),
-                        "POST /live/x HTTP/1.1\r\nHost: " + Config.HOST + "\r\nRequest-Id: " + model + "-" + caller + "-" + number
-                                + "\r\nModel: " + model + "\r\nToken-Count: 50,6\r\nPrompt-Prefix: ab:50\r\n"
-                                + "Deadline-Ms: 12000\r\nContent-Length: 4\r\nConnection: close\r\nAuthorization: Token "
+                        "POST /live/x HTTP/1.1\r\nHost: " + Config.HOST + "\r\nRequest-Id: " + id + "\r\nModel: "
+                                + model + "\r\nToken-Count: 50,6\r\nPrompt-Prefix: ab:50\r\nDeadline-Ms: 12000\r\nContent-Length: 4\r\nConnection: close\r\nAuthorization: Token "
                                 + Config.KEY + "\r\n\r\nabcd");
                 String head = Run.readHead(input);
-                if (head != null && head.contains(" 200 ")) {
+                if (head == null || !head.contains(" 200 ")) {
+                    run.log("%s sent, answered %s", id, head == null ? "by a closed connection" : head.split(" ")[1]);
+                } else {
                     boolean whole = new String(input.readAllBytes()).endsWith("\r\n0\r\n\r\n");
                     answered += whole ? 1 : 0;
                     cutOff += whole ? 0 : 1;
+                    run.log("%s sent, answered 200, %s", id, whole ? "whole" : "cut off");
                 }
             } catch (IOException cause) {
-                // The caller asks again.
+                run.log("%s: %s", id, cause.getMessage());
             }
             Run.pause(150);
         }
--- a/review/standin-2/src/SlowReaderAtStop.java
+++ b/review/standin-2/src/SlowReaderAtStop.java
@@ -17,7 +17,7 @@
     private static final int LATER_BYTES_PER_SECOND = 1_000_000;
     private static final int FIRST_MILLIS = 3_500;
     /** Longer than contact-ms, so that the entry is in touch. */
-    private static final int CONTACT_MILLIS = 3_500;
+    private static final int CONTACT_MILLIS = 4_500;
 
     private static final int READ_INTERVAL_MILLIS = 20;
     private static final int CALLERS = 4;
--- a/review/standin-2/src/UnreadAnswers.java
+++ b/review/standin-2/src/UnreadAnswers.java
@@ -62,7 +62,7 @@
         entry.start();
         entry.awaitReady();
         // Longer than contact-ms, so that the entry is in touch.
-        Run.pause(3_500);
+        Run.pause(4_500);
         AtomicInteger booked = new AtomicInteger();
         AtomicLong slowestMillis = new AtomicLong();
         for (int index = 0; index < BOOKERS; index++) {
