Refuse requests whose head does not say for certain where they end

Callers saw: a booking with a Transfer-Encoding other than chunked ran with an empty body, the text of its body ran as a booking of its own, with the key in that text, and the next request of the connection got its answer.

Cause: Netty's HttpObjectDecoder asks only whether the codings contain chunked. If they do not, and there is no length, it takes the body for empty and decodes on at its first byte. Nothing behind it asks again; Admission gets a whole request with an empty body.

Why this works: RequestDecoder decides with the complete head, before anything is decoded behind it, by RFC 9112, 6.1 to 6.3. A request without a sound framing is malformed, which ends the decoding of its connection; the caller gets 400. What the RFC permits, also empty elements of the list, is served; two such spellings were refused before. CONNECT is refused, too: what follows its success is not HTTP. The reason is logged.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
@@ -203,6 +203,7 @@
             return;
         }
         if (request.decoderResult().isFailure()) {
+            server.logMalformed(address, request.decoderResult().cause());
             request.release();
             rejectMalformed(handlerContext);
             return;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerRequestDecoder.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerRequestDecoder.java
@@ -2,15 +2,16 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpRequest;
-import io.netty.handler.codec.http.HttpRequestDecoder;
 import io.netty.handler.codec.http.LastHttpContent;
+import io.oleandermoor.transport.framing.RequestDecoder;
 import java.util.List;
 import java.util.Queue;
 
 /** Decodes requests, and reports what the head that is being received costs before it is complete. */
-final class CallerRequestDecoder extends HttpRequestDecoder {
+final class CallerRequestDecoder extends RequestDecoder {
 
     /**
      * Memory for a header field beyond its bytes: an entry of the headers, two strings with their arrays, and rounding.
@@ -43,7 +44,10 @@
             int maximumChunkBytes,
             RequestMemory memory,
             Queue<HttpMethod> methods) {
-        super(maximumLineBytes, maximumHeaderBytes, maximumChunkBytes);
+        super(new HttpDecoderConfig()
+                .setMaxInitialLineLength(maximumLineBytes)
+                .setMaxHeaderSize(maximumHeaderBytes)
+                .setMaxChunkSize(maximumChunkBytes));
         this.memory = memory;
         this.methods = methods;
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
@@ -213,6 +213,13 @@
                 .log("body_refused", "received_bytes={} all_bodies_bytes={}", receivedBytes, bodies.reservedBytes());
     }
 
+    /** Logs that a request was refused because it violates the protocol. */
+    void logMalformed(String address, Throwable cause) {
+        dispatcher
+                .eventLog()
+                .log("malformed", "address={} cause=\"{}\"", address, RequestEventLog.printable(cause.toString()));
+    }
+
     boolean isStopping() {
         return dispatcher.view().isStopping();
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestEventLog.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestEventLog.java
@@ -10,6 +10,7 @@
 
     private static final Logger LOG = LogManager.getLogger("requests");
     private static final int MAXIMUM_LINES_PER_SECOND = 25;
+    private static final int MAXIMUM_TEXT_LENGTH = 160;
     /** Number of ticks in a second, at the dispatch interval of {@link RequestDispatcher}. */
     private static final int TICKS_PER_SECOND = 40;
 
@@ -23,6 +24,12 @@
         }
     }
 
+    /** Shortens a text from outside and replaces what could end its quotation or its line. */
+    static String printable(String text) {
+        String shortened = text.substring(0, Math.min(text.length(), MAXIMUM_TEXT_LENGTH));
+        return shortened.replaceAll("[^ !#-~]", ".");
+    }
+
     void tick() {
         ticks++;
         if (ticks < TICKS_PER_SECOND) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ResponseAnomalyLog.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ResponseAnomalyLog.java
@@ -7,8 +7,6 @@
 /** Logs and counts what instances send that is not the response to the request in flight. */
 final class ResponseAnomalyLog implements ResponseAnomaly.Listener {
 
-    private static final int MAXIMUM_DETAIL_LENGTH = 160;
-
     private final RequestEventLog eventLog;
     private final GatewayMetrics metrics;
 
@@ -27,12 +25,6 @@
                 kind,
                 instanceId,
                 requestId,
-                printable(detail));
-    }
-
-    /** Shortens a text from an instance and replaces what could end its quotation or its line. */
-    private static String printable(String text) {
-        String shortened = text.substring(0, Math.min(text.length(), MAXIMUM_DETAIL_LENGTH));
-        return shortened.replaceAll("[^ !#-~]", ".");
+                RequestEventLog.printable(detail));
     }
 }
--- /dev/null
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/RequestFramingTest.java
@@ -0,0 +1,246 @@
+package io.oleandermoor.gateway;
+
+import static io.oleandermoor.gateway.standin.EntryFixture.SAFE_PATH;
+import static io.oleandermoor.gateway.standin.EntryFixture.STREAM_PATH;
+import static io.oleandermoor.gateway.standin.EntryFixture.UNSAFE_PATH;
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import io.oleandermoor.gateway.standin.EntryFixture;
+import io.oleandermoor.gateway.standin.InstanceStandIn;
+import io.oleandermoor.gateway.standin.InstanceStandIn.Behaviour;
+import io.oleandermoor.gateway.standin.RawCaller;
+import java.io.IOException;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterAll;
+import org.junit.jupiter.api.BeforeAll;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.TestInstance;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Tests where a complete entry takes the end of a caller's request to be. */
+@TestInstance(TestInstance.Lifecycle.PER_CLASS)
+class RequestFramingTest {
+
+    private static final String OUTER_ID = "outer";
+    private static final String INNER_ID = "inner";
+    /** A request that runs if the body that contains it, or precedes it, is taken to end before it. */
+    private static final String INNER_REQUEST =
+            RawCaller.head("POST", UNSAFE_PATH, INNER_ID) + "Content-Length: 0\r\nConnection: close\r\n\r\n";
+
+    private static final String CHUNKED_BODY = "4\r\nbody\r\n0\r\n\r\n";
+
+    private EntryFixture entry;
+    private InstanceStandIn shop;
+    private InstanceStandIn words;
+
+    @BeforeAll
+    void start() throws Exception {
+        entry = new EntryFixture();
+        shop = entry.startInstance("i-1", "shop", Behaviour.ANSWER);
+        words = entry.startInstance("i-2", "words", Behaviour.STREAM);
+        entry.awaitReady();
+        await().atMost(Duration.ofSeconds(10))
+                .until(() -> entry.call(SAFE_PATH, "key-1").statusCode() == 200
+                        && entry.call(STREAM_PATH, "key-1").statusCode() == 200);
+    }
+
+    @AfterAll
+    void stop() throws Exception {
+        entry.close();
+    }
+
+    @BeforeEach
+    void forgetRequests() {
+        shop.receivedRequests().clear();
+        words.receivedRequests().clear();
+    }
+
+    private String exchange(String text) throws IOException {
+        try (RawCaller caller = new RawCaller(entry.callerPort())) {
+            caller.write(text);
+            return caller.readToEnd();
+        }
+    }
+
+    /** Returns the ids of the requests that ran, each with its body. */
+    private List<String> executed() {
+        List<String> executed = new ArrayList<>();
+        for (InstanceStandIn instance : List.of(shop, words)) {
+            for (Map<String, String> request : instance.receivedRequests()) {
+                executed.add(request.get("request-id") + "=" + request.get("body"));
+            }
+        }
+        return executed;
+    }
+
+    private void assertRefused(String text) throws IOException {
+        String received = exchange(text);
+        assertThat(RawCaller.statuses(received)).as(received).containsExactly("400");
+        assertThat(received).containsIgnoringCase("\r\nconnection: close\r\n").doesNotContain("(reset)");
+        assertThat(executed()).isEmpty();
+    }
+
+    private static String outerHead(String path, String framing) {
+        return RawCaller.head("POST", path, OUTER_ID) + framing.translateEscapes() + "\r\n\r\n";
+    }
+
+    /** Guards against a body whose text runs as a request of its own, because its length cannot be told. */
+    @Nested
+    class UnsoundHead {
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Transfer-Encoding: gzip",
+                    "Transfer-Encoding: identity",
+                    "Transfer-Encoding: xchunked",
+                    "Transfer-Encoding: chunked;a=b",
+                    "Transfer-Encoding: chunked;",
+                    "Transfer-Encoding: \"chunked\"",
+                    "Transfer-Encoding: chunked gzip",
+                    "Transfer-Encoding: chun\r\n ked",
+                    "Transfer-Encoding: chunked\u00a0",
+                    "Transfer-Encoding: chunked, identity",
+                    "Transfer-Encoding: chunked\r\nTransfer-Encoding: gzip",
+                    "Transfer-Encoding:",
+                    "Transfer-Encoding: ,",
+                    "Transfer-Encoding : chunked",
+                    "Transfer-Encoding: \u000bchunked"
+                })
+        void withoutALengthIsRefused(String framing) throws Exception {
+            assertRefused(outerHead(UNSAFE_PATH, framing) + INNER_REQUEST);
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Transfer-Encoding: chunked, chunked",
+                    "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+                    "Transfer-Encoding: a;x=\", chunked",
+                    "Transfer-Encoding: a;x=\"b\\\\\", chunked",
+                    "Transfer-Encoding: @, chunked",
+                    "Transfer-Encoding: gz ip, chunked",
+                    "Transfer-Encoding: chunked\r\nContent-Length: 4",
+                    "Content-Length: 4\r\nTransfer-Encoding: chunked",
+                    "Content-Length: 4\r\nTransfer-Encoding: identity",
+                    "Content-Length: 4\r\nTransfer-Encoding: gzip",
+                    "Content-Length: 4\r\nTransfer-Encoding:",
+                    "Content-Length: 4\r\nContent-Length: 5",
+                    "Content-Length: +4",
+                    "Content-Length: 4 4",
+                    "Content-Length: 0x4",
+                    "Content-Length:",
+                    "Content-Length : 4",
+                    "Content-Length: 18446744073709551620",
+                    "X: y\rContent-Length: 4"
+                })
+        void thatCanBeReadInTwoWaysIsRefused(String framing) throws Exception {
+            assertRefused(outerHead(UNSAFE_PATH, framing) + CHUNKED_BODY + INNER_REQUEST);
+        }
+
+        @ParameterizedTest
+        @CsvSource({
+            "HTTP/1.0, Transfer-Encoding: chunked",
+            "HTTP/1.0, Transfer-Encoding: gzip",
+            "HTTP/0.9, Content-Length: 4",
+            "HTTP/2.0, Content-Length: 4"
+        })
+        void ofAVersionWithoutSuchFramingIsRefused(String version, String framing) throws Exception {
+            String head = outerHead(UNSAFE_PATH, framing + "\r\nConnection: keep-alive");
+            assertRefused(head.replace("HTTP/1.1", version) + CHUNKED_BODY + INNER_REQUEST);
+        }
+
+        /** A success in response to CONNECT has no body, whatever its headers say, and ends HTTP on its connection. */
+        @Test
+        void ofATunnelIsRefused() throws Exception {
+            String head = outerHead(UNSAFE_PATH, "Content-Length: 4");
+            assertRefused(head.replace("POST ", "CONNECT ") + "body" + INNER_REQUEST);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {SAFE_PATH, STREAM_PATH, "/no-such-route/x"})
+        void isRefusedOnEveryRoute(String path) throws Exception {
+            assertRefused(outerHead(path, "Transfer-Encoding: gzip") + INNER_REQUEST);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"key-2", ""})
+        void isRefusedWhateverItsKey(String key) throws Exception {
+            String head = outerHead(UNSAFE_PATH, "Transfer-Encoding: gzip");
+            assertRefused(head.replace("key-1", key) + INNER_REQUEST);
+        }
+
+        @ParameterizedTest
+        @ValueSource(ints = {1, 7})
+        void isRefusedHoweverItArrives(int partBytes) throws Exception {
+            String text = outerHead(UNSAFE_PATH, "Transfer-Encoding: gzip");
+            try (RawCaller caller = new RawCaller(entry.callerPort())) {
+                for (int start = 0; start < text.length(); start += partBytes) {
+                    caller.write(text.substring(start, Math.min(text.length(), start + partBytes)));
+                }
+                assertThat(RawCaller.statuses(caller.readToEnd())).containsExactly("400");
+            }
+            assertThat(executed()).isEmpty();
+        }
+    }
+
+    /** Guards against refusing, or reading otherwise, what RFC 9112 permits. */
+    @Nested
+    class SoundHead {
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Transfer-Encoding: chunked",
+                    "Transfer-Encoding:chunked",
+                    "transfer-encoding: Chunked",
+                    "Transfer-Encoding: \t CHUNKED \t ",
+                    "Transfer-Encoding: gzip, chunked",
+                    "Transfer-Encoding: gzip;a=b , chunked",
+                    "Transfer-Encoding: a;x=\"p, chunked\" , chunked",
+                    "Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked",
+                    "Transfer-Encoding: , ,chunked",
+                    "Transfer-Encoding: chunked ,",
+                    "Transfer-Encoding: chunked\r\nTrailer: x",
+                    "Transfer-Encoding: chunked\r\nConnection: Transfer-Encoding"
+                })
+        void withChunksIsServed(String framing) throws Exception {
+            assertBothServed(outerHead(UNSAFE_PATH, framing) + CHUNKED_BODY);
+        }
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Content-Length: 4",
+                    "content-length:4",
+                    "Content-Length: \t 4 \t ",
+                    "Content-Length: 0004",
+                    "Content-Length: 4\r\nConnection: Content-Length",
+                    "Content-Length: 4\r\nX: a\r\n Transfer-Encoding: gzip"
+                })
+        void withALengthIsServed(String framing) throws Exception {
+            assertBothServed(outerHead(UNSAFE_PATH, framing) + "body");
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {"HTTP/1.0", "HTTP/1.2"})
+        void ofAnotherMinorVersionIsServed(String version) throws Exception {
+            String head = outerHead(UNSAFE_PATH, "Content-Length: 4\r\nConnection: keep-alive");
+            assertBothServed(head.replace("HTTP/1.1", version) + "body");
+        }
+
+        private void assertBothServed(String text) throws IOException {
+            String received = exchange(text + INNER_REQUEST);
+            assertThat(RawCaller.statuses(received)).as(received).containsExactly("200", "200");
+            assertThat(executed()).containsExactly(OUTER_ID + "=body", INNER_ID + "=");
+        }
+    }
+}
--- /dev/null
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/MessageFraming.java
@@ -0,0 +1,50 @@
+package io.oleandermoor.transport.framing;
+
+import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpVersion;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Finds messages whose end cannot be told from their head, or can be told in two ways (RFC 9112, section 6). Whoever
+ * reads on behind such a message may take a part of its body for the next message.
+ */
+public final class MessageFraming {
+
+    private static final int MAJOR_VERSION = 1;
+
+    private MessageFraming() {}
+
+    /**
+     * Returns why the end of a request cannot be told for certain.
+     *
+     * @param request a request whose Content-Length, if it has one, is known to be a single number
+     * @return the reason, empty if the framing is sound
+     */
+    public static Optional<String> findFault(HttpRequest request) {
+        HttpVersion version = request.protocolVersion();
+        if (version.majorVersion() != MAJOR_VERSION) {
+            return Optional.of("the framing of " + version + " is not that of HTTP/1.1");
+        }
+        if (request.method().equals(HttpMethod.CONNECT)) {
+            return Optional.of("the response to CONNECT would be followed by bytes that are not HTTP");
+        }
+        List<String> transferEncodings = request.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        if (transferEncodings.isEmpty()) {
+            return Optional.empty();
+        }
+        if (version.compareTo(HttpVersion.HTTP_1_1) < 0) {
+            return Optional.of("Transfer-Encoding in a message of " + version);
+        }
+        if (request.headers().contains(HttpHeaderNames.CONTENT_LENGTH)) {
+            return Optional.of("both Transfer-Encoding and Content-Length");
+        }
+        return TransferCodings.parse(transferEncodings)
+                        .filter(TransferCodings::endWithChunked)
+                        .isPresent()
+                ? Optional.empty()
+                : Optional.of("the last transfer coding is not chunked, or another one is");
+    }
+}
