Refuse chunks whose size is not alone on its line

Callers saw: a body with a chunk of size "4 5", " 4", "4<ctl>5" or with two carriage returns behind the size ran with the four bytes that Netty reads, on every route and behind a 404; what followed ran as the next request. Other parsers read another size there, so that the text of a body is a request to one side and data to the other.

Cause: Netty's decoder skips white space and control characters in front of a size, and all that follows one behind a size up to the end of the line.

Ends of lines, overflowing sizes, extensions and trailers were refused before and are held by the new cases.

Why this works: ChunkSizeLines reads the bytes that the decoder has consumed of a chunked body and accepts a size only if its line ends behind it, or an extension follows (RFC 9112, 7.1). Both read the same bytes, so the lines are found where the decoder finds them; on any other line ChunkedBodyGuard ends the request as malformed and the decoder reads nothing more.

--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/RequestFramingTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/RequestFramingTest.java
@@ -14,6 +14,7 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Locale;
 import java.util.Map;
 import org.junit.jupiter.api.AfterAll;
 import org.junit.jupiter.api.BeforeAll;
@@ -88,6 +89,12 @@
         assertThat(executed()).isEmpty();
     }
 
+    private void assertBothServed(String text) throws IOException {
+        String received = exchange(text + INNER_REQUEST);
+        assertThat(RawCaller.statuses(received)).as(received).containsExactly("200", "200");
+        assertThat(executed()).containsExactly(OUTER_ID + "=body", INNER_ID + "=");
+    }
+
     private static String outerHead(String path, String framing) {
         return RawCaller.head("POST", path, OUTER_ID) + framing.translateEscapes() + "\r\n\r\n";
     }
@@ -192,6 +199,87 @@
         }
     }
 
+    /** Guards against a chunk that ends elsewhere for another parser, so that its data runs as a request. */
+    @Nested
+    class UnsoundChunk {
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    " 4\\r\\nbody\\r\\n0",
+                    "\\t4\\r\\nbody\\r\\n0",
+                    "\\0014\\r\\nbody\\r\\n0",
+                    "4 \\r\\nbody\\r\\n0",
+                    "4 5\\r\\nbody\\r\\n0",
+                    "4\\0015\\r\\nbody\\r\\n0",
+                    "4\\0015;a=b\\r\\nbody\\r\\n0",
+                    "4\\r\\r\\nbody\\r\\n0",
+                    "4\\r\\nbody\\r\\n0 ",
+                    "4\\r\\nbody\\r\\n 0",
+                    "4\\r\\nbody\\r\\n0 5",
+                    "100000004\\r\\nbody\\r\\n0",
+                    "10000000000000004\\r\\nbody\\r\\n0",
+                    "80000004\\r\\nbody\\r\\n0",
+                    "0x4\\r\\nbody\\r\\n0",
+                    "-4\\r\\nbody\\r\\n0",
+                    "\\r\\nbody\\r\\n0",
+                    ";a\\r\\nbody\\r\\n0",
+                    "4\\nbody\\r\\n0",
+                    "4;a\\nb\\r\\nbody\\r\\n0",
+                    "4;a\\r\\r\\nbody\\r\\n0",
+                    "4;\\r\\r\\nbody\\r\\n0",
+                    "4;a=\"\\r\\n\"\\r\\nbody\\r\\n0",
+                    "4;=\\r\\nbody\\r\\n0",
+                    "4\\r\\nbody\\n0",
+                    "4\\r\\nbodyX\\r\\n0",
+                    "4\\r\\nbody0",
+                    "4\\r\\nbody\\r\\n0\\r\\nno-colon",
+                    "4\\r\\nbody\\r\\n0\\r\\nx : y",
+                    "4\\r\\nbody\\r\\n0\\r\\n x: y",
+                    "4\\r\\nbody\\r\\n0\\r\\nx: y\\rz"
+                })
+        void isRefused(String chunks) throws Exception {
+            assertRefused(outerHead(UNSAFE_PATH, "Transfer-Encoding: chunked") + chunks.translateEscapes() + "\r\n\r\n"
+                    + INNER_REQUEST);
+        }
+
+        @ParameterizedTest
+        @ValueSource(strings = {SAFE_PATH, STREAM_PATH, "/no-such-route/x"})
+        void isRefusedOnEveryRoute(String path) throws Exception {
+            assertRefused(outerHead(path, "Transfer-Encoding: chunked") + "4 5\r\nbody\r\n0\r\n\r\n" + INNER_REQUEST);
+        }
+    }
+
+    /** Guards against refusing chunks that RFC 9112 permits. */
+    @Nested
+    class SoundChunks {
+
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "4;a\\r\\nbody\\r\\n0",
+                    "4;a=b;c=\"d;\\\\\"e\"\\r\\nbody\\r\\n0;f",
+                    "4 \\t;\\ta = b\\r\\nbody\\r\\n0",
+                    "0000000000000000004\\r\\nbody\\r\\n000",
+                    "1\\r\\nb\\r\\n3\\r\\nody\\r\\n0",
+                    "4\\r\\nbody\\r\\n0\\r\\nx: y\\r\\nz:",
+                    "4\\r\\nbody\\r\\n0\\r\\nContent-Length: 9\\r\\nTransfer-Encoding: gzip"
+                })
+        void areServed(String chunks) throws Exception {
+            assertBothServed(
+                    outerHead(UNSAFE_PATH, "Transfer-Encoding: chunked") + chunks.translateEscapes() + "\r\n\r\n");
+        }
+
+        /** The data of a chunk may look like the end of the body and a request. */
+        @Test
+        void containAnyData() throws Exception {
+            String data = "\r\n0\r\n\r\n" + INNER_REQUEST;
+            exchange(outerHead(UNSAFE_PATH, "Transfer-Encoding: chunked\r\nConnection: close")
+                    + Integer.toHexString(data.length()).toUpperCase(Locale.ROOT) + "\r\n" + data + "\r\n0\r\n\r\n");
+            assertThat(executed()).containsExactly(OUTER_ID + "=" + data);
+        }
+    }
+
     /** Guards against refusing, or reading otherwise, what RFC 9112 permits. */
     @Nested
     class SoundHead {
@@ -236,11 +324,5 @@
             String head = outerHead(UNSAFE_PATH, "Content-Length: 4\r\nConnection: keep-alive");
             assertBothServed(head.replace("HTTP/1.1", version) + "body");
         }
-
-        private void assertBothServed(String text) throws IOException {
-            String received = exchange(text + INNER_REQUEST);
-            assertThat(RawCaller.statuses(received)).as(received).containsExactly("200", "200");
-            assertThat(executed()).containsExactly(OUTER_ID + "=body", INNER_ID + "=");
-        }
     }
 }
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/RequestDecoder.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/RequestDecoder.java
@@ -1,11 +1,14 @@
 package io.oleandermoor.transport.framing;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
+import java.util.List;
 import java.util.Optional;
 
 /**
@@ -14,6 +17,8 @@
  */
 public class RequestDecoder extends HttpRequestDecoder {
 
+    private final ChunkedBodyGuard chunks = new ChunkedBodyGuard();
+
     /**
      * Creates a decoder.
      *
@@ -23,6 +28,18 @@
         super(configuration);
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> decoded) throws Exception {
+        if (chunks.hasFailed()) {
+            buffer.skipBytes(buffer.readableBytes());
+            return;
+        }
+        int start = buffer.readerIndex();
+        int decodedBefore = decoded.size();
+        super.decode(context, buffer, decoded);
+        chunks.check(buffer, start, decoded, decodedBefore);
+    }
+
     /** Called with the complete head, before it decides how the body is decoded. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
