Answer earlier requests before a malformed one is refused

Callers saw: two bookings followed by a malformed request on one connection ran, and the connection closed without an answer to either. A caller that goes on sending behind a malformed request got a reset instead of its 400.

Cause: CallerConnection closed the connection at once if a response was due, and else right behind the 400, with bytes unread, which resets it. Beside it: once the response that ends a connection was written, but not yet sent, the next pipelined request could begin.

Why this works: the refusal waits for its turn; meanwhile nothing behind it is read as a request. After it the entry ends its own side, discards what arrives for up to 1 s and closes (RFC 9112, 9.6). A flag that is set with the last response keeps any later request from starting.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.socket.DuplexChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.DefaultHttpResponse;
@@ -22,6 +23,7 @@
 import io.oleandermoor.platform.RequestHeaders;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /** Handles one caller connection. Pipelined requests are processed one at a time, in order of arrival. */
@@ -31,7 +33,11 @@
     /** Number of queued requests at which reading from the connection pauses until the queue is empty. */
     private static final int MAXIMUM_PIPELINED_REQUESTS = 16;
 
+    /** Time for which what follows a malformed request is read and discarded before its connection closes. */
+    private static final long DISCARD_MILLIS = 1_000;
+
     private static final int BAD_REQUEST = 400;
+    private static final int NO_STATUS = 0;
     private static final int SERVICE_UNAVAILABLE = 503;
     private static final long UNAVAILABLE_RETRY_AFTER_MILLIS = 1_000;
 
@@ -46,7 +52,15 @@
     private boolean keepAlive;
     private boolean streamStarted;
     private boolean closing;
+    /** Whether the response after which the connection closes has been written. */
+    private boolean ended;
+
     private boolean dropped;
+    /** Whether a request was refused before its end, behind which no request is read. */
+    private boolean refused;
+    /** The status of that refusal while earlier responses are due, which precede it. */
+    private int dueRefusal = NO_STATUS;
+
     private long idleSinceMillis = Timestamp.monotonicNowMillis();
     private long receivingSinceMillis = -1;
     /** The size of the body that is being received. */
@@ -169,7 +183,51 @@
     /** Records that the rest of a refused request has been discarded. */
     void unreadDiscarded() {
         receivingSinceMillis = -1;
-        closeWhenIdle();
+        if (dueRefusal == NO_STATUS) {
+            closeWhenIdle();
+        }
+    }
+
+    /**
+     * Refuses the request that is being received, after the responses to earlier ones. The connection closes once the
+     * rest of the request has been discarded, and no request behind it is read.
+     *
+     * @param status the status of the refusal
+     */
+    void refuseReceiving(int status) {
+        releaseReceivedBody();
+        refused = true;
+        dueRefusal = status;
+        writeDueRefusal();
+    }
+
+    private void writeDueRefusal() {
+        ChannelHandlerContext currentContext = context;
+        if (dueRefusal == NO_STATUS || responding || !pendingRequests.isEmpty() || currentContext == null) {
+            return;
+        }
+        int status = dueRefusal;
+        dueRefusal = NO_STATUS;
+        closing = true;
+        ended = true;
+        writeFullResponse(status, ResponseWriter.newHeaders(), Unpooled.EMPTY_BUFFER);
+        if (status == BAD_REQUEST) {
+            currentContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(written -> closeAfterDiscarding());
+        } else if (receivingSinceMillis < 0) {
+            currentContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    /**
+     * Ends the connection towards the caller now, and closes it once the caller has ended its side, or after a while.
+     * Closing it with unread bytes would reset it, and the response could be lost (RFC 9112, section 9.6).
+     */
+    private void closeAfterDiscarding() {
+        ChannelHandlerContext currentContext = context;
+        if (currentContext != null && currentContext.channel() instanceof DuplexChannel channel && channel.isActive()) {
+            channel.shutdownOutput();
+            channel.eventLoop().schedule(() -> channel.close(), DISCARD_MILLIS, TimeUnit.MILLISECONDS);
+        }
     }
 
     /** Returns whether a request has been received in part. */
@@ -198,14 +256,14 @@
             return;
         }
         receivingSinceMillis = -1;
-        if (dropped) {
+        if (dropped || refused || ended) {
             request.release();
             return;
         }
         if (request.decoderResult().isFailure()) {
             server.logMalformed(address, request.decoderResult().cause());
             request.release();
-            rejectMalformed(handlerContext);
+            refuseReceiving(BAD_REQUEST);
             return;
         }
         unansweredBodyBytes += receivingBodyBytes;
@@ -218,20 +276,10 @@
         handleNext();
     }
 
-    private void rejectMalformed(ChannelHandlerContext handlerContext) {
-        if (responding || !pendingRequests.isEmpty()) {
-            closing = true;
-            handlerContext.close();
-            return;
-        }
-        responding = true;
-        keepAlive = false;
-        writeLocalResponse(BAD_REQUEST, EmptyHttpHeaders.INSTANCE, "");
-    }
-
     private void handleNext() {
         ChannelHandlerContext currentContext = context;
         if (responding
+                || ended
                 || currentContext == null
                 || !currentContext.channel().isActive()
                 || !currentContext.channel().isWritable()) {
@@ -239,6 +287,7 @@
         }
         FullHttpRequest request = pendingRequests.pollFirst();
         if (request == null) {
+            writeDueRefusal();
             return;
         }
         if (pendingRequests.isEmpty()) {
@@ -347,6 +396,7 @@
         // The head of a stream that began before the stop does not announce that the connection closes afterwards.
         if (!keepAlive || closing) {
             closing = true;
+            ended = true;
             currentContext.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
         } else {
             currentContext.executor().execute(this::handleNext);
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/RequestFramingTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/RequestFramingTest.java
@@ -280,6 +280,44 @@
         }
     }
 
+    @Nested
+    class Refusal {
+
+        private static final String UNSOUND = "Transfer-Encoding: gzip";
+        private static final String KEEP_OPEN = "Content-Length: 0";
+        private static final int UNREAD_BYTES = 4 << 20;
+
+        /** Guards against requests that ran, but whose callers get no answer, because a malformed one follows them. */
+        @Test
+        void followsTheResponsesToEarlierRequests() throws Exception {
+            String earlier = RawCaller.head("POST", UNSAFE_PATH, "earlier-1") + KEEP_OPEN + "\r\n\r\n"
+                    + RawCaller.head("POST", SAFE_PATH, "earlier-2") + KEEP_OPEN + "\r\n\r\n";
+            String received = exchange(earlier + outerHead(UNSAFE_PATH, UNSOUND) + INNER_REQUEST);
+            assertThat(RawCaller.statuses(received)).as(received).containsExactly("200", "200", "400");
+            assertThat(executed()).containsExactly("earlier-1=", "earlier-2=");
+        }
+
+        /** Guards against a reset that destroys the refusal, because the connection closes with unread bytes. */
+        @Test
+        void reachesACallerThatGoesOnSending() throws Exception {
+            try (RawCaller caller = new RawCaller(entry.callerPort())) {
+                caller.write(outerHead(UNSAFE_PATH, UNSOUND));
+                caller.write("x".repeat(UNREAD_BYTES));
+                String received = caller.readToEnd();
+                assertThat(RawCaller.statuses(received)).containsExactly("400");
+                assertThat(received).doesNotContain("(reset)");
+            }
+        }
+
+        /** Guards against a request that runs although the response that ends its connection is already written. */
+        @Test
+        void isFollowedByNoRequest() throws Exception {
+            String closing = outerHead(UNSAFE_PATH, "Content-Length: 4\r\nConnection: close") + "body";
+            assertThat(RawCaller.statuses(exchange(closing + INNER_REQUEST))).containsExactly("200");
+            assertThat(executed()).containsExactly(OUTER_ID + "=body");
+        }
+    }
+
     /** Guards against refusing, or reading otherwise, what RFC 9112 permits. */
     @Nested
     class SoundHead {
