Refuse too large bodies and unknown expectations in their turn

Callers saw: with an earlier request on the same connection, the refusal of a body (413) or of an expectation (417), or 100 (Continue), came in front of the response to that request, so that the caller took the refusal for the answer to a booking, which ran.

Cause: Netty's aggregator writes these by itself when it reads the head, and knows nothing of the requests that have no response yet. For an expectation it also lets the decoder begin a new request at the first byte of the body, and relies on the close of the connection for that request not to run.

That a body behind a refused expectation runs was not seen: it needs a response that is written but not sent.

Why this works: RequestLimitHandler decides before the aggregator and uses the way of malformed requests: the refusal waits for its turn, the rest of the request is discarded as a body and the connection ends. The log says why.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerConnection.java
@@ -60,6 +60,8 @@
     private boolean refused;
     /** The status of that refusal while earlier responses are due, which precede it. */
     private int dueRefusal = NO_STATUS;
+    /** Whether the caller of the request that is being received waits to be asked for its body. */
+    private boolean continueDue;
 
     private long idleSinceMillis = Timestamp.monotonicNowMillis();
     private long receivingSinceMillis = -1;
@@ -193,14 +195,29 @@
      * rest of the request has been discarded, and no request behind it is read.
      *
      * @param status the status of the refusal
+     * @param cause the reason for the log
      */
-    void refuseReceiving(int status) {
+    void refuseReceiving(int status, String cause) {
+        server.logRefusedRequest(address, status, cause);
         releaseReceivedBody();
         refused = true;
         dueRefusal = status;
         writeDueRefusal();
     }
 
+    /** Asks the caller for a body that it may withhold until then, after the responses to earlier requests. */
+    void requestBody() {
+        continueDue = true;
+        writeDueContinue();
+    }
+
+    private void writeDueContinue() {
+        if (continueDue && !responding && pendingRequests.isEmpty()) {
+            continueDue = false;
+            write(new DefaultFullHttpResponse(HttpVersion.HTTP_1_1, HttpResponseStatus.CONTINUE), true);
+        }
+    }
+
     private void writeDueRefusal() {
         ChannelHandlerContext currentContext = context;
         if (dueRefusal == NO_STATUS || responding || !pendingRequests.isEmpty() || currentContext == null) {
@@ -261,11 +278,12 @@
             return;
         }
         if (request.decoderResult().isFailure()) {
-            server.logMalformed(address, request.decoderResult().cause());
+            String cause = request.decoderResult().cause().toString();
             request.release();
-            refuseReceiving(BAD_REQUEST);
+            refuseReceiving(BAD_REQUEST, cause);
             return;
         }
+        continueDue = false;
         unansweredBodyBytes += receivingBodyBytes;
         receivingBodyBytes = 0;
         requestMemory.requestReceived();
@@ -288,6 +306,7 @@
         FullHttpRequest request = pendingRequests.pollFirst();
         if (request == null) {
             writeDueRefusal();
+            writeDueContinue();
             return;
         }
         if (pendingRequests.isEmpty()) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
@@ -213,11 +213,16 @@
                 .log("body_refused", "received_bytes={} all_bodies_bytes={}", receivedBytes, bodies.reservedBytes());
     }
 
-    /** Logs that a request was refused because it violates the protocol. */
-    void logMalformed(String address, Throwable cause) {
+    /** Logs that a request was refused before it was received to its end. */
+    void logRefusedRequest(String address, int status, String cause) {
         dispatcher
                 .eventLog()
-                .log("malformed", "address={} cause=\"{}\"", address, RequestEventLog.printable(cause.toString()));
+                .log(
+                        "request_refused",
+                        "address={} status={} cause=\"{}\"",
+                        address,
+                        status,
+                        RequestEventLog.printable(cause));
     }
 
     boolean isStopping() {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestLimitHandler.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestLimitHandler.java
@@ -6,25 +6,32 @@
 import io.netty.handler.codec.DecoderResult;
 import io.netty.handler.codec.http.DefaultHttpContent;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpRequest;
+import io.netty.handler.codec.http.HttpUtil;
+import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.handler.codec.http.TooLongHttpHeaderException;
+import io.netty.util.ReferenceCountUtil;
 import io.oleandermoor.state.fleet.CallerLimits;
 import java.util.Map;
 import java.util.function.Supplier;
 
 /**
  * Applies the limits that are in force when a request begins, although its connection may have been opened under
- * others, and refuses bodies for which no memory is left. Precedes the aggregator of the request body, which it
- * installs. Used on the event loop only.
+ * others, and refuses bodies for which no memory is left, and expectations that it does not know. Precedes the
+ * aggregator of the request body, which it installs. Used on the event loop only.
  */
 final class RequestLimitHandler extends ChannelInboundHandlerAdapter {
 
     /** Size of the separators of a header line: a colon, a space and the line end. */
     private static final int HEADER_SEPARATOR_BYTES = 4;
 
+    private static final int CONTENT_TOO_LARGE = 413;
+    private static final int EXPECTATION_FAILED = 417;
+
     private final Supplier<CallerLimits> limits;
     private final CallerConnection connection;
     private HttpObjectAggregator aggregator;
@@ -38,7 +45,7 @@
     }
 
     private static HttpObjectAggregator newAggregator(CallerLimits limits) {
-        return new HttpObjectAggregator(limits.maximumBodyBytes(), true);
+        return new HttpObjectAggregator(limits.maximumBodyBytes());
     }
 
     @Override
@@ -48,31 +55,72 @@
 
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
-        if (message instanceof HttpRequest request) {
+        if (message instanceof HttpRequest request && !refused) {
             connection.releaseReceivedBody();
             parts.release();
             applyLimits(context, request);
+            checkHead(context, request);
+        }
+        if (message instanceof HttpContent content && !refused) {
+            checkBody(context, content);
         }
-        if (message instanceof HttpContent content) {
-            handleContent(context, content);
+        if (refused) {
+            discard(message);
+        } else if (message instanceof HttpContent content) {
+            forward(context, content);
         } else {
             context.fireChannelRead(message);
         }
     }
 
-    private void handleContent(ChannelHandlerContext context, HttpContent content) {
-        if (!refused && !connection.reserveBody(content.content().readableBytes())) {
-            refused = true;
-            parts.release();
-            replaceAggregator(context, limits.get());
-            connection.refuseUnread();
-        }
-        if (!refused) {
-            forward(context, content);
+    /**
+     * Refuses a request by its head, or asks for its body. The aggregator would do so without regard to earlier
+     * requests that have no response yet.
+     */
+    private void checkHead(ChannelHandlerContext context, HttpRequest request) {
+        if (request.decoderResult().isFailure()) {
             return;
         }
-        content.release();
-        if (content instanceof LastHttpContent) {
+        if (isUnknownExpectation(request)) {
+            refuse(context, EXPECTATION_FAILED, "unsupported expectation");
+        } else if (HttpUtil.getContentLength(request, 0) > aggregator.maxContentLength()) {
+            refuse(context, CONTENT_TOO_LARGE, "length exceeds the limit");
+        } else if (HttpUtil.is100ContinueExpected(request)) {
+            connection.requestBody();
+        }
+        request.headers().remove(HttpHeaderNames.EXPECT);
+    }
+
+    private static boolean isUnknownExpectation(HttpRequest request) {
+        return request.headers().contains(HttpHeaderNames.EXPECT)
+                && request.protocolVersion().compareTo(HttpVersion.HTTP_1_1) >= 0
+                && !HttpUtil.is100ContinueExpected(request);
+    }
+
+    private void checkBody(ChannelHandlerContext context, HttpContent content) {
+        int bytes = content.content().readableBytes();
+        if (connection.receivingBodyBytes() + bytes > aggregator.maxContentLength()) {
+            refuse(context, CONTENT_TOO_LARGE, "body exceeds the limit");
+        } else if (!connection.reserveBody(bytes)) {
+            stopForwarding(context);
+            connection.refuseUnread();
+        }
+    }
+
+    private void refuse(ChannelHandlerContext context, int status, String cause) {
+        stopForwarding(context);
+        connection.refuseReceiving(status, cause);
+    }
+
+    private void stopForwarding(ChannelHandlerContext context) {
+        refused = true;
+        parts.release();
+        replaceAggregator(context, limits.get());
+    }
+
+    private void discard(Object message) {
+        ReferenceCountUtil.release(message);
+        if (message instanceof LastHttpContent) {
             connection.unreadDiscarded();
         }
     }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/RawCaller.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/RawCaller.java
@@ -36,6 +36,24 @@
         socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
+    /**
+     * Reads until what was received ends with a text.
+     *
+     * @return what was received, one character a byte
+     * @throws IOException if the connection ends before, or nothing arrives for 8 s
+     */
+    public String read(String end) throws IOException {
+        StringBuilder received = new StringBuilder();
+        while (received.lastIndexOf(end) < 0) {
+            int next = socket.getInputStream().read();
+            if (next < 0) {
+                throw new IOException("the connection ended after " + received);
+            }
+            received.append((char) next);
+        }
+        return received.toString();
+    }
+
     /**
      * Reads until the other side ends the connection.
      *
