Take no success from an answer whose end is not certain

Callers saw: a 200 whose body is not the instance's, where its answer had a transfer coding that is not chunked beside a length, codings that nobody decodes, or a chunk of size "2 3". The same answers counted as reports, as acknowledged orders and as values of the store.

Why this works: ResponseDecoder, which instances, orders, reports and the store share, makes such a head or chunk malformed; what is malformed already ended an attempt with an unknown outcome, and a call without an answer.

--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/ChunkedBodyGuard.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/ChunkedBodyGuard.java
@@ -18,20 +18,29 @@
     private @Nullable ChunkSizeLines lines;
     private boolean failed;
 
-    /** Returns whether a body was malformed, so that nothing behind it on its connection can be told apart. */
-    boolean hasFailed() {
-        return failed;
+    /** A step of a decoder, which takes bytes of one message only. */
+    interface Step {
+
+        /** Reads bytes and adds what they decode to. */
+        void run() throws Exception;
     }
 
     /**
-     * Checks one step of a decoder, which takes bytes of one message only.
+     * Runs a step of a decoder and checks the bytes that it has read. Once a body was malformed, nothing behind it on
+     * its connection can be told apart, and all bytes are discarded instead.
      *
-     * @param buffer the buffer of the decoder
-     * @param start the index of the first byte that the step has read
-     * @param decoded everything decoded; what the step has added is replaced if the body is malformed
-     * @param decodedBefore the number of messages decoded before the step
+     * @param buffer the buffer that the step reads
+     * @param decoded the list that the step adds to
+     * @param step the step
      */
-    void check(ByteBuf buffer, int start, List<Object> decoded, int decodedBefore) {
+    void decode(ByteBuf buffer, List<Object> decoded, Step step) throws Exception {
+        if (failed) {
+            buffer.skipBytes(buffer.readableBytes());
+            return;
+        }
+        int start = buffer.readerIndex();
+        int decodedBefore = decoded.size();
+        step.run();
         if (lines != null && !lines.accept(buffer, start, buffer.readerIndex())) {
             failed = true;
             replaceAddedMessages(decoded, decodedBefore);
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/RequestDecoder.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/RequestDecoder.java
@@ -3,8 +3,6 @@
 import io.netty.buffer.ByteBuf;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpHeaderNames;
-import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
@@ -30,14 +28,7 @@
 
     @Override
     protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> decoded) throws Exception {
-        if (chunks.hasFailed()) {
-            buffer.skipBytes(buffer.readableBytes());
-            return;
-        }
-        int start = buffer.readerIndex();
-        int decodedBefore = decoded.size();
-        super.decode(context, buffer, decoded);
-        chunks.check(buffer, start, decoded, decodedBefore);
+        chunks.decode(buffer, decoded, () -> super.decode(context, buffer, decoded));
     }
 
     /** Called with the complete head, before it decides how the body is decoded. */
@@ -47,10 +38,7 @@
         if (fault.isPresent()) {
             throw new IllegalArgumentException(fault.get());
         }
-        if (message.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-            // Netty does not know all spellings of a list that ends with chunked.
-            message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        }
+        MessageFraming.normalize(message);
         return super.isContentAlwaysEmpty(message);
     }
 }
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/ResponseDecoder.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/ResponseDecoder.java
@@ -1,23 +1,28 @@
 package io.oleandermoor.transport.framing;
 
 import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.util.List;
+import java.util.Optional;
 import java.util.regex.Pattern;
 
 /**
  * Decodes the responses of a connection that carries one request at a time. Unlike Netty's client codec, it shows what
  * has arrived behind the end of a response, also if that is too little to be decoded, and it takes a status that is not
  * three digits from 100 to 599 for a malformed head: an instance in trouble sends statuses such as 000, which otherwise
- * counts as that of an interim response.
+ * counts as that of an interim response. A response whose end cannot be told for certain is malformed, too.
  */
 public final class ResponseDecoder extends HttpResponseDecoder {
 
     private static final Pattern STATUS = Pattern.compile("[1-5][0-9]{2}");
     private static final int STATUS_WORD = 1;
 
+    private final ChunkedBodyGuard chunks = new ChunkedBodyGuard();
     private HttpMethod requestMethod = HttpMethod.GET;
 
     /**
@@ -48,8 +53,22 @@
         return super.createMessage(initialLine);
     }
 
+    @Override
+    protected void decode(ChannelHandlerContext context, ByteBuf buffer, List<Object> decoded) throws Exception {
+        chunks.decode(buffer, decoded, () -> super.decode(context, buffer, decoded));
+    }
+
+    /** Called with the complete head, before it decides how the body is decoded. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        return requestMethod.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message);
+        if (requestMethod.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message)) {
+            return true;
+        }
+        Optional<String> fault = MessageFraming.findFault((HttpResponse) message);
+        if (fault.isPresent()) {
+            throw new IllegalArgumentException(fault.get());
+        }
+        MessageFraming.normalize(message);
+        return false;
     }
 }
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/TransferCodings.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/TransferCodings.java
@@ -69,4 +69,9 @@
         long chunked = codings.stream().filter(CHUNKED::equalsIgnoreCase).count();
         return chunked == 1 && CHUNKED.equalsIgnoreCase(codings.get(codings.size() - 1));
     }
+
+    /** Returns whether chunked is the only coding. */
+    boolean areChunkedOnly() {
+        return codings.size() == 1 && endWithChunked();
+    }
 }
