Refuse readiness checks without a certain end

Callers saw: text in the body of a readiness check, or of a request for metrics, was answered as a request of its own, so that a load balancer that shares the connection would take answers for others.

Evidence: RequestFramingTest.ReadinessCheck with the server before: 3 of 3 cases failed (the connection stayed open behind its answers).

Why this works: ServerCodec joins RequestDecoder with the encoder of the caller connections, which moved to transport/framing and is now used by both; a malformed request gets 400 and the connection ends.

Result: RequestFramingTest and CallerRequestDecoderTest pass (126).

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerRequestDecoder.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerRequestDecoder.java
@@ -23,7 +23,6 @@
     private static final byte LINE_END = '\n';
 
     private final RequestMemory memory;
-    private final Queue<HttpMethod> methods;
     private long headBytes;
     private long headFields;
     private boolean headComplete;
@@ -44,12 +43,13 @@
             int maximumChunkBytes,
             RequestMemory memory,
             Queue<HttpMethod> methods) {
-        super(new HttpDecoderConfig()
-                .setMaxInitialLineLength(maximumLineBytes)
-                .setMaxHeaderSize(maximumHeaderBytes)
-                .setMaxChunkSize(maximumChunkBytes));
+        super(
+                new HttpDecoderConfig()
+                        .setMaxInitialLineLength(maximumLineBytes)
+                        .setMaxHeaderSize(maximumHeaderBytes)
+                        .setMaxChunkSize(maximumChunkBytes),
+                methods);
         this.memory = memory;
-        this.methods = methods;
     }
 
     @Override
@@ -88,8 +88,7 @@
     }
 
     private void recordMessage(Object message) {
-        if (message instanceof HttpRequest request) {
-            methods.add(request.method());
+        if (message instanceof HttpRequest) {
             headComplete = true;
             memory.setHead(headCost());
         }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerServer.java
@@ -18,6 +18,7 @@
 import io.oleandermoor.state.callers.CallerMemory;
 import io.oleandermoor.state.callers.ConnectionShares;
 import io.oleandermoor.state.fleet.CallerLimits;
+import io.oleandermoor.transport.framing.ResponseEncoder;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
@@ -134,7 +135,7 @@
                         dropExcess();
                     }
                 })
-                .addLast(new CallerResponseEncoder(methods))
+                .addLast(new ResponseEncoder(methods))
                 .addLast(new CallerRequestDecoder(
                         MAXIMUM_REQUEST_LINE_BYTES,
                         maximumHeaderBytes,
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ReadinessServer.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ReadinessServer.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.EventLoop;
@@ -10,11 +11,13 @@
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpResponse;
 import io.netty.handler.codec.http.FullHttpRequest;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpHeaderNames;
+import io.netty.handler.codec.http.HttpHeaderValues;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.handler.codec.http.HttpServerCodec;
 import io.netty.handler.codec.http.HttpVersion;
+import io.oleandermoor.transport.framing.ServerCodec;
 import java.net.InetSocketAddress;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -46,8 +49,8 @@
                     @Override
                     protected void initChannel(SocketChannel channel) {
                         channel.pipeline()
-                                .addLast(new HttpServerCodec())
-                                .addLast(new HttpObjectAggregator(MAXIMUM_BODY_BYTES))
+                                .addLast(new ServerCodec(new HttpDecoderConfig()))
+                                .addLast(new HttpObjectAggregator(MAXIMUM_BODY_BYTES, true))
                                 .addLast(new Responder(ready, metrics));
                     }
                 })
@@ -67,6 +70,10 @@
 
         @Override
         protected void channelRead0(ChannelHandlerContext context, FullHttpRequest request) {
+            if (request.decoderResult().isFailure()) {
+                refuseMalformed(context);
+                return;
+            }
             if (request.uri().equals(METRICS_PATH)) {
                 DefaultFullHttpResponse text = new DefaultFullHttpResponse(
                         HttpVersion.HTTP_1_1, HttpResponseStatus.OK, Unpooled.wrappedBuffer(metrics.get()));
@@ -84,6 +91,15 @@
             context.writeAndFlush(response, context.voidPromise());
         }
 
+        /** The decoder reads nothing behind a malformed request. */
+        private static void refuseMalformed(ChannelHandlerContext context) {
+            DefaultFullHttpResponse response = new DefaultFullHttpResponse(
+                    HttpVersion.HTTP_1_1, HttpResponseStatus.BAD_REQUEST, Unpooled.EMPTY_BUFFER);
+            response.headers().set(HttpHeaderNames.CONTENT_LENGTH, 0);
+            response.headers().set(HttpHeaderNames.CONNECTION, HttpHeaderValues.CLOSE);
+            context.writeAndFlush(response).addListener(ChannelFutureListener.CLOSE);
+        }
+
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
             context.close();
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/RequestFramingTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/RequestFramingTest.java
@@ -369,6 +369,26 @@
         }
     }
 
+    @Nested
+    class ReadinessCheck {
+
+        /** Guards against a body that counts as readiness checks, or a request for metrics, of its own. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "Transfer-Encoding: gzip\\r\\n\\r\\n",
+                    "Transfer-Encoding: gzip\\r\\nContent-Length: 4\\r\\n\\r\\nbody",
+                    "Transfer-Encoding: chunked\\r\\n\\r\\n4 5\\r\\nbody\\r\\n0\\r\\n\\r\\n"
+                })
+        void withoutACertainEndIsRefused(String framingAndBody) throws Exception {
+            try (RawCaller caller = new RawCaller(entry.readyPort())) {
+                caller.write(RawCaller.head("GET", "/api/ready", OUTER_ID) + framingAndBody.translateEscapes()
+                        + "GET /metrics HTTP/1.1\r\n\r\n");
+                assertThat(RawCaller.statuses(caller.readToEnd())).containsExactly("400");
+            }
+        }
+    }
+
     /** Guards against refusing, or reading otherwise, what RFC 9112 permits. */
     @Nested
     class SoundHead {
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/request/CallerRequestDecoderTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/request/CallerRequestDecoderTest.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.oleandermoor.state.callers.CallerMemory;
+import io.oleandermoor.transport.framing.ResponseEncoder;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayDeque;
 import java.util.Queue;
@@ -28,7 +29,7 @@
     private final RequestMemory memory = new RequestMemory(account.open("a", null));
     private final Queue<HttpMethod> methods = new ArrayDeque<>();
     private final EmbeddedChannel channel = new EmbeddedChannel(
-            new CallerResponseEncoder(methods),
+            new ResponseEncoder(methods),
             new CallerRequestDecoder(8 << 10, 64 << 10, 64 << 10, memory, methods),
             new ChannelInboundHandlerAdapter() {
                 @Override
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
@@ -211,6 +211,11 @@
         return callerPort;
     }
 
+    /** Returns the port on which the entry answers readiness checks. */
+    public int readyPort() {
+        return readyPort;
+    }
+
     /** Returns the stand-in for the store. */
     public StoreStandIn store() {
         return store;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerResponseEncoder.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/ResponseEncoder.java
@@ -1,4 +1,4 @@
-package io.oleandermoor.gateway.request;
+package io.oleandermoor.transport.framing;
 
 import io.netty.handler.codec.http.HttpHeaderNames;
 import io.netty.handler.codec.http.HttpMethod;
@@ -9,7 +9,7 @@
 import org.jspecify.annotations.Nullable;
 
 /** Encodes responses according to the methods of their requests, which decide whether a response has a body. */
-final class CallerResponseEncoder extends HttpResponseEncoder {
+public final class ResponseEncoder extends HttpResponseEncoder {
 
     private final Queue<HttpMethod> methods;
     private @Nullable HttpMethod method;
@@ -19,7 +19,7 @@
      *
      * @param methods the methods of the requests that have no response yet
      */
-    CallerResponseEncoder(Queue<HttpMethod> methods) {
+    public ResponseEncoder(Queue<HttpMethod> methods) {
         this.methods = methods;
     }
 
--- a/oleandermoor-transport/src/test/java/io/oleandermoor/transport/framing/RequestDecoderTest.java
+++ b/oleandermoor-transport/src/test/java/io/oleandermoor/transport/framing/RequestDecoderTest.java
@@ -8,6 +8,7 @@
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpObjectAggregator;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Nested;
@@ -20,8 +21,8 @@
 
     /** Returns the targets and bodies of the requests in a text that arrives in two parts. */
     private static List<String> decode(String text, int split) {
-        EmbeddedChannel channel =
-                new EmbeddedChannel(new RequestDecoder(new HttpDecoderConfig()), new HttpObjectAggregator(1 << 10));
+        EmbeddedChannel channel = new EmbeddedChannel(
+                new RequestDecoder(new HttpDecoderConfig(), new ArrayDeque<>()), new HttpObjectAggregator(1 << 10));
         channel.writeInbound(Unpooled.copiedBuffer(text.substring(0, split), StandardCharsets.US_ASCII));
         channel.writeInbound(Unpooled.copiedBuffer(text.substring(split), StandardCharsets.US_ASCII));
         List<String> requests = new ArrayList<>();
