Refuse malformed requests to the older daemons

Callers saw: every malformed request was handled by the older daemons' API: text in a body ran as a request, a space in front of a colon or two lengths were served or left without an answer on an open connection.

Cause: Jooby adds Netty's server codec, with the fault of and without validation of headers, and does not ask whether a request could be decoded.

Evidence: MalformedRequestRefusalTest with the extension before: 16 of 20 cases failed ("200, 200" for a request and the text in its body; no answer for two lengths).

Why this works: ConnectionExtension, which all servers of the daemons share, puts ServerCodec in the place of the codec; MalformedRequestRefusal passes no part of a malformed request on and ends its connection with 400 behind the responses to earlier requests. EarlyResponse is what ConnectionRefusal had.

Result: MalformedRequestRefusalTest, ConnectionLimitTest and JoobyHttpServerTest pass (23). Not covered: Jooby leaves a connection open that asks to be closed (seen by the test, as before).

--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/ConnectionExtension.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/ConnectionExtension.java
@@ -4,15 +4,17 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelPipeline;
+import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpServerCodec;
+import io.oleandermoor.transport.framing.ServerCodec;
 import java.net.InetSocketAddress;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
 /**
- * Adds time limits for reading a request to each HTTP connection that this process accepts, and limits the number of
- * connections of a server. Jooby has no settings for these; Netty loads this class as a service when the extension
- * mechanism is switched on.
+ * Adds time limits for reading a request to each HTTP connection that this process accepts, refuses requests whose end
+ * cannot be told for certain, and limits the number of connections of a server. Jooby has no settings for these; Netty
+ * loads this class as a service when the extension mechanism is switched on.
  */
 public final class ConnectionExtension extends ChannelInitializerExtension {
 
@@ -61,6 +63,8 @@
         if (limit != null) {
             channel.closeFuture().addListener(closed -> limit.closed());
         }
+        pipeline.replace(CODEC, CODEC, new ServerCodec(new HttpDecoderConfig()));
+        pipeline.addAfter(CODEC, "malformed-request", new MalformedRequestRefusal());
         RequestTimeout timeout = new RequestTimeout();
         pipeline.addBefore(CODEC, "request-start", timeout.startHandler());
         pipeline.addAfter(CODEC, "request-end", timeout.endHandler());
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/ConnectionRefusal.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/ConnectionRefusal.java
@@ -1,13 +1,8 @@
 package io.oleandermoor.transport.http;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
-import io.netty.channel.socket.SocketChannel;
 import io.netty.util.ReferenceCountUtil;
-import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
 
 /**
@@ -20,9 +15,11 @@
     /** Time after which the connection is closed, whether or not the caller sent anything or closed its side. */
     private static final long CLOSE_MILLIS = 1_000;
 
-    private static final String BODY_TEXT =
+    private static final EarlyResponse RESPONSE = new EarlyResponse(
+            "503 Service Unavailable",
+            "Retry-After: 1\r\n",
             "{\"error\":{\"code\":\"too_many_connections\",\"message\":\"this entry has as"
-                    + " many connections as it may have\",\"outcome\":\"not_run\",\"retry_after_ms\":1000}}";
+                    + " many connections as it may have\",\"outcome\":\"not_run\",\"retry_after_ms\":1000}}");
 
     private boolean answered;
 
@@ -37,23 +34,11 @@
         ReferenceCountUtil.release(message);
         if (!answered) {
             answered = true;
-            refuse(context);
+            RESPONSE.write(context);
         }
     }
 
     private static void close(ChannelHandlerContext context) {
         var unused = context.close();
     }
-
-    private static void refuse(ChannelHandlerContext context) {
-        String response = "HTTP/1.1 503 Service Unavailable\r\nContent-Type: application/json\r\nConnection: close\r\n"
-                + "Retry-After: 1\r\nContent-Length: " + BODY_TEXT.length() + "\r\n\r\n" + BODY_TEXT;
-        ByteBuf buffer = Unpooled.copiedBuffer(response, StandardCharsets.US_ASCII);
-        ChannelHandlerContext head = context.pipeline().firstContext();
-        var unused = head.writeAndFlush(buffer).addListener((ChannelFutureListener) written -> {
-            if (written.isSuccess() && written.channel() instanceof SocketChannel socket) {
-                var unusedResult = socket.shutdownOutput();
-            }
-        });
-    }
 }
