Fail daemon calls whose response has no certain end

Callers saw: the older daemons took a write to the store, an order or a booking for done by a response with a transfer coding that is not chunked beside a length, with several lengths, or with a length that is no number; a negative length ended the thread of the call with an unchecked exception.

Cause: OkHttp takes a body for chunked if the header says exactly that, and otherwise for as long as the last length that it can read says.

Why this works: HttpClients, which makes all clients of the daemons, adds an interceptor that sees the headers as they came and asks MessageFraming, as the decoders of the entry do.

--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/HttpClients.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/HttpClients.java
@@ -25,7 +25,7 @@
 
     /**
      * Creates a client that never repeats a request by itself: whether a request may run twice is decided elsewhere.
-     * Each request has a connection of its own.
+     * Each request has a connection of its own. A response whose end is not certain fails its request.
      *
      * @param readTimeout longest silence of the other side
      * @return the client
@@ -40,6 +40,7 @@
                 .connectTimeout(CONNECT_TIMEOUT)
                 .readTimeout(readTimeout)
                 .writeTimeout(readTimeout)
+                .addNetworkInterceptor(new ResponseFramingInterceptor())
                 .retryOnConnectionFailure(false)
                 .followRedirects(false)
                 .build();
