Count no memory for what follows a malformed request

Callers saw: with the time in which an entry discards what follows a refused request, those bytes counted as a head that is being received. Enough of them make the entry drop unfinished requests of the same address to stay within its bound, though it keeps none of them.

Cause: CallerRequestDecoder counts the bytes that a step reads until a head is complete; behind a malformed request no head ever is.

Evidence: CallerRequestDecoderTest with the decoder before: 708 bytes counted behind a malformed head, 1,050,717 behind a malformed chunk and 30 kB.

Why this works: from the malformed request on the decoder counts nothing, and returns what it had counted.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerRequestDecoder.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/CallerRequestDecoder.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.oleandermoor.transport.framing.RequestDecoder;
@@ -27,6 +28,8 @@
     private long headFields;
     private boolean headComplete;
     private boolean requestComplete;
+    /** Whether a request was malformed, so that what follows is discarded and costs nothing. */
+    private boolean discarding;
 
     /**
      * Creates a decoder for one connection.
@@ -55,6 +58,10 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
         super.channelRead(context, message);
+        if (discarding) {
+            memory.setHead(0);
+            return;
+        }
         long unreadBytes = actualReadableBytes();
         if (requestComplete) {
             memory.setHead(unreadBytes * COPIES);
@@ -68,6 +75,9 @@
         int start = buffer.readerIndex();
         int messagesBefore = decoded.size();
         super.decode(context, buffer, decoded);
+        if (discarding) {
+            return;
+        }
         if (requestComplete && buffer.readerIndex() > start) {
             beginHead();
         }
@@ -88,6 +98,9 @@
     }
 
     private void recordMessage(Object message) {
+        if (message instanceof HttpObject part && part.decoderResult().isFailure()) {
+            discarding = true;
+        }
         if (message instanceof HttpRequest) {
             headComplete = true;
             memory.setHead(headCost());
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/request/CallerRequestDecoderTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/request/CallerRequestDecoderTest.java
@@ -20,6 +20,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Nested;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
 
 class CallerRequestDecoderTest {
 
@@ -34,7 +36,8 @@
             new ChannelInboundHandlerAdapter() {
                 @Override
                 public void channelRead(ChannelHandlerContext context, Object message) {
-                    if (message instanceof LastHttpContent) {
+                    if (message instanceof LastHttpContent last
+                            && last.decoderResult().isSuccess()) {
                         memory.requestReceived();
                     }
                     context.fireChannelRead(message);
@@ -106,6 +109,23 @@
         }
     }
 
+    @Nested
+    class MalformedRequest {
+
+        /** Guards against requests of other callers that are dropped for bytes that are discarded, and not kept. */
+        @ParameterizedTest
+        @ValueSource(
+                strings = {
+                    "POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n",
+                    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n4 5\r\n"
+                })
+        void costsNothingWhateverFollows(String request) {
+            receive(request);
+            receive("a: b\r\n".repeat(5_000));
+            assertThat(account.usedBytes()).isZero();
+        }
+    }
+
     @Nested
     class Response {
 
