--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/package-info.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/package-info.java
@@ -1,4 +1,4 @@
-/** Finds where one HTTP/1.1 response ends and another begins on connections whose peer may violate the framing. */
+/** Finds where one HTTP/1.1 message ends and the next begins on connections whose peer may violate the framing. */
 @NullMarked
 package io.oleandermoor.transport.framing;
 
