Let one piece of code check framing, and one write early responses

From reading the whole change once more; behaviour stays as it is.

- Both decoders asked for a fault, threw it and replaced the codings: MessageFraming.requireSound does all three, and what only they called is no longer public.
- ChunkedBodyGuard made a list and an iterator for each step of a decoder; it counts through what the step added instead.

Checks: formatter, linters and the 77 tests of transport by Maven; 201 cases of the entry's, instances' and platform's framing.

--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/ChunkedBodyGuard.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/ChunkedBodyGuard.java
@@ -45,7 +45,8 @@
             failed = true;
             replaceAddedMessages(decoded, decodedBefore);
         }
-        for (Object message : decoded.subList(decodedBefore, decoded.size())) {
+        for (int index = decodedBefore; index < decoded.size(); index++) {
+            Object message = decoded.get(index);
             if (message instanceof HttpMessage head) {
                 lines = HttpUtil.isTransferEncodingChunked(head) ? new ChunkSizeLines() : null;
             }
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/MessageFraming.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/MessageFraming.java
@@ -24,31 +24,31 @@
     private MessageFraming() {}
 
     /**
-     * Returns why the end of a request cannot be told for certain.
+     * Checks that the end of a request can be told for certain.
      *
      * @param request a request whose Content-Length, if it has one, is known to be a single number
-     * @return the reason, empty if the framing is sound
+     * @throws IllegalArgumentException if its framing is not sound
      */
-    public static Optional<String> findFault(HttpRequest request) {
+    static void requireSound(HttpRequest request) {
         if (request.method().equals(HttpMethod.CONNECT)) {
-            return Optional.of("the response to CONNECT would be followed by bytes that are not HTTP");
+            throw new IllegalArgumentException("the response to CONNECT would be followed by bytes that are not HTTP");
         }
-        return findFault(request, TransferCodings::endWithChunked);
+        requireSound(request, TransferCodings::endWithChunked);
     }
 
     /**
-     * Returns why the end of a response that has a body cannot be told for certain, or why its body is not what the
-     * sender meant: no coding but chunked is ever asked for (RFC 9110, section 10.1.4), and none is decoded.
+     * Checks that the end of a response that has a body can be told for certain, and that its body is what the sender
+     * meant: no coding but chunked is ever asked for (RFC 9110, section 10.1.4), and none is decoded.
      *
      * @param response a response whose Content-Length, if it has one, is known to be a single number
-     * @return the reason, empty if the framing is sound
+     * @throws IllegalArgumentException if its framing is not sound
      */
-    public static Optional<String> findFault(HttpResponse response) {
-        return findFault(response, TransferCodings::areChunkedOnly);
+    static void requireSound(HttpResponse response) {
+        requireSound(response, TransferCodings::areChunkedOnly);
     }
 
     /**
-     * Returns what {@link #findFault(HttpResponse)} returns, for the headers of a response of another library.
+     * Returns why the framing of a response that another library has decoded is not sound, by the same rules.
      *
      * @param version the version of the response
      * @param transferEncodings the values of all Transfer-Encoding headers
@@ -65,12 +65,20 @@
         return findFault(version, transferEncodings, !contentLengths.isEmpty(), TransferCodings::areChunkedOnly);
     }
 
-    private static Optional<String> findFault(HttpMessage message, Predicate<TransferCodings> sound) {
-        return findFault(
+    private static void requireSound(HttpMessage message, Predicate<TransferCodings> sound) {
+        List<String> transferEncodings = message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING);
+        Optional<String> fault = findFault(
                 message.protocolVersion(),
-                message.headers().getAll(HttpHeaderNames.TRANSFER_ENCODING),
+                transferEncodings,
                 message.headers().contains(HttpHeaderNames.CONTENT_LENGTH),
                 sound);
+        if (fault.isPresent()) {
+            throw new IllegalArgumentException(fault.get());
+        }
+        if (!transferEncodings.isEmpty()) {
+            // Netty does not know all spellings of a list that ends with chunked.
+            message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
+        }
     }
 
     private static Optional<String> findFault(
@@ -91,11 +99,4 @@
                 ? Optional.empty()
                 : Optional.of("no transfer codings that end with chunked once");
     }
-
-    /** Replaces transfer codings without a fault by chunked, because Netty does not know all spellings of them. */
-    static void normalize(HttpMessage message) {
-        if (message.headers().contains(HttpHeaderNames.TRANSFER_ENCODING)) {
-            message.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
-        }
-    }
 }
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/RequestDecoder.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/RequestDecoder.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.HttpRequestDecoder;
 import java.util.List;
-import java.util.Optional;
 import java.util.Queue;
 
 /**
@@ -45,11 +44,7 @@
     /** Called with the complete head, before it decides how the body is decoded. */
     @Override
     protected boolean isContentAlwaysEmpty(HttpMessage message) {
-        Optional<String> fault = MessageFraming.findFault((HttpRequest) message);
-        if (fault.isPresent()) {
-            throw new IllegalArgumentException(fault.get());
-        }
-        MessageFraming.normalize(message);
+        MessageFraming.requireSound((HttpRequest) message);
         return super.isContentAlwaysEmpty(message);
     }
 }
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/ResponseDecoder.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/framing/ResponseDecoder.java
@@ -8,7 +8,6 @@
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpResponseDecoder;
 import java.util.List;
-import java.util.Optional;
 import java.util.regex.Pattern;
 
 /**
@@ -64,11 +63,7 @@
         if (requestMethod.equals(HttpMethod.HEAD) || super.isContentAlwaysEmpty(message)) {
             return true;
         }
-        Optional<String> fault = MessageFraming.findFault((HttpResponse) message);
-        if (fault.isPresent()) {
-            throw new IllegalArgumentException(fault.get());
-        }
-        MessageFraming.normalize(message);
+        MessageFraming.requireSound((HttpResponse) message);
         return false;
     }
 }
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/ConnectionRefusal.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/ConnectionRefusal.java
@@ -34,7 +34,7 @@
         ReferenceCountUtil.release(message);
         if (!answered) {
             answered = true;
-            RESPONSE.write(context);
+            RESPONSE.writeAndEndOutput(context);
         }
     }
 
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/EarlyResponse.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/EarlyResponse.java
@@ -2,6 +2,7 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.socket.SocketChannel;
@@ -18,17 +19,26 @@
 record EarlyResponse(String status, String headerLines, String body) {
 
     /**
-     * Writes the response and ends the connection towards the caller. The connection stays open in the other direction,
-     * because closing a socket with unread bytes would reset the connection and lose the response.
+     * Writes the response.
      *
      * @param context the context of any handler of the connection
+     * @return completes when the response is written
      */
-    void write(ChannelHandlerContext context) {
+    ChannelFuture write(ChannelHandlerContext context) {
         String text = "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nConnection: close\r\n" + headerLines
                 + "Content-Length: " + body.length() + "\r\n\r\n" + body;
         ByteBuf buffer = Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII);
-        ChannelHandlerContext head = context.pipeline().firstContext();
-        var unused = head.writeAndFlush(buffer).addListener((ChannelFutureListener) written -> {
+        return context.pipeline().firstContext().writeAndFlush(buffer);
+    }
+
+    /**
+     * Writes the response and ends the connection towards the caller. The connection stays open in the other direction,
+     * because closing a socket with unread bytes would reset the connection and lose the response.
+     *
+     * @param context the context of any handler of the connection
+     */
+    void writeAndEndOutput(ChannelHandlerContext context) {
+        var unused = write(context).addListener((ChannelFutureListener) written -> {
             if (written.isSuccess() && written.channel() instanceof SocketChannel socket) {
                 var unusedResult = socket.shutdownOutput();
             }
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/MalformedRequestRefusal.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/MalformedRequestRefusal.java
@@ -76,7 +76,7 @@
 
     private void refuseIfDue(ChannelHandlerContext context) {
         if (malformed && requestsWithoutResponse <= 0) {
-            RESPONSE.write(context);
+            RESPONSE.writeAndEndOutput(context);
             var unused = context.executor().schedule(() -> close(context), CLOSE_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/RequestTimeout.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/http/RequestTimeout.java
@@ -1,7 +1,5 @@
 package io.oleandermoor.transport.http;
 
-import io.netty.buffer.ByteBuf;
-import io.netty.buffer.Unpooled;
 import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
@@ -9,7 +7,6 @@
 import io.netty.handler.codec.http.HttpRequest;
 import io.netty.handler.codec.http.LastHttpContent;
 import io.netty.util.concurrent.ScheduledFuture;
-import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
@@ -26,9 +23,11 @@
     /** Longest time from the end of the headers to the end of the body. */
     static final Duration BODY = Duration.ofSeconds(20);
 
-    private static final String BODY_TEXT =
+    private static final EarlyResponse RESPONSE = new EarlyResponse(
+            "408 Request Timeout",
+            "",
             "{\"error\":{\"code\":\"request_timeout\",\"message\":\"the request did not arrive in time\","
-                    + "\"outcome\":\"not_run\"}}";
+                    + "\"outcome\":\"not_run\"}}");
 
     private @Nullable ScheduledFuture<?> timer;
 
@@ -82,12 +81,7 @@
         }
     }
 
-    /** Writes below the codec, which expects no response before a request is complete. */
     private static void refuse(ChannelHandlerContext context) {
-        String response = "HTTP/1.1 408 Request Timeout\r\nContent-Type: application/json\r\nConnection: close\r\n"
-                + "Content-Length: " + BODY_TEXT.length() + "\r\n\r\n" + BODY_TEXT;
-        ByteBuf buffer = Unpooled.copiedBuffer(response, StandardCharsets.US_ASCII);
-        ChannelHandlerContext head = context.pipeline().firstContext();
-        var unused = head.writeAndFlush(buffer).addListener(ChannelFutureListener.CLOSE);
+        var unused = RESPONSE.write(context).addListener(ChannelFutureListener.CLOSE);
     }
 }
