--- a/review/standin-3/Replica.java
+++ b/review/standin-3/Replica.java
@@ -32,7 +32,7 @@
     private final Store store;
     private final Handler handler;
     private final int slots;
-    private final String models;
+    private volatile String models;
     private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
     private final int port;
     private volatile ServerSocket server;
@@ -64,6 +64,12 @@
         return born;
     }
 
+    /** Sets the models that the replica says it holds, and writes its entry into the store. */
+    void setModels(String newModels) {
+        models = newModels;
+        register("ready");
+    }
+
     /** Sets what answers reports and orders instead of a fixed report and the refusal of all orders. */
     void setControl(Control newControl) {
         control = newControl;
--- a/review/standin-3/Streams.java
+++ b/review/standin-3/Streams.java
@@ -6,6 +6,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 
 /** What callers and replicas of streams share: a configuration with one route, requests, answers and their reading. */
 final class Streams {
@@ -16,22 +17,27 @@
 
     /** Returns a configuration with one route of streams that may be resumed and go to two replicas at most. */
     static String configuration() {
-        return configuration(0);
+        return configuration(7, List.of("m0"));
     }
 
-    /** Returns the same configuration, with a number of adapters of the one model. */
-    static String configuration(int adapters) {
-        return "{\"version\":7,\"routes\":[{\"name\":\"r-proof\",\"host\":\"shop.example\",\"path-prefix\":\"/proof/\","
-                + "\"kind\":\"streaming\",\"timeout-ms\":12000,\"target-latency-ms\":500,\"priority\":1,"
-                + "\"service\":\"llm\",\"max-attempts\":2,\"allow-anonymous\":false,\"sticky-sessions\":true,"
-                + "\"resumable\":true,\"gap-target-ms\":150}],"
+    /** Returns the same configuration in a version, with models of the size that they have on the site. */
+    static String configuration(int version, List<String> models) {
+        return "{\"version\":" + version + ",\"routes\":[{\"name\":\"r-proof\",\"host\":\"shop.example\","
+                + "\"path-prefix\":\"/proof/\",\"kind\":\"streaming\",\"timeout-ms\":12000,"
+                + "\"target-latency-ms\":500,\"priority\":1,\"service\":\"llm\",\"max-attempts\":2,"
+                + "\"allow-anonymous\":false,\"sticky-sessions\":true,\"resumable\":true,\"gap-target-ms\":150}],"
                 + "\"services\":[{\"name\":\"llm\",\"health-path\":\"/health\",\"max-connections\":370,"
                 + "\"protocol\":\"h1\",\"tls\":false,\"engine\":{\"slots\":64,\"kv-capacity\":158517,"
                 + "\"kv-token-bytes\":163840,\"link-mbps\":1100000.0,\"stride\":6,\"at-most\":12,\"host-mb\":140000.0,"
                 + "\"disk-mb\":400000.0,\"pin-ms\":4000.0,\"hold-ms\":2000.0,\"handle_s\":5.0,"
-                + "\"models\":[{\"name\":\"m0\",\"weights-mb\":72700.0,\"load-time-s\":5.8,\"adapters\":" + adapters + ","
-                + "\"adapter-mb\":66.0,\"warm-s\":0.63,\"disk-s\":1.2}],"
-                + "\"weights-mb\":200000.0,\"adapter-slots\":8,\"loads-per-s\":1.4}}],"
+                + "\"models\":["
+                + String.join(
+                        ",",
+                        models.stream()
+                                .map(name -> "{\"name\":\"" + name + "\",\"weights-mb\":72700.0,\"load-time-s\":5.8,"
+                                        + "\"adapters\":0,\"adapter-mb\":66.0,\"warm-s\":0.63,\"disk-s\":1.2}")
+                                .toList())
+                + "],\"weights-mb\":200000.0,\"adapter-slots\":8,\"loads-per-s\":1.4}}],"
                 + "\"limits\":{\"max-header-bytes\":16384,\"max-body-bytes\":4194304,\"header-timeout-ms\":3000,"
                 + "\"idle-timeout-ms\":15000},\"tenants\":[{\"name\":\"t-1\",\"api-keys\":[\"key-1\"],\"priority\":1}]}";
     }
@@ -45,7 +51,7 @@
     }
 
     /** Writes one event. */
-    static void event(OutputStream output, int number) throws IOException {
+    static void event(OutputStream output, long number) throws IOException {
         String text = "id: " + number + "\ndata: token-" + number + "\n\n";
         output.write((Integer.toHexString(text.length()) + "\r\n" + text + "\r\n").getBytes(StandardCharsets.ISO_8859_1));
         output.flush();
