--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/InstanceRequests.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/InstanceRequests.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpVersion;
 import io.oleandermoor.platform.RequestHeaders;
+import io.oleandermoor.state.dispatch.EventId;
 import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import io.oleandermoor.state.quarantine.RequestTraits;
@@ -14,7 +15,7 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import java.util.List;
-import java.util.OptionalLong;
+import java.util.Optional;
 
 /** Creates the requests that are sent to instances from those of callers, and determines what they have in common. */
 final class InstanceRequests {
@@ -63,7 +64,7 @@
             AdmittedRequest admitted,
             UpstreamInstance instance,
             long remainingMillis,
-            OptionalLong lastEventId) {
+            Optional<EventId> lastEventId) {
         RequestHeaders.InstanceHeaders headers = new RequestHeaders.InstanceHeaders(
                 instance.id(),
                 admitted.team().map(TeamLimits::name),
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -9,6 +9,7 @@
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.RequestHeaders;
 import io.oleandermoor.state.dispatch.DispatchMechanism;
+import io.oleandermoor.state.dispatch.EventId;
 import io.oleandermoor.state.dispatch.InstanceTable;
 import io.oleandermoor.state.dispatch.InstanceTable.InstanceSelection;
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
@@ -20,7 +21,6 @@
 import io.oleandermoor.state.quarantine.RequestQuarantine.Quarantine;
 import io.oleandermoor.state.quarantine.RequestTraits;
 import java.util.Optional;
-import java.util.OptionalLong;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
@@ -280,9 +280,9 @@
     private void sendTo(UpstreamInstance instance) {
         long now = Timestamp.monotonicNowMillis();
         sends.recordSend(instance.id());
-        OptionalLong lastEventId = stream != null && stream.lastEventId() >= 0
-                ? OptionalLong.of(stream.lastEventId())
-                : admitted.caller().lastEventId();
+        Optional<EventId> lastEventId = stream()
+                .flatMap(ResumableEventStream::lastEventId)
+                .or(() -> admitted.caller().lastEventId());
         FullHttpRequest copy = InstanceRequests.create(request, admitted, instance, deadlineMillis - now, lastEventId);
         SendAttempt attempt = new SendAttempt(this, instance);
         activeSend.begin(
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ResumableEventStream.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ResumableEventStream.java
@@ -2,7 +2,9 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
+import io.oleandermoor.state.dispatch.EventId;
 import java.nio.charset.StandardCharsets;
+import java.util.Optional;
 
 /**
  * Splits the bytes of an event stream into complete events, so that a stream that is interrupted within an event can
@@ -15,7 +17,7 @@
     private static final int MAXIMUM_EVENT_BYTES = 256 << 10;
 
     private final ByteBuf buffer = Unpooled.buffer(256);
-    private long lastEventId;
+    private Optional<EventId> lastEventId;
     private boolean resuming;
     private boolean foreignEventSeen;
     private boolean unnumberedEventTaken;
@@ -25,13 +27,14 @@
     /**
      * Creates a stream that has received no bytes.
      *
-     * @param lastEventId the id of the event after which the stream resumes, or -1 to start at the beginning
+     * @param lastEventId the id of the event after which the stream resumes, empty to start at the beginning
      */
-    ResumableEventStream(long lastEventId) {
+    ResumableEventStream(Optional<EventId> lastEventId) {
         this.lastEventId = lastEventId;
     }
 
-    long lastEventId() {
+    /** Returns the id of the last event that was taken, or after which the stream resumes; empty if there is none. */
+    Optional<EventId> lastEventId() {
         return lastEventId;
     }
 
@@ -44,7 +47,7 @@
     void resume() {
         buffer.clear();
         searchedIndex = 0;
-        resuming = lastEventId >= 0;
+        resuming = lastEventId.isPresent();
         foreignEventSeen = false;
     }
 
@@ -74,17 +77,17 @@
         int end = findEventEnd();
         ByteBuf newEvents = end < 0 ? Unpooled.EMPTY_BUFFER : Unpooled.buffer(buffer.readableBytes());
         while (end >= 0) {
-            long id = parseEventId(buffer.readerIndex(), end);
+            Optional<EventId> id = parseEventId(buffer.readerIndex(), end);
             boolean comment = buffer.getByte(buffer.readerIndex()) == COMMENT;
-            foreignEventSeen |= resuming && id < 0 && !comment;
+            foreignEventSeen |= resuming && id.isEmpty() && !comment;
             resuming &= comment;
             if (foreignEventSeen) {
                 break;
             }
-            if (id < 0 || id > lastEventId) {
+            if (id.isEmpty() || isNew(id.get())) {
                 newEvents.writeBytes(buffer, buffer.readerIndex(), end - buffer.readerIndex());
-                lastEventId = Math.max(id, lastEventId);
-                unnumberedEventTaken |= id < 0 && !comment;
+                lastEventId = id.or(() -> lastEventId);
+                unnumberedEventTaken |= id.isEmpty() && !comment;
             }
             buffer.readerIndex(end);
             end = findEventEnd();
@@ -94,6 +97,10 @@
         return newEvents;
     }
 
+    private boolean isNew(EventId id) {
+        return lastEventId.isEmpty() || id.isAfter(lastEventId.get());
+    }
+
     /** Returns the index after the empty line that ends the next event, or -1 if the event is incomplete. */
     private int findEventEnd() {
         int from = Math.max(searchedIndex, buffer.readerIndex());
@@ -113,16 +120,19 @@
         return -1;
     }
 
-    private long parseEventId(int start, int end) {
+    /** Returns the id of an event; empty if it has none or one that is no whole number. */
+    private Optional<EventId> parseEventId(int start, int end) {
         int lineStart = start;
         while (lineStart < end) {
             int lineEnd = buffer.indexOf(lineStart, end, (byte) '\n');
             if (startsWithId(lineStart, lineEnd)) {
-                return parseNumber(lineStart + ID_FIELD.length, lineEnd);
+                int valueStart = lineStart + ID_FIELD.length;
+                String value = buffer.toString(valueStart, lineEnd - valueStart, StandardCharsets.ISO_8859_1);
+                return EventId.parse(value.trim());
             }
             lineStart = lineEnd + 1;
         }
-        return -1;
+        return Optional.empty();
     }
 
     private boolean startsWithId(int lineStart, int lineEnd) {
@@ -136,19 +146,4 @@
         }
         return true;
     }
-
-    private long parseNumber(int from, int to) {
-        long value = 0;
-        boolean digits = false;
-        for (int index = from; index < to; index++) {
-            byte character = buffer.getByte(index);
-            if (character >= '0' && character <= '9') {
-                value = value * 10 + character - '0';
-                digits = true;
-            } else if (digits) {
-                break;
-            }
-        }
-        return digits ? value : -1;
-    }
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -190,10 +190,8 @@
                 .ifPresentOrElse(
                         ResumableEventStream::resume,
                         () -> exchange.beginStream(
-                                new ResumableEventStream(exchange.admitted()
-                                        .caller()
-                                        .lastEventId()
-                                        .orElse(-1)),
+                                new ResumableEventStream(
+                                        exchange.admitted().caller().lastEventId()),
                                 status,
                                 streamHeaders));
     }
@@ -325,7 +323,7 @@
             return;
         }
         // A run makes at least one event; only one that goes on behind the last event of another may have none.
-        boolean resumed = events.lastEventId() >= 0 && !head.delimitedByClose();
+        boolean resumed = events.lastEventId().isPresent() && !head.delimitedByClose();
         if (firstEventMillis < 0 && !resumed && !exchange.isHeadRequest()) {
             exchange.closeCurrentAttempt();
             handleLostConnection("ended_without_event");
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/CallerRequest.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/CallerRequest.java
@@ -27,7 +27,7 @@
         Optional<ModelTarget> target,
         Optional<Tokens> tokens,
         List<PromptPart> promptParts,
-        OptionalLong lastEventId) {
+        Optional<EventId> lastEventId) {
 
     /** Copies the prompt parts. */
     public CallerRequest {
