Keep whole numbers exactly in the older daemons

What operators could see: a lease, revision or version that the key-value service or an administration server had sent in a form that Jackson converts leniently was read as another number, or as 0: a lease id of 63 bits in a decimal form, a version with a fraction. What callers could see: numbers in the body of a request were rewritten by its way through a double (a seed of more than 53 bits with a fraction, 0.1 with many digits).

Fix: ExactJson reads numbers with BigDecimal and converts to a long only what a long holds; EtcdCodec refuses everything else with a StoreException, which the watch reports as the loss of the store.

--- a/oleandermoor-command/src/main/java/io/oleandermoor/command/AdministrationClient.java
+++ b/oleandermoor-command/src/main/java/io/oleandermoor/command/AdministrationClient.java
@@ -11,6 +11,7 @@
 import io.oleandermoor.state.finding.Finding;
 import io.oleandermoor.state.finding.InvalidInputException;
 import io.oleandermoor.state.finding.Severity;
+import io.oleandermoor.transport.json.ExactJson;
 import io.oleandermoor.transport.settings.Address;
 import java.io.IOException;
 import java.net.ConnectException;
@@ -93,8 +94,7 @@
             case 202 ->
                 new SubmitResult.RevokedForNow(
                         answer.json().path("otherEntries").asInt());
-            case 409 ->
-                new SubmitResult.Conflict(answer.json().path("currentVersion").asLong());
+            case 409 -> new SubmitResult.Conflict(version(answer.json().path("currentVersion")));
             case 400 -> new SubmitResult.Rejected(findings(answer));
             case 401, 404, 405, 413 -> throw failure(answer);
             default ->
@@ -117,8 +117,9 @@
             }
             try {
                 Answer answer = call(request("changes/" + changeId).build());
-                if (answer.status() == 200 && answer.json().path("version").isIntegralNumber()) {
-                    return OptionalLong.of(answer.json().path("version").asLong());
+                OptionalLong version = ExactJson.wholeNumber(answer.json().path("version"));
+                if (answer.status() == 200 && version.isPresent()) {
+                    return version;
                 }
                 notAccepted = answer.status() == 404 && answer.code().equals("not_found");
                 if (answer.status() == 401) {
@@ -155,7 +156,7 @@
                     process.path("role").asText(),
                     process.path("failureDomain").asText(),
                     process.path("status").asText(),
-                    process.path("version").asLong()));
+                    version(process.path("version"))));
         }
         return result;
     }
@@ -198,10 +199,15 @@
         }
     }
 
+    /** Returns a version, or 0 where none is in force. */
+    private static long version(JsonNode node) {
+        return ExactJson.wholeNumber(node).orElse(0);
+    }
+
     private static SubmitResult accepted(Answer answer) {
-        JsonNode version = answer.json().path("version");
-        return version.isIntegralNumber()
-                ? new SubmitResult.Accepted(version.asLong())
+        OptionalLong version = ExactJson.wholeNumber(answer.json().path("version"));
+        return version.isPresent()
+                ? new SubmitResult.Accepted(version.getAsLong())
                 : new SubmitResult.Unknown("the answer has no version");
     }
 
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/EngineBody.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/agent/EngineBody.java
@@ -1,17 +1,15 @@
 package io.oleandermoor.daemon.agent;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.oleandermoor.protocol.message.Dispatch;
 import io.oleandermoor.protocol.message.RequestClass;
+import io.oleandermoor.transport.json.ExactJson;
 import java.io.IOException;
 
 /** Turns a caller's request into the request that is sent to the engine. */
 final class EngineBody {
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-
     private static final int LIVE_PRIORITY = 0;
 
     private static final int BATCH_PRIORITY = 10;
@@ -23,7 +21,7 @@
      * that the caller has already.
      */
     static byte[] of(Dispatch dispatch) throws IOException {
-        if (!(MAPPER.readTree(dispatch.getCall().getBody().toByteArray()) instanceof ObjectNode body)) {
+        if (!(ExactJson.MAPPER.readTree(dispatch.getCall().getBody().toByteArray()) instanceof ObjectNode body)) {
             throw new IOException("body is not a JSON object");
         }
         body.put("stream", true);
@@ -37,6 +35,6 @@
             body.put("continue_final_message", true);
             body.put("add_generation_prompt", false);
         }
-        return MAPPER.writeValueAsBytes(body);
+        return ExactJson.MAPPER.writeValueAsBytes(body);
     }
 }
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CompletionRequest.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/CompletionRequest.java
@@ -2,9 +2,9 @@
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.oleandermoor.state.token.TokenEstimator;
+import io.oleandermoor.transport.json.ExactJson;
 import java.io.IOException;
 
 /**
@@ -22,11 +22,9 @@
 
     static final int LARGEST_MAXIMUM_TOKENS = 32_768;
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-
     static ObjectNode parseBody(byte[] bytes) throws RefusedException {
         try {
-            if (MAPPER.readTree(bytes) instanceof ObjectNode object) {
+            if (ExactJson.MAPPER.readTree(bytes) instanceof ObjectNode object) {
                 return object;
             }
             throw invalid("the body must be a JSON object");
--- a/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
+++ b/oleandermoor-daemon/src/main/java/io/oleandermoor/daemon/entry/RequestParser.java
@@ -1,6 +1,5 @@
 package io.oleandermoor.daemon.entry;
 
-import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import com.google.protobuf.ByteString;
 import io.oleandermoor.protocol.message.CallKind;
@@ -22,6 +21,7 @@
 import io.oleandermoor.state.routing.PromptPrefix;
 import io.oleandermoor.state.routing.RouteQuery;
 import io.oleandermoor.transport.http.HttpExchange;
+import io.oleandermoor.transport.json.ExactJson;
 import io.oleandermoor.transport.settings.EntrySettings;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
@@ -52,8 +52,6 @@
 
     private static final int LONGEST_IDEMPOTENCY_KEY = 255;
 
-    private static final ObjectMapper MAPPER = new ObjectMapper();
-
     private final Supplier<Configuration> configuration;
 
     private final BooleanSupplier keysUsable;
@@ -206,7 +204,9 @@
             return Optional.empty();
         }
         try {
-            return MAPPER.readTree(bytes) instanceof ObjectNode object ? Optional.of(object) : Optional.empty();
+            return ExactJson.MAPPER.readTree(bytes) instanceof ObjectNode object
+                    ? Optional.of(object)
+                    : Optional.empty();
         } catch (java.io.IOException exception) {
             // The body of a plain service is its own business; it is passed on as it is.
             return Optional.empty();
--- a/oleandermoor-operator/src/main/java/io/oleandermoor/operator/ConfigurationListing.java
+++ b/oleandermoor-operator/src/main/java/io/oleandermoor/operator/ConfigurationListing.java
@@ -1,5 +1,6 @@
 package io.oleandermoor.operator;
 
+import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.node.ArrayNode;
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.oleandermoor.state.configuration.ApiKey;
@@ -89,7 +90,8 @@
         Findings findings = new Findings();
         LocatedJson tree = LocatedJson.parse(json, MAXIMUM_BYTES, findings);
         findings.throwIfErrors();
-        long version = tree.root().path("version").asLong(-1);
+        JsonNode versionNode = tree.root().path("version");
+        long version = versionNode.isIntegralNumber() && versionNode.canConvertToLong() ? versionNode.longValue() : -1;
         if (version < 0 || !(tree.root().path("document") instanceof ObjectNode)) {
             findings.error("document", "must have a version and a document");
         }
--- a/oleandermoor-protocol/src/main/java/io/oleandermoor/protocol/mapping/AttemptMessages.java
+++ b/oleandermoor-protocol/src/main/java/io/oleandermoor/protocol/mapping/AttemptMessages.java
@@ -108,7 +108,7 @@
                         result.reason().name()))
                 .setStatus(result.status())
                 .setBody(ByteString.copyFrom(result.body().bytes()))
-                .setPromptTokens((int) promptTokens)
+                .setPromptTokens((int) Math.min(Integer.MAX_VALUE, Math.max(0, promptTokens)))
                 .setGeneratedTokens(result.endOffset())
                 .setLoad(load);
         for (HeaderField header : result.headers()) {
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/EngineControl.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/EngineControl.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.fasterxml.jackson.databind.node.ObjectNode;
+import io.oleandermoor.transport.json.ExactJson;
 import java.io.IOException;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -72,7 +73,7 @@
                     node.path("version").asText(),
                     node.path("state").asText(),
                     node.path("adapter").asBoolean(false),
-                    node.path("megabytes").asLong(0)));
+                    ExactJson.wholeNumber(node.path("megabytes")).orElse(0)));
         }
         return residents;
     }
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/UpstreamClient.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/client/UpstreamClient.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.databind.ObjectMapper;
 import io.oleandermoor.transport.client.UpstreamListener.Result;
 import io.oleandermoor.transport.client.UpstreamListener.Usage;
+import io.oleandermoor.transport.json.ExactJson;
 import java.io.IOException;
 import java.net.ConnectException;
 import java.util.HashMap;
@@ -202,8 +203,10 @@
         private void accept(JsonNode event, StringBuilder pending) {
             JsonNode usage = event.path("usage");
             if (usage.isObject()) {
-                promptTokens = usage.path("prompt_tokens").asLong(promptTokens);
-                generatedTokens = usage.path("completion_tokens").asLong(generatedTokens);
+                promptTokens =
+                        ExactJson.wholeNumber(usage.path("prompt_tokens")).orElse(promptTokens);
+                generatedTokens =
+                        ExactJson.wholeNumber(usage.path("completion_tokens")).orElse(generatedTokens);
             }
             JsonNode choice = event.path("choices").path(0);
             @Nullable String content = choice.path("delta").path("content").textValue();
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/platform/EtcdCodec.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/platform/EtcdCodec.java
@@ -5,8 +5,10 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import io.oleandermoor.coordination.store.KeyValueStore;
 import io.oleandermoor.coordination.store.LeaseId;
+import io.oleandermoor.coordination.store.StoreException;
 import io.oleandermoor.coordination.store.VersionedValue;
 import io.oleandermoor.coordination.store.WatchEvent;
+import io.oleandermoor.transport.json.ExactJson;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
@@ -56,13 +58,15 @@
         return request;
     }
 
-    static List<VersionedValue> readValues(JsonNode response) {
+    static List<VersionedValue> readValues(JsonNode response) throws StoreException {
         List<VersionedValue> values = new ArrayList<>();
-        response.path("kvs").forEach(node -> values.add(readValue(node)));
+        for (JsonNode node : response.path("kvs")) {
+            values.add(readValue(node));
+        }
         return values;
     }
 
-    static List<WatchEvent> readEvents(JsonNode message) {
+    static List<WatchEvent> readEvents(JsonNode message) throws StoreException {
         List<WatchEvent> events = new ArrayList<>();
         for (JsonNode event : message.path("result").path("events")) {
             VersionedValue value = readValue(event.path("kv"));
@@ -72,16 +76,30 @@
         return events;
     }
 
-    static long readRevision(JsonNode response) {
-        return response.path("header").path("revision").asLong();
+    static long readRevision(JsonNode response) throws StoreException {
+        return readNumber(response.path("header"), "revision");
+    }
+
+    /**
+     * Returns the whole number in a field, which is absent if it is 0.
+     *
+     * @throws StoreException if the field is anything else, or beyond the range of a long
+     */
+    static long readNumber(JsonNode parent, String name) throws StoreException {
+        JsonNode field = parent.path(name);
+        if (field.isMissingNode()) {
+            return 0;
+        }
+        return ExactJson.wholeNumber(field)
+                .orElseThrow(() -> new StoreException("field '" + name + "' is not a whole number: " + field));
     }
 
-    private static VersionedValue readValue(JsonNode node) {
+    private static VersionedValue readValue(JsonNode node) throws StoreException {
         Base64.Decoder decoder = Base64.getDecoder();
         String key = new String(decoder.decode(node.path("key").asText()), StandardCharsets.UTF_8);
         return new VersionedValue(
                 key,
-                node.path("mod_revision").asLong(),
+                readNumber(node, "mod_revision"),
                 decoder.decode(node.path("value").asText()));
     }
 
--- a/oleandermoor-transport/src/main/java/io/oleandermoor/transport/platform/EtcdKeyValueStore.java
+++ b/oleandermoor-transport/src/main/java/io/oleandermoor/transport/platform/EtcdKeyValueStore.java
@@ -84,14 +84,13 @@
     public Single<LeaseId> grantLease(Duration timeToLive) {
         ObjectNode request = EtcdCodec.MAPPER.createObjectNode();
         request.put("TTL", Long.toString(Math.max(1, timeToLive.toSeconds())));
-        return post("lease/grant", request)
-                .map(response -> new LeaseId(response.path("ID").asLong()));
+        return post("lease/grant", request).map(response -> new LeaseId(EtcdCodec.readNumber(response, "ID")));
     }
 
     @Override
     public Single<Boolean> renewLease(LeaseId lease) {
         return post("lease/keepalive", leaseRequest(lease))
-                .map(response -> response.path("result").path("TTL").asLong() > 0);
+                .map(response -> EtcdCodec.readNumber(response.path("result"), "TTL") > 0);
     }
 
     @Override
@@ -110,7 +109,7 @@
                 BackpressureStrategy.BUFFER);
     }
 
-    private static WriteResult readWrite(JsonNode response) {
+    private static WriteResult readWrite(JsonNode response) throws StoreException {
         return new WriteResult(response.path("succeeded").asBoolean(), EtcdCodec.readRevision(response));
     }
 
@@ -173,6 +172,8 @@
                     }
                     EtcdCodec.readEvents(EtcdCodec.MAPPER.readTree(line)).forEach(emitter::onNext);
                 }
+            } catch (StoreException exception) {
+                emitter.tryOnError(exception);
             } catch (IOException exception) {
                 onFailure(call, exception);
             }
