Ask about each run that is lost with its instance, until it is answered

Cause: SendAttempt took a stream for sound 150 ms after its first event, asked no CrashDetector from then on, and cleared all traits of its request. The class is an entry that stops to ask why a connection was lost while the run still goes on. It held also for: the rest of a stream that is resumed at another instance, which cleared what its first run had shown; answers that end with their connection, where a crash was a complete answer; runs whose connection the entry closes (the caller leaves, the deadline, a silent instance), which instances may continue; and all but 32 requests of an instance that ends.

Fix: RunEvidence observes each run. Only a run that began at the beginning and was answered completely disproves its traits; each other one that is lost is a suspect, with the time for which it had been answered. CrashDetector remembers runs whose connections this entry closed until their deadlines, and names them when it or another entry finds that the instance has ended; it asks after 1 s where no connection would tell.

So that sound requests aren't refused: an answer that goes on for more than twice as long as those that ended with their instances clears its shared parts; a part is not the cause of crashes that one repeated request explains; reports about the same crash are evaluated together, 20 ms after the first.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -90,7 +90,7 @@
     private final PlacementController placementController;
     private final PeerExchange peerExchange;
     private final GatewayMetrics metrics = new GatewayMetrics();
-    private final QuarantineCoordinator quarantine = new QuarantineCoordinator(metrics);
+    private final QuarantineCoordinator quarantine = new QuarantineCoordinator(loop, metrics);
     private final StoreClient store;
     private final EvacuationSchedule evacuations;
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -119,7 +119,6 @@
         RestoreObserver.start(store, view, metrics);
         NoticeRecorder noticeRecorder = new NoticeRecorder(view, metrics);
         pool.setNoticeListener(noticeRecorder);
-        pool.setContactLossListener(view.coldStarts()::recordContactLost);
         dispatcher = new RequestDispatcher(
                 loop,
                 view,
@@ -132,6 +131,10 @@
                 dispatchMechanisms(),
                 quarantine,
                 metrics);
+        pool.setContactLossListener(instance -> {
+            view.coldStarts().recordContactLost(instance);
+            dispatcher.recordContactLost(instance);
+        });
         callerServer = new CallerServer(loop, dispatcher, CallerBounds.of(settings));
         DemandTracker demands = new DemandTracker();
         membership = new EntryMembership(loop, store, view, settings.get(GatewaySettings.PEER_ADDRESS));
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/PeerExchange.java
@@ -57,6 +57,8 @@
      * in rotation only, because the cost of each change grows with their number.
      */
     private static final int MAXIMUM_LOAD_CHANGE_RECEIVERS = 64;
+    /** Suspects of a crash in one datagram, which holds some hundred bytes of each. */
+    private static final int MAXIMUM_DATAGRAM_SUSPECTS = 32;
     /** Time without a report of the order holder after which demand is reported to all entries. */
     private static final long ORDER_HOLDER_TIMEOUT_MILLIS = 2_000;
     /** Number of times that a crash is reported. */
@@ -156,6 +158,10 @@
 
     /** Reports at once to all other entries that an instance has ended, and repeats it in case a datagram is lost. */
     public void reportCrash(CrashReport crash) {
+        crash.split(MAXIMUM_DATAGRAM_SUSPECTS).forEach(this::sendCrash);
+    }
+
+    private void sendCrash(CrashReport crash) {
         byte[] report = EntryReport.newBuilder()
                 .setEntry(view.entry())
                 .setIncarnation(incarnation)
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/QuarantineMessages.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/peer/QuarantineMessages.java
@@ -18,7 +18,8 @@
         report.suspects()
                 .forEach(suspect -> message.addSuspects(CrashSuspect.newBuilder()
                         .setRequest(suspect.requestId())
-                        .addAllTraits(suspect.traits())));
+                        .addAllTraits(suspect.traits())
+                        .setAnsweringMillis(suspect.answeringMillis())));
         return message.build();
     }
 
@@ -27,7 +28,8 @@
                 message.getInstance(),
                 message.getStartedMillis(),
                 message.getSuspectsList().stream()
-                        .map(suspect -> new CrashReport.Suspect(suspect.getRequest(), suspect.getTraitsList()))
+                        .map(suspect -> new CrashReport.Suspect(
+                                suspect.getRequest(), suspect.getTraitsList(), suspect.getAnsweringMillis()))
                         .toList());
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/quarantine/QuarantineCoordinator.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/quarantine/QuarantineCoordinator.java
@@ -1,5 +1,6 @@
 package io.oleandermoor.gateway.quarantine;
 
+import io.netty.channel.EventLoop;
 import io.oleandermoor.gateway.metrics.GatewayMetrics;
 import io.oleandermoor.gateway.metrics.GatewayMetrics.QuarantineChange;
 import io.oleandermoor.gateway.view.Timestamp;
@@ -13,6 +14,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
@@ -21,6 +23,7 @@
  * Combines what this entry and the others observe of requests that end instances, and tells what follows from it. Used
  * on the event loop only.
  */
+@SuppressWarnings("FutureReturnValueIgnored") // Tasks run until the event loop ends.
 public final class QuarantineCoordinator {
 
     private static final String SELF = "self";
@@ -29,28 +32,49 @@
     private static final long DISPROOF_REPORT_MILLIS = 1_000;
     /** Time after a disproof in which quarantines of other entries, which may not have heard of it, are ignored. */
     private static final long DISPROOF_PRECEDENCE_MILLIS = 5_000;
+    /** Time for the reports of the other entries about the same crash to arrive. */
+    private static final long REPORT_COLLECTION_MILLIS = 20;
 
+    private final EventLoop loop;
     private final GatewayMetrics metrics;
+    private final List<ObservedCrash> collectedCrashes = new ArrayList<>();
+    private final List<Runnable> continuations = new ArrayList<>();
     private final RequestQuarantine quarantine = new RequestQuarantine();
     private final Map<String, Long> disprovedMillis = new HashMap<>();
     private final List<Consumer<Quarantine>> beginListeners = new ArrayList<>();
     private Consumer<CrashReport> reportListener = report -> {};
+    private Consumer<CrashReport> peerCrashListener = report -> {};
     private Runnable changeListener = () -> {};
 
     /**
      * Creates a coordinator that knows of no crashes.
      *
+     * @param loop the event loop
      * @param metrics counts crashes and quarantines
      */
-    public QuarantineCoordinator(GatewayMetrics metrics) {
+    public QuarantineCoordinator(EventLoop loop, GatewayMetrics metrics) {
+        this.loop = loop;
         this.metrics = metrics;
     }
 
+    /** The report of an entry about an instance that ended. */
+    private record ObservedCrash(CrashReport report, String observer) {
+
+        boolean isOwn() {
+            return observer.equals(SELF);
+        }
+    }
+
     /** Sets the listener that sends the crash reports of this entry to the others. */
     public void setReportListener(Consumer<CrashReport> listener) {
         reportListener = listener;
     }
 
+    /** Sets the listener that gets what other entries report of instances that ended. */
+    public void setPeerCrashListener(Consumer<CrashReport> listener) {
+        peerCrashListener = listener;
+    }
+
     /** Sets the listener that runs after quarantines have begun. */
     public void setChangeListener(Runnable listener) {
         changeListener = listener;
@@ -61,39 +85,67 @@
         beginListeners.add(listener);
     }
 
-    /** Records that an instance has ended, as this entry observed. */
-    public void recordOwnCrash(CrashReport report) {
+    /**
+     * Records that an instance has ended, as this entry observed.
+     *
+     * @param report the report, which is sent to the other entries
+     * @param continuation runs once the quarantines that follow from the crash are in force
+     */
+    public void recordOwnCrash(CrashReport report, Runnable continuation) {
         reportListener.accept(report);
-        List<Quarantine> begun = recordCrash(report, SELF);
-        begun.forEach(each -> beginListeners.forEach(listener -> listener.accept(each)));
+        continuations.add(continuation);
+        collect(new ObservedCrash(report, SELF));
     }
 
     /** Records that an instance has ended, as another entry observed. */
     public void recordPeerCrash(CrashReport report, String peer) {
-        recordCrash(report, peer);
+        if (!quarantine.isKnown(report)) {
+            peerCrashListener.accept(report);
+            collect(new ObservedCrash(report, peer));
+        }
     }
 
-    private List<Quarantine> recordCrash(CrashReport report, String observer) {
-        if (quarantine.isKnown(report)) {
-            return List.of();
+    /** Waits for other reports, because the requests of one entry may explain the crash without those of another. */
+    private void collect(ObservedCrash crash) {
+        if (collectedCrashes.isEmpty()) {
+            loop.schedule(this::evaluateCrashes, REPORT_COLLECTION_MILLIS, TimeUnit.MILLISECONDS);
         }
+        collectedCrashes.add(crash);
+    }
+
+    private void evaluateCrashes() {
+        List<ObservedCrash> crashes = collectedCrashes.stream()
+                .filter(crash -> !quarantine.isKnown(crash.report()))
+                .toList();
+        collectedCrashes.clear();
         long now = Timestamp.monotonicNowMillis();
-        List<Quarantine> begun = quarantine.recordCrash(report, now);
-        LOG.info(
-                "event=instance_crashed instance={} started={} observer={} suspects={}",
-                report.instance(),
-                report.startedMillis(),
-                observer,
-                report.suspects());
-        metrics.countCrash(observer.equals(SELF));
-        for (Quarantine each : begun) {
+        List<Quarantine> begun = quarantine.recordCrashes(
+                crashes.stream().map(ObservedCrash::report).toList(), now);
+        crashes.forEach(this::logCrash);
+        begun.forEach(each -> {
             metrics.countQuarantine(QuarantineChange.BEGUN);
-            logBegin(each, "crash of " + report.instance(), now);
+            logBegin(
+                    each, "crash of " + crashes.get(crashes.size() - 1).report().instance(), now);
+        });
+        if (crashes.stream().anyMatch(ObservedCrash::isOwn)) {
+            begun.forEach(each -> beginListeners.forEach(listener -> listener.accept(each)));
         }
         if (!begun.isEmpty()) {
             changeListener.run();
         }
-        return begun;
+        List<Runnable> due = List.copyOf(continuations);
+        continuations.clear();
+        due.forEach(Runnable::run);
+    }
+
+    private void logCrash(ObservedCrash crash) {
+        LOG.info(
+                "event=instance_crashed instance={} started={} observer={} suspects={}",
+                crash.report().instance(),
+                crash.report().startedMillis(),
+                crash.observer(),
+                crash.report().suspects());
+        metrics.countCrash(crash.isOwn());
     }
 
     private static void logBegin(Quarantine begun, String cause, long now) {
@@ -106,7 +158,12 @@
                 begun.repeated());
     }
 
-    /** Records that an instance has answered a request. */
+    /** Records that an instance goes on answering a request, for some time by now. */
+    public void recordProgress(RequestTraits traits, long answeringMillis) {
+        recordDisproved(quarantine.recordProgress(traits, answeringMillis), SELF);
+    }
+
+    /** Records that an instance has answered a request completely. */
     public void recordAnswer(RequestTraits traits) {
         recordDisproved(quarantine.recordAnswer(traits, Timestamp.monotonicNowMillis()), SELF);
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ActiveSend.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/ActiveSend.java
@@ -22,9 +22,9 @@
         return attempt == candidate;
     }
 
-    /** Returns whether the instance has survived the beginning of its answer to the request. */
-    boolean hasProvenAnswer() {
-        return attempt != null && attempt.isAnswerProven();
+    /** Returns whether the instance has been answering the request for a while. */
+    boolean isUnderWay() {
+        return attempt != null && attempt.evidence().isUnderWay();
     }
 
     /** Ends the attempt, whose connection is no longer needed. */
@@ -44,8 +44,13 @@
      */
     boolean cancel() {
         UpstreamPool.InFlightRequest current = inFlight;
+        SendAttempt currentAttempt = attempt;
         close();
-        return current != null && current.cancel();
+        boolean sent = current != null && current.cancel();
+        if (sent && currentAttempt != null) {
+            currentAttempt.evidence().runAbandoned();
+        }
+        return sent;
     }
 
     /** Sets whether the caller reads the response; the instance is read only while it does. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -115,7 +115,11 @@
         this.silenceDetector = new SilenceDetector(view);
         this.quarantine = quarantine;
         this.metrics = metrics;
-        this.crashDetector = new CrashDetector(loop, pool, this::handleCrash);
+        this.crashDetector = new CrashDetector(
+                loop,
+                pool,
+                instance -> pool.hasIdle(instance) || view.instances().load(instance) > 0,
+                this::handleCrash);
         pool.setAnomalyListener(new ResponseAnomalyLog(eventLog, metrics));
     }
 
@@ -123,6 +127,7 @@
     public void start() {
         view.addChangeListener(queue::dispatchWaiting);
         quarantine.setChangeListener(this::refuseQuarantined);
+        quarantine.setPeerCrashListener(crashDetector::instanceEnded);
         // Missed ticks are not caught up, because a pause of this process would otherwise count as silence of
         // instances.
         loop.scheduleWithFixedDelay(
@@ -130,12 +135,17 @@
         loop.scheduleAtFixedRate(this::tick, DISPATCH_INTERVAL_MILLIS, DISPATCH_INTERVAL_MILLIS, TimeUnit.MILLISECONDS);
     }
 
-    private void handleCrash(CrashReport report) {
+    /** Handles the loss of a connection to an instance, whether a request was sent on it or not. */
+    public void recordContactLost(String instance) {
+        crashDetector.contactLost(instance);
+    }
+
+    private void handleCrash(CrashReport report, Runnable continuation) {
         view.instances()
                 .state(report.instance())
                 .filter(state -> state.instance().startedMillis() == report.startedMillis())
                 .ifPresent(state -> state.recordUnreachable(Timestamp.monotonicNowMillis()));
-        quarantine.recordOwnCrash(report);
+        quarantine.recordOwnCrash(report, continuation);
     }
 
     private void refuseQuarantined() {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -5,6 +5,7 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponseStatus;
 import io.netty.util.concurrent.ScheduledFuture;
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.RequestHeaders;
@@ -41,10 +42,6 @@
 
     private static final String QUARANTINED = "quarantined";
 
-    private static final int BAD_GATEWAY = 502;
-    private static final int SERVICE_UNAVAILABLE = 503;
-    private static final int GATEWAY_TIMEOUT = 504;
-
     private final RequestDispatcher dispatcher;
     private final ResponseWriter response;
     private final FullHttpRequest request;
@@ -164,16 +161,18 @@
     }
 
     /**
-     * Refuses the request if requests like it end the instances that begin to answer them. Cancels it at an instance
-     * that has not begun to answer it; a stream that goes well is not touched.
+     * Refuses the request if requests like it end the instances that answer them, and cancels it at its instance. An
+     * answer that is under way is only cut off if this very request has ended instances before.
      *
      * @return whether the request was refused
      */
     boolean refuseIfQuarantined() {
-        Optional<Quarantine> quarantine = finished || activeSend.hasProvenAnswer()
-                ? Optional.empty()
-                : dispatcher.quarantine().find(traits);
-        if (quarantine.isEmpty()) {
+        if (finished) {
+            return false;
+        }
+        Optional<Quarantine> quarantine = dispatcher.quarantine().find(traits);
+        if (quarantine.isEmpty()
+                || (activeSend.isUnderWay() && !quarantine.get().isOfWholeRequest())) {
             return false;
         }
         cancelCurrentAttempt();
@@ -284,7 +283,8 @@
                 .flatMap(ResumableEventStream::lastEventId)
                 .or(() -> admitted.caller().lastEventId());
         FullHttpRequest copy = InstanceRequests.create(request, admitted, instance, deadlineMillis - now, lastEventId);
-        SendAttempt attempt = new SendAttempt(this, instance);
+        SendAttempt attempt =
+                new SendAttempt(this, instance, new RunEvidence(this, instance, deadlineMillis, lastEventId.isEmpty()));
         activeSend.begin(
                 attempt,
                 () -> dispatcher.pool().send(instance, copy, admitted.caller().id(), attempt));
@@ -305,7 +305,7 @@
             finish();
             response.abort();
         } else {
-            respond(GATEWAY_TIMEOUT, EmptyHttpHeaders.INSTANCE);
+            respond(HttpResponseStatus.GATEWAY_TIMEOUT, EmptyHttpHeaders.INSTANCE);
         }
     }
 
@@ -337,20 +337,20 @@
             finish();
             response.abort();
         } else if (sends.mayHaveRun()) {
-            respond(BAD_GATEWAY, EmptyHttpHeaders.INSTANCE);
+            respond(HttpResponseStatus.BAD_GATEWAY, EmptyHttpHeaders.INSTANCE);
         } else {
             long maximumDelayMillis = Math.max(0, deadlineMillis - Timestamp.monotonicNowMillis()) / RETURN_SHARE;
             long returnMillis = spaceReturn
                     ? dispatcher.reserveReturn(this, retryAfterMillis, maximumDelayMillis)
                     : retryAfterMillis;
             dispatcher.recordRefusal(this, shortage);
-            respond(SERVICE_UNAVAILABLE, ResponseWriter.retryAfterHeaders(returnMillis));
+            respond(HttpResponseStatus.SERVICE_UNAVAILABLE, ResponseWriter.retryAfterHeaders(returnMillis));
         }
     }
 
-    private void respond(int status, HttpHeaders headers) {
+    private void respond(HttpResponseStatus status, HttpHeaders headers) {
         finish();
-        response.writeLocalResponse(status, headers, admitted.caller().id());
+        response.writeLocalResponse(status.code(), headers, admitted.caller().id());
     }
 
     void finish() {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -15,7 +15,6 @@
 import io.oleandermoor.state.fleet.RequestKind;
 import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.fleet.UpstreamInstance;
-import io.oleandermoor.state.quarantine.CrashReport;
 import java.util.Optional;
 import org.jspecify.annotations.Nullable;
 
@@ -24,11 +23,10 @@
 
     private static final int MAXIMUM_BUFFERED_BODY_BYTES = 4 << 20;
     private static final int FIRST_SERVER_ERROR_STATUS = 500;
-    /** Time from the first event of a stream after which its request has evidently not ended the instance. */
-    private static final long ANSWER_PROOF_MILLIS = 150;
 
     private final RequestExchange exchange;
     private final UpstreamInstance instance;
+    private final RunEvidence evidence;
     private @Nullable ResponseHead responseHead;
     private @Nullable HttpHeaders responseHeaders;
     private @Nullable ByteBuf body;
@@ -45,12 +43,12 @@
     private boolean paused;
     private int ticksWithoutEvent;
     private long firstEventMillis = -1;
-    private boolean answerProven;
     private long lastEventMillis = -1;
 
-    SendAttempt(RequestExchange exchange, UpstreamInstance instance) {
+    SendAttempt(RequestExchange exchange, UpstreamInstance instance, RunEvidence evidence) {
         this.exchange = exchange;
         this.instance = instance;
+        this.evidence = evidence;
         this.loadAtSend = exchange.dispatcher().view().instances().load(instance.id());
     }
 
@@ -196,17 +194,9 @@
                                 streamHeaders));
     }
 
-    /** Returns whether the instance has survived the beginning of the answer. */
-    boolean isAnswerProven() {
-        return answerProven;
-    }
-
-    /** Records once that the instance has survived the beginning of the answer. */
-    private void recordProvenAnswer() {
-        if (!answerProven) {
-            answerProven = true;
-            exchange.dispatcher().quarantine().recordAnswer(exchange.traits());
-        }
+    /** Returns what the run tells about whether its request ends instances. */
+    RunEvidence evidence() {
+        return evidence;
     }
 
     private void recordProgress(long now) {
@@ -233,6 +223,7 @@
             exchange.dispatcher().silenceDetector().recordActivity(instance.id());
             int addedBytes = content.readableBytes();
             body.writeBytes(content);
+            evidence.recordPiece(Timestamp.monotonicNowMillis());
             if (!exchange.dispatcher().addBufferedBytes(addedBytes, body.readableBytes())
                     || body.readableBytes() > MAXIMUM_BUFFERED_BODY_BYTES) {
                 fail("answer_too_large");
@@ -251,9 +242,7 @@
                 }
                 firstEventMillis = firstEventMillis < 0 ? now : firstEventMillis;
                 lastEventMillis = now;
-                if (now - firstEventMillis >= ANSWER_PROOF_MILLIS) {
-                    recordProvenAnswer();
-                }
+                evidence.recordPiece(now);
                 exchange.latency().recordEvents(now);
                 exchange.response().writeEvents(newEvents);
             } else {
@@ -293,7 +282,7 @@
     }
 
     private void completeResponse(ResponseHead head, HttpHeaders headers) {
-        recordProvenAnswer();
+        evidence.recordAnswer(head.delimitedByClose());
         boolean failure = head.status() >= FIRST_SERVER_ERROR_STATUS;
         long now = Timestamp.monotonicNowMillis();
         instanceState().ifPresent(failure ? state -> state.recordFailure(now) : state -> state.recordSuccess(now));
@@ -329,9 +318,7 @@
             handleLostConnection("ended_without_event");
             return;
         }
-        if (!head.delimitedByClose()) {
-            recordProvenAnswer();
-        }
+        evidence.recordAnswer(head.delimitedByClose());
         long now = Timestamp.monotonicNowMillis();
         instanceState().ifPresent(state -> state.recordSuccess(now));
         exchange.dispatcher().recordRun(now - sentMillis);
@@ -401,6 +388,7 @@
         }
         if (how != FailureKind.OUTCOME_UNKNOWN) {
             if (how == FailureKind.NOT_SENT) {
+                exchange.dispatcher().crashDetector().contactLost(instance.id());
                 instanceState().ifPresent(state -> state.recordUnreachable(now));
             }
             if (shareSpent) {
@@ -421,20 +409,7 @@
         long now = Timestamp.monotonicNowMillis();
         logLoss(now);
         instanceState().ifPresent(state -> state.recordConnectionLoss(now));
-        Runnable retry = () -> exchange.retryOrFail(reason + " of " + instance.id());
-        boolean leaving = exchange.dispatcher().view().instances().isWithdrawn(instance, now);
-        if (answerProven || leaving) {
-            retry.run();
-            return;
-        }
-        exchange.dispatcher()
-                .crashDetector()
-                .connectionLost(
-                        instance,
-                        new CrashReport.Suspect(
-                                exchange.admitted().caller().id(),
-                                exchange.traits().all()),
-                        retry);
+        evidence.connectionLost(() -> exchange.retryOrFail(reason + " of " + instance.id()));
     }
 
     /** Logs how far the request had got, from which the request that ended an instance can be told. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/upstream/UpstreamPool.java
@@ -133,6 +133,12 @@
         });
     }
 
+    /** Returns whether there is an idle connection to an instance. */
+    public boolean hasIdle(String instanceId) {
+        return idleConnections.getOrDefault(instanceId, new ArrayDeque<>()).stream()
+                .anyMatch(UpstreamConnection::isIdle);
+    }
+
     private Optional<UpstreamConnection> acquireIdle(String instanceId, String id) {
         Deque<UpstreamConnection> connections = idleConnections.get(instanceId);
         while (connections != null && !connections.isEmpty()) {
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/StoreRestoreTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/follow/StoreRestoreTest.java
@@ -216,7 +216,7 @@
         /** Guards against a prompt that ends instances again after all entries restart, because the copy lacks it. */
         @Test
         void activeOnesAreWrittenAgain() throws Exception {
-            QuarantineCoordinator coordinator = new QuarantineCoordinator(metrics);
+            QuarantineCoordinator coordinator = new QuarantineCoordinator(loop, metrics);
             store.takeCopy();
             loop.submit(new QuarantineStore(loop, client, coordinator)::start).sync();
             awaitOnLoop(() -> client.era() > 0);
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeLossTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeLossTest.java
@@ -105,7 +105,13 @@
             this.name = name;
             view = new DeploymentView(name, new InstanceTable(failureDomain, 1));
             exchange = new PeerExchange(
-                    loop, view, new DemandTracker(), new QuarantineCoordinator(metrics), metrics, this::peers, Map::of);
+                    loop,
+                    view,
+                    new DemandTracker(),
+                    new QuarantineCoordinator(loop, metrics),
+                    metrics,
+                    this::peers,
+                    Map::of);
             address = exchange.bind(new InetSocketAddress("127.0.0.1", 0));
         }
 
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
@@ -56,7 +56,7 @@
                     loop,
                     view,
                     demands,
-                    new QuarantineCoordinator(new GatewayMetrics()),
+                    new QuarantineCoordinator(loop, new GatewayMetrics()),
                     new GatewayMetrics(),
                     () -> others(name),
                     () -> Map.of(TARGET, new DemandTracker.RequestCounts(1, 0)));
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -97,6 +98,7 @@
     private volatile int partialBytes;
     private volatile int completeBytes;
     private volatile Predicate<Map<String, String>> crashCondition = request -> false;
+    private volatile Optional<GradualAnswer> gradualAnswer = Optional.empty();
     private volatile UnaryOperator<String> rawResponse = requestId -> "";
 
     /** Starts an instance on a free loopback port. */
@@ -147,6 +149,11 @@
         crashCondition = condition;
     }
 
+    /** Answers all requests in pieces; those of {@link #crashOn} end the instance during their answers. */
+    public void answerGradually(GradualAnswer answer) {
+        gradualAnswer = Optional.of(answer);
+    }
+
     /** Returns whether the instance has ended. */
     public boolean hasEnded() {
         return serverSocket.isClosed();
@@ -192,6 +199,12 @@
                 }
                 request.put("connection", Integer.toString(socket.getPort()));
                 receivedRequests.add(request);
+                if (gradualAnswer.isPresent()) {
+                    if (!sendGradually(socket, request, gradualAnswer.get())) {
+                        return;
+                    }
+                    continue;
+                }
                 if (crashCondition.test(request)) {
                     writeStreamHead(socket.getOutputStream(), request.getOrDefault("request-id", ""));
                     close();
@@ -207,6 +220,15 @@
         }
     }
 
+    /** Returns whether the connection stays open. */
+    private boolean sendGradually(Socket socket, Map<String, String> request, GradualAnswer answer) throws IOException {
+        GradualAnswer.End end = answer.send(socket.getOutputStream(), request, crashCondition.test(request));
+        if (end == GradualAnswer.End.CRASH) {
+            close();
+        }
+        return end == GradualAnswer.End.KEPT;
+    }
+
     /** Reads a request: headers by lower-case name, the request line as "line" and the body as "body". */
     public static Map<String, String> readRequest(InputStream input) throws IOException {
         Map<String, String> headers = new HashMap<>();
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/CrashReport.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/CrashReport.java
@@ -1,9 +1,10 @@
 package io.oleandermoor.state.quarantine;
 
+import java.util.ArrayList;
 import java.util.List;
 
 /**
- * What one entry observed when an instance ended: its requests that the instance had just begun or not begun to answer.
+ * What one entry observed when an instance ended: its requests that the instance had not answered completely.
  *
  * @param instance the identifier of the instance
  * @param startedMillis the start time of the instance, which distinguishes its runs
@@ -17,12 +18,13 @@
     }
 
     /**
-     * A request that an instance had just begun or not begun to answer when it ended.
+     * A request that an instance had not answered completely when it ended.
      *
      * @param requestId the identifier of the request
      * @param traits the traits of the request
+     * @param answeringMillis the time for which the instance had been answering the request; 0 if it had not begun
      */
-    public record Suspect(String requestId, List<String> traits) {
+    public record Suspect(String requestId, List<String> traits, long answeringMillis) {
 
         /** Copies the traits. */
         public Suspect {
@@ -30,6 +32,16 @@
         }
     }
 
+    /** Splits the report into ones with a maximum number of suspects. */
+    public List<CrashReport> split(int maximumSuspects) {
+        List<CrashReport> parts = new ArrayList<>();
+        for (int start = 0; start < suspects.size(); start += maximumSuspects) {
+            int end = Math.min(suspects.size(), start + maximumSuspects);
+            parts.add(new CrashReport(instance, startedMillis, suspects.subList(start, end)));
+        }
+        return parts;
+    }
+
     /** Returns the identifier of the run of the instance, the same in the reports of all entries. */
     String runId() {
         return instance + "@" + startedMillis;
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/RequestQuarantine.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/RequestQuarantine.java
@@ -17,10 +17,13 @@
 /**
  * Determines which traits of requests end instances, from the crashes and the answers that all entries observe. A trait
  * is quarantined when instances ended repeatedly under different requests with it and no request with it was answered
- * since the first of these crashes. A single answer to a request with the trait disproves it. The first quarantine is
- * short, because a rare trait may have been present at several crashes by chance; the next crash under the trait
- * quarantines it for long. Of traits that were present at the same crashes, any one may be the cause: only requests
- * with all of them are refused, so that the answers to the others tell which one it is. Not thread-safe.
+ * since the first of these crashes. A single complete answer to a request with the trait disproves it. An answer that
+ * goes on for much longer than those that ended with their instances disproves the parts of its request, but not the
+ * request itself, which may end the instance at any time. The first quarantine is short, because a rare trait may have
+ * been present at several crashes by chance; the next crash under the trait quarantines it for long. Of traits that
+ * were present at the same crashes, any one may be the cause: only requests with all of them are refused, so that the
+ * answers to the others tell which one it is. A part is not the cause of crashes that a single repeated request
+ * explains. Not thread-safe.
  */
 public final class RequestQuarantine {
 
@@ -36,6 +39,11 @@
     /** Duration of later quarantines; each request with the trait that arrives meanwhile extends it. */
     private static final long REPEATED_QUARANTINE_MILLIS = 600_000;
 
+    /** Answers that went on for this many times as long as those that ended with their instances are sound. */
+    private static final int OUTLIVING_FACTOR = 2;
+    /** Minimum time for which an answer must have gone on to be sound. */
+    private static final long MINIMUM_OUTLIVING_MILLIS = 150;
+
     private static final int MAXIMUM_ANSWERED_TRAITS = 8_192;
     private static final int MAXIMUM_SUSPICIONS = 1_024;
     private static final int MAXIMUM_KNOWN_REPORTS = 4_096;
@@ -61,6 +69,11 @@
             companions = Set.copyOf(companions);
         }
 
+        /** Returns whether the quarantine concerns a single request and its repetitions only. */
+        public boolean isOfWholeRequest() {
+            return RequestTraits.isFingerprint(trait) || companions.stream().anyMatch(RequestTraits::isFingerprint);
+        }
+
         private Quarantine extendedTo(long millis) {
             return new Quarantine(trait, companions, Math.max(untilMillis, millis), repeated);
         }
@@ -76,11 +89,20 @@
         private final Map<String, Long> crashMillisByRun = new LinkedHashMap<>();
         private final Set<String> requests = new HashSet<>();
         private final int requiredCrashes;
+        private long longestAnswerMillis;
 
         Suspicion(int requiredCrashes) {
             this.requiredCrashes = requiredCrashes;
         }
 
+        boolean explains(Suspicion other) {
+            return crashMillisByRun.keySet().containsAll(other.crashMillisByRun.keySet());
+        }
+
+        boolean isOutlivedBy(long answeringMillis) {
+            return answeringMillis >= OUTLIVING_FACTOR * longestAnswerMillis + MINIMUM_OUTLIVING_MILLIS;
+        }
+
         boolean isSufficient() {
             return requests.size() >= requiredCrashes && episodes() >= requiredCrashes;
         }
@@ -123,14 +145,24 @@
      * @return the quarantines that begin
      */
     public List<Quarantine> recordCrash(CrashReport report, long nowMillis) {
+        return recordCrashes(List.of(report), nowMillis);
+    }
+
+    /**
+     * Records reports that belong together, so that no quarantine follows from a part of what is known.
+     *
+     * @param reports the reports
+     * @param nowMillis the current time
+     * @return the quarantines that begin
+     */
+    public List<Quarantine> recordCrashes(Collection<CrashReport> reports, long nowMillis) {
         Set<String> begun = new LinkedHashSet<>();
-        for (CrashReport.Suspect suspect : report.suspects()) {
-            if (knownReports.put(reportId(report, suspect), true) != null) {
-                continue;
-            }
-            for (String trait : suspect.traits()) {
-                if (recordSuspect(report.runId(), suspect.requestId(), trait, nowMillis)) {
-                    begun.add(trait);
+        for (CrashReport report : reports) {
+            for (CrashReport.Suspect suspect : report.suspects()) {
+                if (knownReports.put(reportId(report, suspect), true) == null) {
+                    suspect.traits().stream()
+                            .filter(trait -> recordSuspect(report.runId(), suspect, trait, nowMillis))
+                            .forEach(begun::add);
                 }
             }
         }
@@ -140,7 +172,10 @@
                 .toList();
     }
 
-    /** Returns the quarantined traits that were present at each crash of a trait. */
+    /**
+     * Returns the traits that were present at each crash of a trait and may be the cause in its place: quarantined
+     * ones, and single requests, which are a more specific cause than a part.
+     */
     private Set<String> companions(Quarantine quarantine) {
         Suspicion suspicion = suspicions.get(quarantine.trait());
         if (suspicion == null) {
@@ -148,14 +183,13 @@
             return quarantine.companions();
         }
         Set<String> companions = new HashSet<>();
-        for (String other : quarantines.keySet()) {
-            Suspicion otherSuspicion = suspicions.get(other);
-            boolean explainsCrashes = otherSuspicion != null
-                    && otherSuspicion.crashMillisByRun.keySet().containsAll(suspicion.crashMillisByRun.keySet());
-            if (explainsCrashes && !other.equals(quarantine.trait())) {
+        suspicions.forEach((other, otherSuspicion) -> {
+            boolean possibleCause = quarantines.containsKey(other)
+                    || (RequestTraits.isFingerprint(other) && !RequestTraits.isFingerprint(quarantine.trait()));
+            if (possibleCause && !other.equals(quarantine.trait()) && otherSuspicion.explains(suspicion)) {
                 companions.add(other);
             }
-        }
+        });
         return companions;
     }
 
@@ -169,11 +203,12 @@
     }
 
     /** Records a crash under a trait; returns whether a quarantine of the trait begins. */
-    private boolean recordSuspect(String runId, String requestId, String trait, long nowMillis) {
+    private boolean recordSuspect(String runId, CrashReport.Suspect suspect, String trait, long nowMillis) {
         Suspicion suspicion =
                 suspicions.computeIfAbsent(trait, key -> new Suspicion(requiredCrashes(trait, nowMillis)));
         suspicion.crashMillisByRun.putIfAbsent(runId, nowMillis);
-        suspicion.requests.add(requestId);
+        suspicion.requests.add(suspect.requestId());
+        suspicion.longestAnswerMillis = Math.max(suspicion.longestAnswerMillis, suspect.answeringMillis());
         Quarantine previous = quarantines.get(trait);
         boolean repeated = previous != null;
         boolean inForce = previous != null && previous.untilMillis() > nowMillis;
@@ -191,7 +226,26 @@
     }
 
     /**
-     * Records that an instance has answered a request, which disproves that its traits end instances.
+     * Records that an instance goes on answering a request, which disproves the suspected parts whose requests ended
+     * instances much earlier.
+     *
+     * @param traits the traits of the request
+     * @param answeringMillis the time for which the instance has been answering the request
+     * @return the parts that were suspected or quarantined until now
+     */
+    public List<String> recordProgress(RequestTraits traits, long answeringMillis) {
+        if (suspicions.isEmpty()) {
+            return List.of();
+        }
+        return disprove(traits.parts().stream()
+                .filter(part -> Optional.ofNullable(suspicions.get(part))
+                        .filter(suspicion -> suspicion.isOutlivedBy(answeringMillis))
+                        .isPresent())
+                .toList());
+    }
+
+    /**
+     * Records that an instance has answered a request completely, which disproves that its traits end instances.
      *
      * @param traits the traits of the request
      * @param nowMillis the current time
@@ -261,8 +315,8 @@
         if (quarantines.isEmpty()) {
             return Optional.empty();
         }
-        boolean fingerprintsQuarantined = quarantines.keySet().stream().anyMatch(RequestTraits::isFingerprint);
-        List<String> present = fingerprintsQuarantined ? traits.all() : traits.parts();
+        boolean requestsQuarantined = quarantines.values().stream().anyMatch(Quarantine::isOfWholeRequest);
+        List<String> present = requestsQuarantined ? traits.all() : traits.parts();
         for (String trait : present) {
             Optional<Quarantine> found = find(trait, present, nowMillis);
             if (found.isPresent()) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/RequestTraits.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/RequestTraits.java
@@ -55,10 +55,11 @@
         return fingerprint.get();
     }
 
-    /** Returns all traits. */
+    /** Returns all traits, first the one that only repetitions of the request share. */
     public List<String> all() {
-        List<String> all = new ArrayList<>(parts);
+        List<String> all = new ArrayList<>(parts.size() + 1);
         all.add(fingerprint());
+        all.addAll(parts);
         return all;
     }
 }
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/quarantine/RequestQuarantineTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/quarantine/RequestQuarantineTest.java
@@ -31,7 +31,7 @@
     }
 
     private static CrashReport crash(int run, String request, RequestTraits traits) {
-        return new CrashReport("i-" + run, run, List.of(new CrashReport.Suspect(request, traits.all())));
+        return new CrashReport("i-" + run, run, List.of(new CrashReport.Suspect(request, traits.all(), 0)));
     }
 
     private boolean isRefused(long now, String... parts) {
@@ -109,6 +109,85 @@
         }
     }
 
+    @Nested
+    class RecordCrashes {
+
+        private static final long ANSWERING_MILLIS = 250;
+
+        private CrashReport crashOf(int run, String request, RequestTraits traits) {
+            return new CrashReport(
+                    "i-" + run, run, List.of(new CrashReport.Suspect(request, traits.all(), ANSWERING_MILLIS)));
+        }
+
+        /** Guards against refusing sound requests because they share a part with one that is sent again and again. */
+        @Test
+        void aRequestIsAMoreSpecificCauseThanAPart() {
+            RequestTraits repeated = new RequestTraits(List.of("a"), () -> "same");
+            RequestTraits sound = traits("a");
+            quarantine.recordCrashes(List.of(crashOf(1, "r1", repeated), crashOf(1, "s1", sound)), 0);
+            quarantine.recordCrashes(List.of(crashOf(2, "s2", traits("a")), crashOf(2, "r1", repeated)), SECOND);
+            assertThat(isRefused(SECOND, "a")).isFalse();
+            assertThat(quarantine.find(repeated, SECOND)).isPresent();
+        }
+
+        /** Guards against refusing sound requests because the report of one entry arrives before that of another. */
+        @Test
+        void evaluatesReportsOfTheSameCrashTogether() {
+            RequestTraits repeated = new RequestTraits(List.of("a"), () -> "same");
+            quarantine.recordCrash(crashOf(1, "r1", repeated), 0);
+            List<Quarantine> begun = quarantine.recordCrashes(
+                    List.of(crashOf(2, "s1", traits("a")), crashOf(2, "r1", repeated)), SECOND);
+            assertThat(begun)
+                    .singleElement()
+                    .satisfies(each -> assertThat(each.companions()).containsExactly("request:same"));
+        }
+
+        @Test
+        void explainsOtherCrashesByThePart() {
+            quarantine.recordCrash(crashOf(1, "r1", new RequestTraits(List.of("a"), () -> "same")), 0);
+            quarantine.recordCrash(crashOf(2, "r2", traits("a")), SECOND);
+            assertThat(isRefused(SECOND, "a")).isTrue();
+        }
+    }
+
+    @Nested
+    class RecordProgress {
+
+        private static final long ANSWERING_MILLIS = 400;
+
+        private final RequestTraits repeated = new RequestTraits(List.of("a"), () -> "same");
+
+        private void crashDuringAnswer() {
+            quarantine.recordCrash(
+                    new CrashReport("i", 1, List.of(new CrashReport.Suspect("r1", repeated.all(), ANSWERING_MILLIS))),
+                    0);
+        }
+
+        @Test
+        void endsTheSuspicionOfAPartWhoseRequestsEndedInstancesMuchEarlier() {
+            crashDuringAnswer();
+            assertThat(quarantine.recordProgress(traits("a"), 5 * ANSWERING_MILLIS))
+                    .containsExactly("part:a");
+        }
+
+        /** Guards against clearing a part by the answer that is about to end its instance. */
+        @Test
+        void isNoProofAtTheTimeAtWhichInstancesEnded() {
+            crashDuringAnswer();
+            assertThat(quarantine.recordProgress(traits("a"), ANSWERING_MILLIS + 100))
+                    .isEmpty();
+        }
+
+        /** Guards against clearing a request that ends instances at different times. */
+        @Test
+        void isNoProofForTheRequestItself() {
+            crashDuringAnswer();
+            quarantine.recordProgress(repeated, 100 * ANSWERING_MILLIS);
+            quarantine.recordCrash(crash(2, "r2", repeated), SECOND);
+            assertThat(quarantine.find(repeated, SECOND)).isPresent();
+        }
+    }
+
     @Nested
     class RecordAnswer {
 
@@ -228,7 +307,7 @@
         private CrashReport report(int run, List<RequestTraits> requests) {
             List<CrashReport.Suspect> suspects = new ArrayList<>();
             for (RequestTraits each : requests) {
-                suspects.add(new CrashReport.Suspect("r" + run + "-" + suspects.size(), each.all()));
+                suspects.add(new CrashReport.Suspect("r" + run + "-" + suspects.size(), each.all(), 0));
             }
             return new CrashReport("i", run, suspects);
         }
