A request is a more specific cause of crashes only if it has the part

Cause: all runs at an instance that ends are suspects now. A sound stream that moves to an instance that ends next was present at both crashes, and passed for the cause in place of the part, whose quarantine then refused nobody.

Fix: only the fingerprint of a request that has the part counts so. The test for it failed before.

--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/RequestQuarantine.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/RequestQuarantine.java
@@ -89,6 +89,9 @@
         private final Map<String, Long> crashMillisByRun = new LinkedHashMap<>();
         private final Set<String> requests = new HashSet<>();
         private final int requiredCrashes;
+        /** The traits of the last suspect. Those with the same fingerprint have the same ones. */
+        private List<String> suspectTraits = List.of();
+
         private long longestAnswerMillis;
 
         Suspicion(int requiredCrashes) {
@@ -174,7 +177,7 @@
 
     /**
      * Returns the traits that were present at each crash of a trait and may be the cause in its place: quarantined
-     * ones, and single requests, which are a more specific cause than a part.
+     * ones, and single requests that have the part, which are a more specific cause.
      */
     private Set<String> companions(Quarantine quarantine) {
         Suspicion suspicion = suspicions.get(quarantine.trait());
@@ -184,8 +187,9 @@
         }
         Set<String> companions = new HashSet<>();
         suspicions.forEach((other, otherSuspicion) -> {
-            boolean possibleCause = quarantines.containsKey(other)
-                    || (RequestTraits.isFingerprint(other) && !RequestTraits.isFingerprint(quarantine.trait()));
+            boolean moreSpecific =
+                    RequestTraits.isFingerprint(other) && otherSuspicion.suspectTraits.contains(quarantine.trait());
+            boolean possibleCause = moreSpecific || quarantines.containsKey(other);
             if (possibleCause && !other.equals(quarantine.trait()) && otherSuspicion.explains(suspicion)) {
                 companions.add(other);
             }
@@ -208,6 +212,7 @@
                 suspicions.computeIfAbsent(trait, key -> new Suspicion(requiredCrashes(trait, nowMillis)));
         suspicion.crashMillisByRun.putIfAbsent(runId, nowMillis);
         suspicion.requests.add(suspect.requestId());
+        suspicion.suspectTraits = suspect.traits();
         suspicion.longestAnswerMillis = Math.max(suspicion.longestAnswerMillis, suspect.answeringMillis());
         Quarantine previous = quarantines.get(trait);
         boolean repeated = previous != null;
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/quarantine/RequestQuarantineTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/quarantine/RequestQuarantineTest.java
@@ -142,6 +142,15 @@
                     .satisfies(each -> assertThat(each.companions()).containsExactly("request:same"));
         }
 
+        /** Guards against a part whose requests are still sent because a sound stream moved from crash to crash. */
+        @Test
+        void aRequestWithoutThePartIsNoMoreSpecificCause() {
+            RequestTraits moved = new RequestTraits(List.of("a"), () -> "moved");
+            quarantine.recordCrashes(List.of(crashOf(1, "r1", traits("bad")), crashOf(1, "s1", moved)), 0);
+            quarantine.recordCrashes(List.of(crashOf(2, "r2", traits("bad")), crashOf(2, "s1", moved)), SECOND);
+            assertThat(isRefused(SECOND, "b", "bad")).isTrue();
+        }
+
         @Test
         void explainsOtherCrashesByThePart() {
             quarantine.recordCrash(crashOf(1, "r1", new RequestTraits(List.of("a"), () -> "same")), 0);
