Clear requests by answers that end with their connections, probe sooner

An answer that ends with its connection cleared nothing any more: a request that was suspected by chance stayed so where all answers are of this kind. Its test failed on: 503 for a request that had been answered since. Now it clears the request if the instance accepts connections afterwards.

CrashesDuringAnswersTest.requestWhoseCallerLeavesBeforeTheCrashIsRefused failed once in four runs, with 5 crashes of 4: the only probe came 1 s after the caller had left, when two more requests were on their way. Probes come after 0.25, 1 and 3 s now, where no connection tells.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/quarantine/CrashDetector.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/quarantine/CrashDetector.java
@@ -30,8 +30,8 @@
     private static final long PROBE_DELAY_MILLIS = 10;
     /** Maximum number of requests in a report of this entry. */
     private static final int MAXIMUM_SUSPECTS = 512;
-    /** Time after which an instance with an abandoned run is probed if no other connection tells of its end. */
-    private static final long ABANDONED_PROBE_DELAY_MILLIS = 1_000;
+    /** Times after which an instance with an abandoned run is probed if no other connection tells of its end. */
+    private static final List<Long> ABANDONED_PROBE_DELAYS_MILLIS = List.of(250L, 1_000L, 3_000L);
     /** Maximum number of abandoned runs that are remembered, at all instances. */
     private static final int MAXIMUM_ABANDONED_RUNS = 512;
 
@@ -66,6 +66,13 @@
 
         private final List<CrashReport.Suspect> suspects = new ArrayList<>();
         private final List<Runnable> continuations = new ArrayList<>();
+        private final List<Runnable> survivalListeners = new ArrayList<>();
+
+        private void addSuspect(CrashReport.Suspect suspect) {
+            if (suspects.size() < MAXIMUM_SUSPECTS) {
+                suspects.add(suspect);
+            }
+        }
     }
 
     /** A run whose connection this entry has closed, and which the instance may continue until the deadline. */
@@ -91,12 +98,24 @@
      */
     public void connectionLost(UpstreamInstance instance, CrashReport.Suspect suspect, Runnable continuation) {
         Loss loss = probeSoon(instance);
-        if (loss.suspects.size() < MAXIMUM_SUSPECTS) {
-            loss.suspects.add(suspect);
-        }
+        loss.addSuspect(suspect);
         loss.continuations.add(continuation);
     }
 
+    /**
+     * Handles an answer whose end was the end of its connection, as after a crash.
+     *
+     * @param instance the instance
+     * @param suspect the request
+     * @param survivalListener runs if the instance has not ended
+     */
+    public void answerEndedWithConnection(
+            UpstreamInstance instance, CrashReport.Suspect suspect, Runnable survivalListener) {
+        Loss loss = probeSoon(instance);
+        loss.addSuspect(suspect);
+        loss.survivalListeners.add(survivalListener);
+    }
+
     /**
      * Handles the end of a run whose connection this entry has closed, for example because the caller has left: an
      * instance need not notice.
@@ -112,14 +131,15 @@
             abandonedRuns.removeFirst();
         }
         abandonedRuns.addLast(new AbandonedRun(instance, suspect, now, deadlineMillis));
-        loop.schedule(
-                () -> {
-                    if (!connected.test(instance.id())) {
-                        contactLost(instance.id());
-                    }
-                },
-                ABANDONED_PROBE_DELAY_MILLIS,
-                TimeUnit.MILLISECONDS);
+        for (long delayMillis : ABANDONED_PROBE_DELAYS_MILLIS) {
+            loop.schedule(() -> checkAbandoned(instance.id()), delayMillis, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void checkAbandoned(String instanceId) {
+        if (!connected.test(instanceId)) {
+            contactLost(instanceId);
+        }
     }
 
     /** Handles the loss of any other connection to an instance, or a connection that it did not accept. */
@@ -176,6 +196,9 @@
                         instance.id(),
                         loss.continuations.size(),
                         result);
+                if (result == UpstreamPool.ProbeResult.ACCEPTED) {
+                    loss.survivalListeners.forEach(Runnable::run);
+                }
                 continuation.run();
             }
         });
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RunEvidence.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RunEvidence.java
@@ -18,7 +18,7 @@
     private final RequestExchange exchange;
     private final UpstreamInstance instance;
     private final long deadlineMillis;
-    private final boolean complete;
+    private final boolean fromBeginning;
     private boolean begun;
     private long lastPieceMillis;
     private long answeringMillis;
@@ -29,13 +29,14 @@
      * @param exchange the request
      * @param instance the instance
      * @param deadlineMillis the time until which the instance may continue the run
-     * @param complete whether the run starts at the beginning rather than behind an event that another run has sent
+     * @param fromBeginning whether the run starts at the beginning rather than behind an event that another run has
+     *     sent
      */
-    RunEvidence(RequestExchange exchange, UpstreamInstance instance, long deadlineMillis, boolean complete) {
+    RunEvidence(RequestExchange exchange, UpstreamInstance instance, long deadlineMillis, boolean fromBeginning) {
         this.exchange = exchange;
         this.instance = instance;
         this.deadlineMillis = deadlineMillis;
-        this.complete = complete;
+        this.fromBeginning = fromBeginning;
     }
 
     /** Records that a new piece of the answer has arrived. */
@@ -43,7 +44,7 @@
         answeringMillis = answeringMillisAt(nowMillis);
         lastPieceMillis = nowMillis;
         begun = true;
-        if (complete) {
+        if (fromBeginning) {
             exchange.dispatcher().quarantine().recordProgress(exchange.traits(), answeringMillis);
         }
     }
@@ -64,8 +65,15 @@
      */
     void recordAnswer(boolean delimitedByClose) {
         if (delimitedByClose) {
-            connectionLost(() -> {});
-        } else if (complete) {
+            CrashReport.Suspect suspect = suspect(Timestamp.monotonicNowMillis());
+            exchange.dispatcher().crashDetector().answerEndedWithConnection(instance, suspect, this::recordWholeAnswer);
+        } else {
+            recordWholeAnswer();
+        }
+    }
+
+    private void recordWholeAnswer() {
+        if (fromBeginning) {
             exchange.dispatcher().quarantine().recordAnswer(exchange.traits());
         }
     }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/CrashesDuringAnswersTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/CrashesDuringAnswersTest.java
@@ -20,6 +20,7 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Predicate;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -158,6 +159,32 @@
         }
     }
 
+    @Nested
+    class AnswerThatEndsWithItsConnection {
+
+        /** Guards against a suspicion that no answer ends because all answers end with their connections. */
+        @Test
+        void endsTheSuspicionIfItsInstanceGoesOn() throws Exception {
+            AtomicBoolean crashing = new AtomicBoolean(true);
+            startInstances(
+                    "shop",
+                    new GradualAnswer(Framing.UNFRAMED, 4, 20, 3),
+                    request -> crashing.get() && HAS_CRASHING_BODY.test(request));
+            status(entry, SAFE_PATH, "", "crash");
+            pause(100);
+            assertThat(crashes()).isEqualTo(1);
+            crashing.set(false);
+            status(entry, SAFE_PATH, "", "crash");
+            pause(100);
+            crashing.set(true);
+            status(entry, SAFE_PATH, "", "crash");
+            pause(100);
+            assertThat(crashes()).isEqualTo(2);
+            crashing.set(false);
+            assertThat(status(entry, SAFE_PATH, "", "crash")).isEqualTo(200);
+        }
+    }
+
     @Nested
     class SharedPart {
 
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/package-info.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/quarantine/package-info.java
@@ -1,6 +1,6 @@
 /**
- * Decisions about requests that end the instances that begin to answer them: which properties such requests share, and
- * which requests are therefore not sent.
+ * Decisions about requests that end the instances that run them: which properties such requests share, and which
+ * requests are therefore not sent.
  */
 @NullMarked
 package io.oleandermoor.state.quarantine;
