--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
@@ -68,6 +68,8 @@
 
     private Optional<StoreItem> holderItem = Optional.empty();
     private @Nullable Timestamp lastRenewal;
+    /** The time of the last order under the current lease or an earlier one of this process. */
+    private @Nullable Timestamp lastOrder;
 
     /**
      * Creates a lease that is not held.
@@ -91,7 +93,7 @@
     public void start() {
         store.addEraListener((era, restored) -> {
             if (restored) {
-                endByRestore(era);
+                endByRestore();
             }
         });
         new StoreFollower(loop, store, KEY_PREFIX, FOLLOWER_TIMING, new HolderListener()).start();
@@ -112,6 +114,16 @@
         return fencingToken;
     }
 
+    /** Records that an order is sent. */
+    public void recordOrder() {
+        lastOrder = Timestamp.now();
+    }
+
+    /** Returns the time in milliseconds since the last order of this process, for logs; -1 if there was none. */
+    private long lastOrderAgeMillis() {
+        return lastOrder == null ? -1 : lastOrder.ageMillis();
+    }
+
     /** Releases the lease and makes no further attempt to acquire it. */
     public void stop() {
         stopped = true;
@@ -119,21 +131,38 @@
         if (holder && held != null) {
             holder = false;
             store.revokeLease(held)
-                    .subscribe(() -> LOG.info("event=orders_released entry={}", entry), this::logFailure);
+                    .subscribe(
+                            () -> LOG.info(
+                                    "event=orders_released entry={} token={} last_order_ms={}",
+                                    entry,
+                                    fencingToken,
+                                    lastOrderAgeMillis()),
+                            this::logFailure);
         }
     }
 
     /** Ends the right: another entry may have acquired it in the restored store, whose lease may have the same id. */
-    private void endByRestore(long era) {
+    private void endByRestore() {
         restoreSeen = true;
         holderKnown = false;
         holderItem = Optional.empty();
         if (holder) {
-            LOG.warn("event=orders_lost entry={} token={} cause=\"store restored\" era={}", entry, fencingToken, era);
+            logLoss("store restored");
             holder = false;
         }
     }
 
+    private void logLoss(String cause) {
+        LOG.warn(
+                "event=orders_lost entry={} token={} cause=\"{}\" era={} renewal_age_ms={} last_order_ms={}",
+                entry,
+                fencingToken,
+                cause,
+                store.era(),
+                lastRenewal == null ? -1 : lastRenewal.ageMillis(),
+                lastOrderAgeMillis());
+    }
+
     private void logFailure(Throwable cause) {
         LOG.warn("event=orders_release_failed entry={} cause=\"{}\"", entry, cause.getMessage());
     }
@@ -210,7 +239,11 @@
                                         encode(new HolderRecord(entry, era)),
                                         grant.lease().id()),
                                 new StoreClient.ConditionalWrite(LAST_HOLDER_KEY, lastRevision, encode(last), 0)))
-                .map(revision -> new Acquisition(grant.lease(), HolderRecord.fencingToken(era, revision), succession));
+                .map(revision -> new Acquisition(
+                        grant.lease(),
+                        HolderRecord.fencingToken(era, revision),
+                        succession,
+                        grant.lastHolder().map(item -> recordOf(item).text()).orElse("")));
     }
 
     private static HolderRecord recordOf(StoreItem item) {
@@ -236,11 +269,14 @@
         Succession succession = acquisition.succession();
         ordersAllowedFromMillis = Timestamp.monotonicNowMillis() + (succession.needsGap() ? holderGapMillis : 0);
         LOG.info(
-                "event=orders_taken entry={} token={} era={} succession={}",
+                "event=orders_taken entry={} token={} era={} succession={} last_holder=\"{}\" taken_ms={} last_order_ms={}",
                 entry,
                 fencingToken,
                 acquisition.lease().era(),
-                succession.name().toLowerCase(Locale.ROOT));
+                succession.name().toLowerCase(Locale.ROOT),
+                acquisition.lastHolder(),
+                requestSent.ageMillis(),
+                lastOrderAgeMillis());
         scheduleRenewal(acquisition.lease(), RENEWAL_INTERVAL_MILLIS);
         if (!succession.olderErasEnded()) {
             scheduleEndOfOlderEras(acquisition.lease(), holderGapMillis);
@@ -302,7 +338,7 @@
     }
 
     private void lose(String cause) {
-        LOG.warn("event=orders_lost entry={} token={} cause=\"{}\"", entry, fencingToken, cause);
+        logLoss(cause);
         holder = false;
         scheduleAcquisition(ACQUISITION_RETRY_MILLIS);
     }
@@ -335,5 +371,5 @@
 
     private record LeaseGrant(Optional<StoreItem> lastHolder, StoreLease lease) {}
 
-    private record Acquisition(StoreLease lease, long fencingToken, Succession succession) {}
+    private record Acquisition(StoreLease lease, long fencingToken, Succession succession, String lastHolder) {}
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/PlacementController.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/PlacementController.java
@@ -187,6 +187,7 @@
                         sender.sequence(),
                         lease.fencingToken(),
                         order.reason());
+                lease.recordOrder();
                 sender.send(order, new EngineOrderSender.LeaseHolder(view.entry(), lease.fencingToken()), profile, now);
             }
         }
