Record who gave orders when it does, and not when it acquires the right

Cause: the record of the last holder was written with the acquisition. A successor that ended in its gap, or whose acquisition got no answer, had replaced the name of the machine that gave the latest orders by its own, and its next acquisition was "immediate". An absent record passed for the first start of a deployment. The class is a record of an intent that is read as one of a deed.

Fix: an acquisition only depends on the record. After the gap, a holder writes its name in a write that depends on its own acquisition, and gives orders once that is answered. So the record names the only machine that may have given orders within the gap, whatever ended or lost an answer meanwhile; a delayed write has no effect when the lease has ended. Without a record, or with one of another era, the time of a lease is waited as well, as a holder may not know that its right ended: a restored store needs no rule of its own any more. The holder also ends when it sees its key removed or replaced, and measures its right by the time to live that the store grants.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
@@ -22,11 +22,13 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * The exclusive right of one entry to give orders to engines, based on a lease of the store. Its validity is measured
+ * The exclusive right of one machine to give orders to engines, based on a lease of the store. Its validity is measured
  * from the time at which the last successful renewal was sent, so that a holder that was suspended stops before another
- * entry may start. A holder that follows another entry waits for a gap before its first order. The store revision at
- * which the lease was acquired, with the era of the store above it, is the fencing token. A restore of the store ends
- * the right. Must be used on the event loop only.
+ * machine may start. The store names the machine that may have given the latest orders; another one waits for a gap
+ * after it has acquired the right, and gives orders only once the store names itself. An acquisition without an order
+ * leaves no trace, so whatever ends it, the next one waits as well. The store revision at which the lease was acquired,
+ * with the era of the store above it, is the fencing token. A restore of the store ends the right. Must be used on the
+ * event loop only.
  */
 // Calls complete with a response or a timeout, and tasks run until the event loop ends, so neither is cancelled.
 @SuppressWarnings({"FutureReturnValueIgnored", "CheckReturnValue"})
@@ -35,8 +37,8 @@
     private static final Logger LOG = LogManager.getLogger(OrderLease.class);
     private static final String KEY_PREFIX = "oleandermoor/orders/";
     private static final String HOLDER_KEY = KEY_PREFIX + "holder";
-    /** Remains when the lease ends, so that the next holder can determine whether another entry was the last holder. */
-    private static final String LAST_HOLDER_KEY = KEY_PREFIX + "last";
+    /** Names the only machine that may have given orders within the gap; remains when the lease ends. */
+    private static final String LAST_ORDERS_KEY = KEY_PREFIX + "last";
     /** The watch reports the end of a lease immediately; the full reads compensate for a watch that missed it. */
     private static final StoreFollower.WatchTiming FOLLOWER_TIMING =
             new StoreFollower.WatchTiming(8_000, () -> 50, 15_000);
@@ -44,8 +46,9 @@
     private static final long LEASE_DURATION_MILLIS = 2_000;
     private static final long RENEWAL_INTERVAL_MILLIS = 500;
     private static final long RENEWAL_RETRY_MILLIS = 200;
-    /** Time between the end of the right and that of the lease in the store, in which orders in transit arrive. */
-    private static final long EXPIRY_MARGIN_MILLIS = 400;
+    /** Time between the last order and the end of the lease in the store, in which orders in transit arrive. */
+    public static final long ARRIVAL_MARGIN_MILLIS = 400;
+
     /** Base of the random delay before an attempt to acquire a free lease, which spreads the attempts of entries. */
     private static final long ACQUISITION_SPREAD_MILLIS = 150;
     /** Base of the random delay before the next attempt after a failed one or after the loss of the lease. */
@@ -53,16 +56,18 @@
 
     private final EventLoop loop;
     private final StoreClient store;
-    private final String entry;
+    private final String machine;
     private final long holderGapMillis;
     private final long acquisitionDelayMillis;
     private @Nullable StoreLease lease;
     private long fencingToken;
-    private long ordersAllowedFromMillis;
+    private long acquisitionRevision;
+    /** Whether the store names this machine as the one that may give orders, under the current lease. */
+    private boolean ordersAllowed;
+
     private boolean holder;
     private boolean stopped;
     private boolean acquisitionPending;
-    private boolean restoreSeen;
     /** Whether the holder has been read in the current era; its revision means nothing in another one. */
     private boolean holderKnown;
 
@@ -76,15 +81,15 @@
      *
      * @param loop the event loop
      * @param store the client of the store
-     * @param entry the name of this entry
+     * @param machine the name of this machine; one that replaces it must have another name
      * @param holderGapMillis the minimum time between the orders of two holders
      * @param acquisitionDelayMillis the additional time for which this entry leaves a free lease to others
      */
     public OrderLease(
-            EventLoop loop, StoreClient store, String entry, long holderGapMillis, long acquisitionDelayMillis) {
+            EventLoop loop, StoreClient store, String machine, long holderGapMillis, long acquisitionDelayMillis) {
         this.loop = loop;
         this.store = store;
-        this.entry = entry;
+        this.machine = machine;
         this.holderGapMillis = holderGapMillis;
         this.acquisitionDelayMillis = acquisitionDelayMillis;
     }
@@ -101,12 +106,15 @@
 
     /** Returns whether this entry may send an order now. */
     public boolean mayGiveOrders() {
-        return holdsLease() && Timestamp.monotonicNowMillis() >= ordersAllowedFromMillis;
+        return ordersAllowed && holdsLease();
     }
 
     /** Returns whether this entry holds the lease, even if it still has to wait before its first order. */
     public boolean holdsLease() {
-        return holder && lastRenewal != null && lastRenewal.ageMillis() < LEASE_DURATION_MILLIS - EXPIRY_MARGIN_MILLIS;
+        return holder
+                && lease != null
+                && lastRenewal != null
+                && lastRenewal.ageMillis() < lease.timeToLiveMillis() - ARRIVAL_MARGIN_MILLIS;
     }
 
     /** Returns the fencing token of the last acquisition. */
@@ -130,32 +138,36 @@
         StoreLease held = lease;
         if (holder && held != null) {
             holder = false;
-            store.revokeLease(held)
-                    .subscribe(
-                            () -> LOG.info(
-                                    "event=orders_released entry={} token={} last_order_ms={}",
-                                    entry,
-                                    fencingToken,
-                                    lastOrderAgeMillis()),
-                            this::logFailure);
+            release(held);
         }
     }
 
+    private void release(StoreLease held) {
+        store.revokeLease(held)
+                .subscribe(
+                        () -> LOG.info(
+                                "event=orders_released machine={} token={} last_order_ms={}",
+                                machine,
+                                fencingToken,
+                                lastOrderAgeMillis()),
+                        this::logFailure);
+    }
+
     /** Ends the right: another entry may have acquired it in the restored store, whose lease may have the same id. */
     private void endByRestore() {
-        restoreSeen = true;
         holderKnown = false;
         holderItem = Optional.empty();
         if (holder) {
             logLoss("store restored");
             holder = false;
+            ordersAllowed = false;
         }
     }
 
     private void logLoss(String cause) {
         LOG.warn(
-                "event=orders_lost entry={} token={} cause=\"{}\" era={} renewal_age_ms={} last_order_ms={}",
-                entry,
+                "event=orders_lost machine={} token={} cause=\"{}\" era={} renewal_age_ms={} last_order_ms={}",
+                machine,
                 fencingToken,
                 cause,
                 store.era(),
@@ -164,7 +176,7 @@
     }
 
     private void logFailure(Throwable cause) {
-        LOG.warn("event=orders_release_failed entry={} cause=\"{}\"", entry, cause.getMessage());
+        LOG.warn("event=orders_release_failed machine={} cause=\"{}\"", machine, cause.getMessage());
     }
 
     private final class HolderListener implements StoreFollower.Listener {
@@ -174,15 +186,30 @@
             holderItem = Optional.empty();
             holderKnown = true;
             onChanges(reading, current);
+            if (holder && holderItem.isEmpty() && reading.storeRevision() >= acquisitionRevision) {
+                lose("holder removed");
+            }
         }
 
         @Override
         public void onChanges(StoreReadResult reading, Timestamp current) {
             reading.items().stream()
                     .filter(item -> item.key().equals(HOLDER_KEY))
-                    .forEach(item -> holderItem = item.removed() ? Optional.empty() : Optional.of(item));
+                    .forEach(this::onHolder);
             scheduleAcquisition(ACQUISITION_SPREAD_MILLIS);
         }
+
+        private void onHolder(StoreItem item) {
+            holderItem = item.removed() ? Optional.empty() : Optional.of(item);
+            // What happened before the acquisition may be told after it.
+            if (holder && item.revision() > acquisitionRevision && !isOwn(item)) {
+                lose("holder replaced");
+            }
+        }
+    }
+
+    private boolean isOwn(StoreItem item) {
+        return !item.removed() && recordOf(item).machine().equals(machine);
     }
 
     /** Schedules an attempt to acquire the lease if it is free and no attempt is pending. */
@@ -197,9 +224,9 @@
     }
 
     /**
-     * Returns whether the lease is free. A holder with this entry's name is this entry before its restart. A holder of
-     * an older era comes from the copy, or from a write that was delayed until after the restore and may be bound to
-     * the lease of any entry, so that it might never end.
+     * Returns whether the lease is free. A holder with this machine's name is this machine before its restart. A holder
+     * of an older era comes from the copy, or from a write that was delayed until after the restore and may be bound to
+     * the lease of any machine, so that it might never end.
      */
     private boolean mayAcquire() {
         return !stopped
@@ -207,7 +234,7 @@
                 && holderKnown
                 && holderItem
                         .map(OrderLease::recordOf)
-                        .map(record -> record.entry().equals(entry) || record.isOfOlderEra(store.era()))
+                        .map(record -> record.machine().equals(machine) || record.isOfOlderEra(store.era()))
                         .orElse(true);
     }
 
@@ -220,30 +247,23 @@
         // The write must depend on the state that was checked above, as another entry may acquire the lease meanwhile.
         long holderRevision = holderItem.map(StoreItem::revision).orElse(0L);
         long era = store.era();
-        Single.zip(store.read(LAST_HOLDER_KEY), store.grantLease(LEASE_DURATION_MILLIS), LeaseGrant::new)
+        Single.zip(store.read(LAST_ORDERS_KEY), store.grantLease(LEASE_DURATION_MILLIS), LeaseGrant::new)
                 .flatMap(grant -> acquire(grant, holderRevision, era))
                 .subscribe(acquisition -> acquired(acquisition, requestSent), this::acquisitionFailed);
     }
 
+    /** Acquires the lease, provided that neither the holder nor the machine that gave the latest orders has changed. */
     private Single<Acquisition> acquire(LeaseGrant grant, long holderRevision, long era) {
-        long lastRevision = grant.lastHolder().map(StoreItem::revision).orElse(0L);
-        Succession succession =
-                HolderRecord.succession(grant.lastHolder().map(OrderLease::recordOf), entry, era, restoreSeen);
-        HolderRecord last = new HolderRecord(entry, succession.olderErasEnded() ? era : HolderRecord.NO_ERA);
+        HolderRecord record = new HolderRecord(machine, era);
         return store.write(
                         era,
-                        List.of(
-                                new StoreClient.ConditionalWrite(
-                                        HOLDER_KEY,
-                                        holderRevision,
-                                        encode(new HolderRecord(entry, era)),
-                                        grant.lease().id()),
-                                new StoreClient.ConditionalWrite(LAST_HOLDER_KEY, lastRevision, encode(last), 0)))
-                .map(revision -> new Acquisition(
-                        grant.lease(),
-                        HolderRecord.fencingToken(era, revision),
-                        succession,
-                        grant.lastHolder().map(item -> recordOf(item).text()).orElse("")));
+                        List.of(grant.unchangedLastOrders()),
+                        List.of(new StoreClient.ConditionalWrite(
+                                HOLDER_KEY,
+                                holderRevision,
+                                encode(record),
+                                grant.lease().id())))
+                .map(revision -> new Acquisition(grant, revision, record));
     }
 
     private static HolderRecord recordOf(StoreItem item) {
@@ -255,31 +275,96 @@
     }
 
     private void acquisitionFailed(Throwable cause) {
-        LOG.info("event=orders_not_taken entry={} cause=\"{}\"", entry, cause.getMessage());
+        LOG.info("event=orders_not_taken machine={} cause=\"{}\"", machine, cause.getMessage());
         acquisitionPending = false;
         scheduleAcquisition(ACQUISITION_RETRY_MILLIS);
     }
 
     private void acquired(Acquisition acquisition, Timestamp requestSent) {
         acquisitionPending = false;
+        StoreLease acquired = acquisition.grant().lease();
         holder = true;
-        lease = acquisition.lease();
-        fencingToken = acquisition.fencingToken();
+        lease = acquired;
+        fencingToken = HolderRecord.fencingToken(acquired.era(), acquisition.revision());
+        acquisitionRevision = acquisition.revision();
         lastRenewal = requestSent;
         Succession succession = acquisition.succession();
-        ordersAllowedFromMillis = Timestamp.monotonicNowMillis() + (succession.needsGap() ? holderGapMillis : 0);
+        ordersAllowed = succession == Succession.IMMEDIATE;
         LOG.info(
-                "event=orders_taken entry={} token={} era={} succession={} last_holder=\"{}\" taken_ms={} last_order_ms={}",
-                entry,
+                "event=orders_taken machine={} token={} era={} succession={} last_orders=\"{}\" taken_ms={}"
+                        + " last_order_ms={}",
+                machine,
                 fencingToken,
-                acquisition.lease().era(),
+                acquired.era(),
                 succession.name().toLowerCase(Locale.ROOT),
-                acquisition.lastHolder(),
+                acquisition
+                        .grant()
+                        .lastOrders()
+                        .map(item -> recordOf(item).text())
+                        .orElse(""),
                 requestSent.ageMillis(),
                 lastOrderAgeMillis());
-        scheduleRenewal(acquisition.lease(), RENEWAL_INTERVAL_MILLIS);
-        if (!succession.olderErasEnded()) {
-            scheduleEndOfOlderEras(acquisition.lease(), holderGapMillis);
+        scheduleRenewal(acquired, RENEWAL_INTERVAL_MILLIS);
+        if (!ordersAllowed) {
+            scheduleClaim(acquisition, succession.waitMillis(holderGapMillis, LEASE_DURATION_MILLIS));
+        }
+    }
+
+    private void scheduleClaim(Acquisition acquisition, long delayMillis) {
+        loop.schedule(() -> claimOrders(acquisition), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Writes that this machine gives orders from now on. The write depends on the acquisition, so a delayed one has no
+     * effect once the lease has ended.
+     */
+    private void claimOrders(Acquisition acquisition) {
+        StoreLease held = acquisition.grant().lease();
+        if (!isCurrent(held)) {
+            return;
+        }
+        store.write(
+                        held.era(),
+                        List.of(new StoreClient.Condition(HOLDER_KEY, acquisition.revision())),
+                        List.of(new StoreClient.ConditionalWrite(
+                                LAST_ORDERS_KEY,
+                                acquisition.grant().lastOrdersRevision(),
+                                encode(acquisition.record()),
+                                0)))
+                .subscribe(revision -> allowOrders(held), cause -> claimFailed(acquisition, cause));
+    }
+
+    private void claimFailed(Acquisition acquisition, Throwable cause) {
+        StoreLease held = acquisition.grant().lease();
+        if (!isCurrent(held)) {
+            return;
+        }
+        LOG.info(
+                "event=orders_not_claimed machine={} token={} cause=\"{}\"", machine, fencingToken, cause.getMessage());
+        if (cause instanceof StoreStatusException failure && failure.conflict()) {
+            // An earlier attempt without an answer may have been carried out.
+            store.read(LAST_ORDERS_KEY)
+                    .map(item -> item.map(OrderLease::recordOf)
+                            .filter(acquisition.record()::equals)
+                            .isPresent())
+                    .subscribe(
+                            own -> {
+                                if (own) {
+                                    allowOrders(held);
+                                } else if (isCurrent(held)) {
+                                    lose("orders claimed by another machine");
+                                }
+                            },
+                            failedRead -> scheduleClaim(acquisition, RENEWAL_RETRY_MILLIS));
+        } else {
+            scheduleClaim(acquisition, RENEWAL_RETRY_MILLIS);
+        }
+    }
+
+    private void allowOrders(StoreLease held) {
+        if (isCurrent(held)) {
+            ordersAllowed = true;
+            LOG.info("event=orders_allowed machine={} token={}", machine, fencingToken);
         }
     }
 
@@ -309,7 +394,7 @@
         if (held.era() == HolderRecord.NO_ERA) {
             return Single.just(true);
         }
-        HolderRecord own = new HolderRecord(entry, held.era());
+        HolderRecord own = new HolderRecord(machine, held.era());
         return store.read(HOLDER_KEY)
                 .map(item -> item.map(OrderLease::recordOf).filter(own::equals).isPresent());
     }
@@ -340,36 +425,34 @@
     private void lose(String cause) {
         logLoss(cause);
         holder = false;
+        ordersAllowed = false;
         scheduleAcquisition(ACQUISITION_RETRY_MILLIS);
     }
 
-    /**
-     * Schedules the record that no holder of an older era gives orders any more. It is written after the gap only: an
-     * entry that acquires the lease before has to wait itself, also this entry after a restart.
-     */
-    private void scheduleEndOfOlderEras(StoreLease held, long delayMillis) {
-        loop.schedule(() -> recordEndOfOlderEras(held), delayMillis, TimeUnit.MILLISECONDS);
-    }
+    /** The lease for an acquisition, and the record of the machine that may have given the latest orders. */
+    private record LeaseGrant(Optional<StoreItem> lastOrders, StoreLease lease) {
 
-    private void recordEndOfOlderEras(StoreLease held) {
-        if (!isCurrent(held) || !holdsLease()) {
-            return;
+        long lastOrdersRevision() {
+            return lastOrders.map(StoreItem::revision).orElse(0L);
+        }
+
+        StoreClient.Condition unchangedLastOrders() {
+            return new StoreClient.Condition(LAST_ORDERS_KEY, lastOrdersRevision());
         }
-        store.read(LAST_HOLDER_KEY)
-                .toMaybe()
-                .mapOptional(item -> item)
-                // Another entry that has acquired the lease since then writes its own record.
-                .filter(item -> recordOf(item).entry().equals(entry))
-                .flatMapSingle(item -> store.write(
-                        held.era(),
-                        List.of(new StoreClient.ConditionalWrite(
-                                LAST_HOLDER_KEY, item.revision(), encode(new HolderRecord(entry, held.era())), 0))))
-                .subscribe(
-                        revision -> LOG.info("event=older_eras_ended entry={} era={}", entry, held.era()),
-                        cause -> scheduleEndOfOlderEras(held, RENEWAL_RETRY_MILLIS));
     }
 
-    private record LeaseGrant(Optional<StoreItem> lastHolder, StoreLease lease) {}
+    /**
+     * A successful acquisition.
+     *
+     * @param grant the lease, and what was known of the orders before
+     * @param revision the revision of the store at which the lease was acquired
+     * @param record the record of this holder
+     */
+    private record Acquisition(LeaseGrant grant, long revision, HolderRecord record) {
 
-    private record Acquisition(StoreLease lease, long fencingToken, Succession succession, String lastHolder) {}
+        Succession succession() {
+            return HolderRecord.succession(
+                    grant.lastOrders().map(OrderLease::recordOf), record.machine(), record.era());
+        }
+    }
 }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
@@ -16,7 +16,10 @@
 import java.util.TreeMap;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.locks.LockSupport;
+import java.util.function.DoubleSupplier;
 
 /**
  * In-memory stand-in for the platform's store with items, watches, conditional writes and leases. It can be restored
@@ -45,6 +48,7 @@
     private volatile boolean eraOmitted;
     private volatile boolean writesHeld;
     private volatile int heldWrites;
+    private volatile DoubleSupplier lossRate = () -> 0;
 
     private record Lease(long timeToLiveMillis, long endNanos) {
 
@@ -102,6 +106,20 @@
         return heldWrites;
     }
 
+    /**
+     * Sets the probability with which a conditional write is carried out and its connection then ends without an
+     * answer; asked for each write.
+     */
+    public void loseAnswers(DoubleSupplier rate) {
+        lossRate = rate;
+    }
+
+    /** Loses the answer of the next conditional write. */
+    public void loseNextWriteAnswer() {
+        AtomicBoolean pending = new AtomicBoolean(true);
+        loseAnswers(() -> pending.getAndSet(false) ? 1 : 0);
+    }
+
     /** Takes the copy from which the store is restored. */
     public synchronized void takeCopy() {
         endLeases();
@@ -228,6 +246,10 @@
         } else {
             response = useLease(path);
         }
+        if (path.equals("/api/kv-txn") && ThreadLocalRandom.current().nextDouble() < lossRate.getAsDouble()) {
+            exchange.close();
+            return;
+        }
         byte[] bytes = JSON.std.asBytes(response.body());
         if (era > 0 && !eraOmitted) {
             exchange.getResponseHeaders().set("Store-Era", Long.toString(era));
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/restore/HolderRecord.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/restore/HolderRecord.java
@@ -3,15 +3,15 @@
 import java.util.Optional;
 
 /**
- * A record in the store of the entry that gives orders or gave the latest ones. The text is the name of the entry,
- * followed by the era if there is one. Entries of versions without eras write the name alone, and take a text with an
- * era for the name of another entry, which makes them wait.
+ * A record in the store of the machine that holds the right to give orders, or of the one that may have given the
+ * latest ones. The text is the name of the machine, followed by the era if there is one. Entries of versions without
+ * eras write the name of an entry alone, and take the text of any other machine for that of another entry, which makes
+ * them wait.
  *
- * @param entry the name of the entry
- * @param era for the holder: the era in which it acquired the right. For the last holder: the era in which all holders
- *     of older eras are known to have ended. 0 if none is stated
+ * @param machine the name of the machine, which differs between machines that bear the name of the same entry
+ * @param era the era of the store in which the record was written, or 0 if the store states none
  */
-public record HolderRecord(String entry, long era) {
+public record HolderRecord(String machine, long era) {
 
     /** The era of a store that states none. */
     public static final long NO_ERA = 0;
@@ -30,7 +30,7 @@
 
     /** Encodes this record. */
     public String text() {
-        return era == NO_ERA ? entry : entry + " " + era;
+        return era == NO_ERA ? machine : machine + " " + era;
     }
 
     /** Returns whether this holder acquired its right before the store was restored, which ended the right. */
@@ -43,50 +43,54 @@
         return (era << REVISION_BITS) + revision;
     }
 
-    /** How a new holder follows the one before. */
+    /** How a new holder follows the machine that gave orders before. */
     public enum Succession {
-        /** No other entry can still give orders. */
-        IMMEDIATE(false, true),
-        /** Another entry of the same era gave orders before. */
-        AFTER_OTHER(true, true),
-        /** No entry is known to have waited for the holders of older eras, whoever they were. */
-        FIRST_OF_ERA(true, false);
+        /** No other machine has given orders since this one did. */
+        IMMEDIATE {
+            @Override
+            public long waitMillis(long gapMillis, long leaseMillis) {
+                return 0;
+            }
+        },
+        /**
+         * Another machine gave orders until its lease ended, which was before the new holder could acquire the right.
+         */
+        AFTER_OTHER {
+            @Override
+            public long waitMillis(long gapMillis, long leaseMillis) {
+                return gapMillis;
+            }
+        },
+        /**
+         * The store does not tell who gave orders, because it was restored or the record was removed. A holder may not
+         * know yet that its right has ended, so its lease is waited for as well.
+         */
+        AFTER_UNKNOWN {
+            @Override
+            public long waitMillis(long gapMillis, long leaseMillis) {
+                return gapMillis + leaseMillis;
+            }
+        };
 
-        private final boolean needsGap;
-        private final boolean olderErasEnded;
-
-        Succession(boolean needsGap, boolean olderErasEnded) {
-            this.needsGap = needsGap;
-            this.olderErasEnded = olderErasEnded;
-        }
-
-        /** Returns whether the new holder waits before its first order. */
-        public boolean needsGap() {
-            return needsGap;
-        }
-
-        /** Returns whether all holders of older eras are known to have ended before the new holder's gap. */
-        public boolean olderErasEnded() {
-            return olderErasEnded;
-        }
+        /**
+         * Returns the time in milliseconds between the acquisition of the right and the first order.
+         *
+         * @param gapMillis the time that must lie between the orders of two machines
+         * @param leaseMillis the longest time for which a holder takes its right for valid after its last renewal
+         */
+        public abstract long waitMillis(long gapMillis, long leaseMillis);
     }
 
     /**
-     * Decides how an entry follows the last holder.
+     * Decides how a machine that acquires the right follows the one that gave orders before.
      *
-     * @param last the record of the last holder, if there is one
-     * @param entry the name of the entry that acquires the right
+     * @param last the record of the machine that may have given the latest orders, if there is one
+     * @param machine the machine that acquires the right
      * @param era the current era
-     * @param restoreSeen whether the entry has seen a restore itself
      */
-    public static Succession succession(Optional<HolderRecord> last, String entry, long era, boolean restoreSeen) {
-        boolean sameEntry = last.map(record -> record.entry().equals(entry)).orElse(true);
-        if (era == NO_ERA || last.map(HolderRecord::era).orElse(NO_ERA) == era) {
-            return sameEntry ? Succession.IMMEDIATE : Succession.AFTER_OTHER;
-        }
-        // Without a record, either no entry has given orders yet, or the copy is older than the first holder. In the
-        // first era there is no copy.
-        boolean firstStart = last.isEmpty() && era == RestoreWindow.FIRST_ERA && !restoreSeen;
-        return firstStart ? Succession.IMMEDIATE : Succession.FIRST_OF_ERA;
+    public static Succession succession(Optional<HolderRecord> last, String machine, long era) {
+        return last.filter(record -> record.era() == era)
+                .map(record -> record.machine().equals(machine) ? Succession.IMMEDIATE : Succession.AFTER_OTHER)
+                .orElse(Succession.AFTER_UNKNOWN);
     }
 }
