Ask for the right to give orders when an order is written

An order that opens a connection leaves up to 0.4 s later, and its time-out of 0.4 s began then, so that it could arrive 0.4 s after the margin for orders in transit, when the next holder's gap had begun.

Now the order lease is asked for a permit, for the token of the order, immediately before the bytes are written; without it nothing is sent (event=order_withheld). The time-out, after which the connection is reset, is the margin between the right and the lease.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -54,8 +54,8 @@
 
     private static final Logger LOG = LogManager.getLogger(Gateway.class);
     private static final long STORE_TIMEOUT_MILLIS = 1_000;
-    /** An engine responds to an order immediately; a lost packet is retransmitted within this time. */
-    private static final long ORDER_TIMEOUT_MILLIS = 400;
+    /** An engine responds to an order immediately; an order that may be on its way later would outlast the lease. */
+    private static final long ORDER_TIMEOUT_MILLIS = OrderLease.ARRIVAL_MARGIN_MILLIS;
     /**
      * Margin by which the maximum key confirmation age is shorter than the time within which a revocation must take
      * effect. It covers the time in which a watch receives no changes because the store drops history.
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrderSender.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/EngineOrderSender.java
@@ -18,6 +18,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
 
@@ -72,8 +73,14 @@
         void residentsChanged(Map<String, Set<String>> models);
     }
 
-    /** The entry that holds the order lease, and its fencing token. */
-    record LeaseHolder(String entry, long fencingToken) {}
+    /**
+     * The entry that holds the order lease.
+     *
+     * @param entry its name
+     * @param fencingToken its fencing token
+     * @param permit returns whether it may send an order now, and records that it does
+     */
+    record LeaseHolder(String entry, long fencingToken, BooleanSupplier permit) {}
 
     EngineOrderSender(EventLoop loop, EngineClient client, InstanceState state, ResidentsListener listener) {
         this.loop = loop;
@@ -186,10 +193,15 @@
                 sequence,
                 leaseHolder.entry(),
                 leaseHolder.fencingToken());
-        client.order(instance, message).subscribe(answer -> handleAnswer(order, profile, answer), cause -> {
-            LOG.warn("event=order_unanswered instance={} target={} cause=\"{}\"", id(), target, cause.getMessage());
-            handleMissingAnswer(order);
-        });
+        client.order(instance, message, leaseHolder.permit())
+                .subscribe(answer -> handleAnswer(order, profile, answer), cause -> {
+                    LOG.warn(
+                            "event=order_unanswered instance={} target={} cause=\"{}\"",
+                            id(),
+                            target,
+                            cause.getMessage());
+                    handleMissingAnswer(order);
+                });
     }
 
     /**
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
@@ -122,9 +122,19 @@
         return fencingToken;
     }
 
-    /** Records that an order is sent. */
-    public void recordOrder() {
+    /**
+     * Returns whether an order may be sent now, and records that it is. Must be asked when the order is written, as the
+     * right may have ended since the order was planned.
+     *
+     * @param token the fencing token of the order
+     */
+    public boolean permitsOrder(long token) {
+        if (!mayGiveOrders() || token != fencingToken) {
+            LOG.info("event=order_withheld machine={} token={} current={}", machine, token, fencingToken);
+            return false;
+        }
         lastOrder = Timestamp.now();
+        return true;
     }
 
     /** Returns the time in milliseconds since the last order of this process, for logs; -1 if there was none. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/PlacementController.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/PlacementController.java
@@ -187,8 +187,12 @@
                         sender.sequence(),
                         lease.fencingToken(),
                         order.reason());
-                lease.recordOrder();
-                sender.send(order, new EngineOrderSender.LeaseHolder(view.entry(), lease.fencingToken()), profile, now);
+                long token = lease.fencingToken();
+                sender.send(
+                        order,
+                        new EngineOrderSender.LeaseHolder(view.entry(), token, () -> lease.permitsOrder(token)),
+                        profile,
+                        now);
             }
         }
     }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/EngineOrderSenderTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/EngineOrderSenderTest.java
@@ -63,7 +63,10 @@
                 models -> {});
         PlannedOrder load = new PlannedOrder("e", false, new ModelTarget("m", ""), true, "test", "m");
         loop.submit(() -> sender.send(
-                        load, new EngineOrderSender.LeaseHolder("entry", 1), PROFILE, Timestamp.monotonicNowMillis()))
+                        load,
+                        new EngineOrderSender.LeaseHolder("entry", 1, () -> true),
+                        PROFILE,
+                        Timestamp.monotonicNowMillis()))
                 .sync();
         await().atMost(Duration.ofSeconds(5))
                 .untilAsserted(() -> assertThat(loop.submit(() -> sender.view(0, Timestamp.monotonicNowMillis())
@@ -138,7 +141,7 @@
             int before = orderCalls.get();
             loop.submit(() -> sender.send(
                             order,
-                            new EngineOrderSender.LeaseHolder("entry", 1),
+                            new EngineOrderSender.LeaseHolder("entry", 1, () -> true),
                             PROFILE,
                             Timestamp.monotonicNowMillis()))
                     .sync();
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderHandOverTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderHandOverTest.java
@@ -77,7 +77,10 @@
 
         /** Gives an order and stops, as at a SIGTERM. Returns the time of the order. */
         long giveLastOrderAndStop() throws Exception {
-            group.next().submit(lease::recordOrder).sync();
+            assertThat(group.next()
+                            .submit(() -> lease.permitsOrder(lease.fencingToken()))
+                            .get())
+                    .isTrue();
             long orderedNanos = System.nanoTime();
             group.next().submit(lease::stop).sync();
             return orderedNanos;
