Keep the lease of orders at a stop until the last order has arrived

A stop during an acquisition was overlooked: the right was taken after it, and orders were given for 1.6 s by a process that stops.

Now the lease ends 0.4 s after the last order, when its call is answered or its connection was reset, and an acquisition that completes after a stop is given back. OrderHandOverTest.Stop.keepsTheLeaseWhileAnOrderIsOnItsWay failed before.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
@@ -142,13 +142,18 @@
         return lastOrder == null ? -1 : lastOrder.ageMillis();
     }
 
-    /** Releases the lease and makes no further attempt to acquire it. */
+    /**
+     * Ends the right, releases the lease once the last order has arrived or been given up, and makes no further attempt
+     * to acquire it.
+     */
     public void stop() {
         stopped = true;
         StoreLease held = lease;
         if (holder && held != null) {
             holder = false;
-            release(held);
+            long orderAgeMillis = lastOrder == null ? ARRIVAL_MARGIN_MILLIS : lastOrder.ageMillis();
+            long delayMillis = Math.max(0, ARRIVAL_MARGIN_MILLIS - orderAgeMillis);
+            loop.schedule(() -> release(held), delayMillis, TimeUnit.MILLISECONDS);
         }
     }
 
@@ -293,6 +298,10 @@
     private void acquired(Acquisition acquisition, Timestamp requestSent) {
         acquisitionPending = false;
         StoreLease acquired = acquisition.grant().lease();
+        if (stopped) {
+            release(acquired);
+            return;
+        }
         holder = true;
         lease = acquired;
         fencingToken = HolderRecord.fencingToken(acquired.era(), acquisition.revision());
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderHandOverTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderHandOverTest.java
@@ -22,6 +22,8 @@
     private static final String LAST_KEY = "oleandermoor/orders/last";
     private static final Duration GAP = Duration.ofMillis(2_500);
     private static final Duration LIMIT = Duration.ofSeconds(20);
+    /** The time for which an order can be on its way. */
+    private static final Duration ORDER_TIMEOUT = Duration.ofMillis(400);
 
     private final List<Process> processes = new ArrayList<>();
     private StoreStandIn store;
@@ -137,4 +139,30 @@
             assertThat(Duration.ofNanos(System.nanoTime() - killed)).isLessThan(GAP);
         }
     }
+
+    @Nested
+    class Stop {
+
+        @Test
+        void keepsTheLeaseWhileAnOrderIsOnItsWay() throws Exception {
+            long lastOrder = startWithOrders("one").giveLastOrderAndStop();
+            await().pollInterval(Duration.ofMillis(5))
+                    .atMost(LIMIT)
+                    .until(() -> store.value(HOLDER_KEY).isEmpty());
+            assertThat(Duration.ofNanos(System.nanoTime() - lastOrder)).isGreaterThanOrEqualTo(ORDER_TIMEOUT);
+        }
+
+        @Test
+        void duringAnAcquisitionGivesTheRightBack() throws Exception {
+            store.setLeaseDelay(800);
+            Process one = start("one");
+            await().atMost(LIMIT).until(() -> store.leaseRequests() > 0);
+            one.group.next().submit(one.lease::stop).sync();
+            await().pollInterval(Duration.ofMillis(20))
+                    .during(Duration.ofMillis(1_500))
+                    .atMost(Duration.ofMillis(1_700))
+                    .untilAsserted(() -> assertThat(one.mayGiveOrders()).isFalse());
+            assertThat(store.value(HOLDER_KEY)).isEmpty();
+        }
+    }
 }
