Tell machines with the same name apart as holders of orders

It took the holder's record for its own from before a restart, replaced it while the other machine still gave orders, and skipped the gap.

The records name the machine by the entry's name and its address now. Entries of the version before take that for another entry and wait, and so does this version with theirs: one gap at an upgrade.

OrderHandOverTest.Successor.onAnotherMachineWithTheSameNameIsAnotherHolder failed before: the lease of the first machine was replaced within a second.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -140,8 +140,10 @@
         membership = new EntryMembership(loop, store, view, settings.get(GatewaySettings.PEER_ADDRESS));
         peerExchange =
                 new PeerExchange(loop, view, demands, quarantine, metrics, membership::peers, dispatcher::demand);
+        // A machine that replaces another bears its name, but has an address of its own.
+        String machine = entryName + "@" + settings.get(GatewaySettings.PEER_ADDRESS);
         orderLease = new OrderLease(
-                loop, store, entryName, settings.get(GatewaySettings.HOLDER_GAP).toMillis(), orderLeaseDelayMillis());
+                loop, store, machine, settings.get(GatewaySettings.HOLDER_GAP).toMillis(), orderLeaseDelayMillis());
         placementController = new PlacementController(
                 loop,
                 view,
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderHandOverTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderHandOverTest.java
@@ -4,6 +4,7 @@
 import static org.awaitility.Awaitility.await;
 
 import io.netty.channel.nio.NioEventLoopGroup;
+import io.oleandermoor.gateway.standin.EntryFixture;
 import io.oleandermoor.gateway.standin.StoreStandIn;
 import io.oleandermoor.platform.StoreClient;
 import io.oleandermoor.transport.settings.Address;
@@ -138,6 +139,23 @@
             startWithOrders("one");
             assertThat(Duration.ofNanos(System.nanoTime() - killed)).isLessThan(GAP);
         }
+
+        @Test
+        void onAnotherMachineWithTheSameNameIsAnotherHolder() throws Exception {
+            try (EntryFixture machine = new EntryFixture()) {
+                machine.awaitReady();
+                await().atMost(LIMIT)
+                        .until(() -> !machine.store().value(HOLDER_KEY).isEmpty());
+                long lease = machine.store().leaseOf(HOLDER_KEY);
+                try (EntryFixture other = machine.startPeer("entry-1")) {
+                    assertThat(other.isReady()).isTrue();
+                    await().during(Duration.ofSeconds(1))
+                            .atMost(LIMIT)
+                            .untilAsserted(() -> assertThat(machine.store().leaseOf(HOLDER_KEY))
+                                    .isEqualTo(lease));
+                }
+            }
+        }
     }
 
     @Nested
