--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/EngineOrderSenderTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/EngineOrderSenderTest.java
@@ -14,6 +14,7 @@
 import io.oleandermoor.state.fleet.EngineProfile;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import io.oleandermoor.state.residency.PlannedOrder;
+import io.oleandermoor.state.version.SoftwareVersion;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -54,7 +55,18 @@
     void clearsIncomingModelWhenOrderIsUnanswered() throws Exception {
         InstanceTable table = new InstanceTable("a", 1);
         UpstreamInstance engine = new UpstreamInstance(
-                "e", "words", "127.0.0.1", closedPort(), "a", 8, false, OptionalLong.empty(), Map.of(), Set.of(), 1);
+                "e",
+                "words",
+                "127.0.0.1",
+                closedPort(),
+                "a",
+                8,
+                false,
+                OptionalLong.empty(),
+                Map.of(),
+                Set.of(),
+                1,
+                SoftwareVersion.UNSTATED);
         table.put(engine, 0);
         EngineOrderSender sender = new EngineOrderSender(
                 loop,
@@ -111,7 +123,8 @@
                             OptionalLong.empty(),
                             Map.of("m", Set.of()),
                             Set.of(),
-                            1),
+                            1,
+                            SoftwareVersion.UNSTATED),
                     0);
             state = table.state("e").orElseThrow();
             sender = new EngineOrderSender(
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeLossTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeLossTest.java
@@ -27,6 +27,7 @@
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import io.oleandermoor.state.residency.DemandTracker;
 import io.oleandermoor.state.share.SharedTokenBucket;
+import io.oleandermoor.state.version.SoftwareVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -162,7 +163,8 @@
                 OptionalLong.empty(),
                 Map.of(),
                 Set.of(),
-                1);
+                1,
+                SoftwareVersion.UNSTATED);
     }
 
     @BeforeEach
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/peer/PeerExchangeTest.java
@@ -16,6 +16,7 @@
 import io.oleandermoor.state.fleet.FleetDocument;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import io.oleandermoor.state.residency.DemandTracker;
+import io.oleandermoor.state.version.SoftwareVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
@@ -106,7 +107,8 @@
                 OptionalLong.empty(),
                 Map.of(),
                 Set.of(),
-                1);
+                1,
+                SoftwareVersion.UNSTATED);
     }
 
     @AfterEach
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/UpstreamInstance.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/UpstreamInstance.java
@@ -1,5 +1,6 @@
 package io.oleandermoor.state.fleet;
 
+import io.oleandermoor.state.version.SoftwareVersion;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -18,6 +19,7 @@
  * @param models the held models, each with its held adapters
  * @param modelsWithLocalWeights the models whose weights are in its memory or on its local disk
  * @param startedMillis its start time in milliseconds since the epoch; distinguishes restarts under the same identifier
+ * @param softwareVersion the version of its software
  */
 public record UpstreamInstance(
         String id,
@@ -30,7 +32,8 @@
         OptionalLong remainingMillis,
         Map<String, Set<String>> models,
         Set<String> modelsWithLocalWeights,
-        long startedMillis) {
+        long startedMillis,
+        SoftwareVersion softwareVersion) {
 
     /** Copies the collections. */
     public UpstreamInstance {
@@ -51,6 +54,7 @@
                 remainingMillis,
                 models,
                 modelsWithLocalWeights,
-                startedMillis);
+                startedMillis,
+                softwareVersion);
     }
 }
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/coldstart/ColdStartSimulation.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/coldstart/ColdStartSimulation.java
@@ -8,6 +8,7 @@
 import io.oleandermoor.state.fleet.InstanceDescription;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import io.oleandermoor.state.fleet.UpstreamService;
+import io.oleandermoor.state.version.SoftwareVersion;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashSet;
@@ -96,7 +97,8 @@
                     OptionalLong.empty(),
                     Map.of(),
                     Set.of(),
-                    startedMillis);
+                    startedMillis,
+                    SoftwareVersion.UNSTATED);
             return new InstanceDescription(instance, coldRemaining);
         }
     }
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/coldstart/ColdStartsTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/coldstart/ColdStartsTest.java
@@ -10,6 +10,7 @@
 import io.oleandermoor.state.fleet.InstanceDescription;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import io.oleandermoor.state.fleet.UpstreamService;
+import io.oleandermoor.state.version.SoftwareVersion;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -50,7 +51,18 @@
 
     private void describe(long started, OptionalLong coldRemaining, long now) {
         UpstreamInstance instance = new UpstreamInstance(
-                "one", "words", "10.0.0.1", 80, "a", 100, false, OptionalLong.empty(), Map.of(), Set.of(), started);
+                "one",
+                "words",
+                "10.0.0.1",
+                80,
+                "a",
+                100,
+                false,
+                OptionalLong.empty(),
+                Map.of(),
+                Set.of(),
+                started,
+                SoftwareVersion.UNSTATED);
         table.put(instance, now);
         coldStarts.recordDescription(new InstanceDescription(instance, coldRemaining), ++revision, now);
     }
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/EnginePlay.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/EnginePlay.java
@@ -2,6 +2,7 @@
 
 import io.oleandermoor.state.dispatch.InstanceTable.InstanceQuery;
 import io.oleandermoor.state.fleet.UpstreamInstance;
+import io.oleandermoor.state.version.SoftwareVersion;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -105,7 +106,8 @@
                                     OptionalLong.empty(),
                                     Map.of(MODEL, Set.of()),
                                     Set.of(),
-                                    1),
+                                    1,
+                                    SoftwareVersion.UNSTATED),
                             0));
         }
 
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceNoticesTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceNoticesTest.java
@@ -6,6 +6,7 @@
 import io.oleandermoor.state.dispatch.InstanceTable.InstanceSelection;
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.fleet.UpstreamInstance;
+import io.oleandermoor.state.version.SoftwareVersion;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -35,7 +36,8 @@
                 OptionalLong.empty(),
                 Map.of(),
                 Set.of(),
-                startedMillis);
+                startedMillis,
+                SoftwareVersion.UNSTATED);
     }
 
     private InstanceSelection choose(long nowMillis) {
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/InstanceTableTest.java
@@ -5,6 +5,7 @@
 import io.oleandermoor.state.dispatch.InstanceTable.InstanceQuery;
 import io.oleandermoor.state.dispatch.InstanceTable.Shortage;
 import io.oleandermoor.state.fleet.UpstreamInstance;
+import io.oleandermoor.state.version.SoftwareVersion;
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
@@ -33,7 +34,8 @@
                 OptionalLong.empty(),
                 Map.of("m", Set.of("a1")),
                 Set.of("m"),
-                started);
+                started,
+                SoftwareVersion.UNSTATED);
     }
 
     private static InstanceQuery query(String target, String... excluded) {
@@ -319,7 +321,8 @@
                     OptionalLong.empty(),
                     Map.of("m", Set.of()),
                     Set.of(),
-                    started);
+                    started,
+                    SoftwareVersion.UNSTATED);
         }
 
         private boolean probablyGone(String id) {
@@ -377,7 +380,8 @@
                             OptionalLong.empty(),
                             near.models(),
                             Set.of(),
-                            1),
+                            1,
+                            SoftwareVersion.UNSTATED),
                     0);
         }
 
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/evacuation/EvacuationRuleTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/evacuation/EvacuationRuleTest.java
@@ -10,6 +10,7 @@
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.dispatch.Prompt;
 import io.oleandermoor.state.fleet.UpstreamInstance;
+import io.oleandermoor.state.version.SoftwareVersion;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -31,7 +32,18 @@
 
     private static UpstreamInstance instance(String id, String failureDomain, Map<String, Set<String>> models) {
         return new UpstreamInstance(
-                id, "words", "10.0.0.1", 80, failureDomain, 4, false, OptionalLong.empty(), models, Set.of(), 1);
+                id,
+                "words",
+                "10.0.0.1",
+                80,
+                failureDomain,
+                4,
+                false,
+                OptionalLong.empty(),
+                models,
+                Set.of(),
+                1,
+                SoftwareVersion.UNSTATED);
     }
 
     private InstanceSelection choose(long nowMillis) {
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/region/RegionRuleTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/region/RegionRuleTest.java
@@ -9,6 +9,7 @@
 import io.oleandermoor.state.dispatch.InstanceTable.Terms;
 import io.oleandermoor.state.dispatch.Prompt;
 import io.oleandermoor.state.fleet.UpstreamInstance;
+import io.oleandermoor.state.version.SoftwareVersion;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -23,7 +24,18 @@
 
     private void put(String id, String failureDomain) {
         UpstreamInstance instance = new UpstreamInstance(
-                id, "shop", "10.0.0.1", 80, failureDomain, 4, false, OptionalLong.empty(), Map.of(), Set.of(), 1);
+                id,
+                "shop",
+                "10.0.0.1",
+                80,
+                failureDomain,
+                4,
+                false,
+                OptionalLong.empty(),
+                Map.of(),
+                Set.of(),
+                1,
+                SoftwareVersion.UNSTATED);
         table.put(instance, 0);
     }
 
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/restore/EndedRunsTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/restore/EndedRunsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import io.oleandermoor.state.fleet.UpstreamInstance;
+import io.oleandermoor.state.version.SoftwareVersion;
 import java.util.Map;
 import java.util.OptionalLong;
 import java.util.Set;
@@ -28,7 +29,8 @@
                 OptionalLong.empty(),
                 Map.of(),
                 Set.of(),
-                startedMillis);
+                startedMillis,
+                SoftwareVersion.UNSTATED);
     }
 
     @Nested
