Keep a stream at the software version that began it

Cause: nothing read `version` of a registration nor `Resumes`; each run that goes on for another chose any replica. The class is a run that goes on for another without anything that says what the first one was.

Fix: VersionRule binds a stream to the version of the run that brought its first event. Otherwise each entry records its streams in batches, and at once when a caller leaves or a stream breaks off. A take-up whose version is not known, or has left, is refused at once with 503, as not run. A take-up goes to the service that began its stream, also with a traffic split. Services whose instances state no version are served as before.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -20,6 +20,9 @@
 import io.oleandermoor.gateway.upstream.ColdStartLog;
 import io.oleandermoor.gateway.upstream.NoticeRecorder;
 import io.oleandermoor.gateway.upstream.UpstreamPool;
+import io.oleandermoor.gateway.version.StreamRecordStore;
+import io.oleandermoor.gateway.version.StreamRecords;
+import io.oleandermoor.gateway.version.VersionRegistry;
 import io.oleandermoor.gateway.view.DeploymentView;
 import io.oleandermoor.gateway.view.ShutdownSchedule;
 import io.oleandermoor.gateway.view.Timestamp;
@@ -29,6 +32,7 @@
 import io.oleandermoor.state.coldstart.ColdStarts;
 import io.oleandermoor.state.dispatch.DispatchMechanism;
 import io.oleandermoor.state.dispatch.InstanceTable;
+import io.oleandermoor.state.dispatch.VersionRule;
 import io.oleandermoor.state.evacuation.EvacuationRule;
 import io.oleandermoor.state.evacuation.EvacuationSchedule;
 import io.oleandermoor.state.region.RegionRule;
@@ -70,6 +74,11 @@
     /** Delay of the attempt to acquire the order lease on a machine with almost no processor time. */
     private static final long MAXIMUM_ORDER_LEASE_DELAY_MILLIS = 500;
 
+    /** Part of the store's writes that may tell which software versions began streams. */
+    private static final double STREAM_WRITES_RATIO = 0.2;
+
+    private static final long MINIMUM_STREAM_PUBLICATION_MILLIS = 250;
+
     private static final long POOL_CLEANUP_INTERVAL_MILLIS = 1_000;
     /** Time until the load balancer removes this machine: it checks each second and requires two failed checks. */
     private static final long LOAD_BALANCER_REMOVAL_MILLIS = 2_500;
@@ -93,6 +102,8 @@
     private final QuarantineCoordinator quarantine = new QuarantineCoordinator(loop, metrics);
     private final StoreClient store;
     private final EvacuationSchedule evacuations;
+    private final VersionRegistry versions;
+    private final StreamRecords streams;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private boolean wasReady;
 
@@ -117,6 +128,10 @@
         store = new StoreClient(
                 loop, settings.get(GatewaySettings.STORE_ADDRESS).toSocketAddress(), STORE_TIMEOUT_MILLIS);
         RestoreObserver.start(store, view, metrics);
+        versions = new VersionRegistry(loop, store, view);
+        view.instances().addRule(new VersionRule(versions.policy()));
+        streams = new StreamRecords(
+                loop, versions, new StreamRecordStore(store, entryName), this::streamPublicationIntervalMillis);
         NoticeRecorder noticeRecorder = new NoticeRecorder(view, metrics);
         pool.setNoticeListener(noticeRecorder);
         dispatcher = new RequestDispatcher(
@@ -127,10 +142,11 @@
                         maximumKeyConfirmationAgeMillis(),
                         settings.get(GatewaySettings.RETRY_RATIO),
                         settings.get(GatewaySettings.RETRY_FIXED),
-                        settings.get(GatewaySettings.RETRY_WINDOW).toMillis()),
-                dispatchMechanisms(),
+                        settings.get(GatewaySettings.RETRY_WINDOW).toMillis(),
+                        dispatchMechanisms()),
                 quarantine,
-                metrics);
+                metrics,
+                streams);
         pool.setContactLossListener(instance -> {
             view.coldStarts().recordContactLost(instance);
             dispatcher.recordContactLost(instance);
@@ -187,6 +203,13 @@
         return (long) (MAXIMUM_ORDER_LEASE_DELAY_MILLIS * Math.max(0, 1 - cores));
     }
 
+    /** Returns the interval at which the writes of all entries together stay within their part of the store's rate. */
+    private long streamPublicationIntervalMillis() {
+        double writesPerSecond = settings.get(GatewaySettings.STORE_WRITE_RATE) * STREAM_WRITES_RATIO;
+        return (long) Math.max(
+                MINIMUM_STREAM_PUBLICATION_MILLIS, TimeUnit.SECONDS.toMillis(view.entryCount()) / writesPerSecond);
+    }
+
     private long maximumKeyConfirmationAgeMillis() {
         return settings.get(GatewaySettings.REVOCATION).toMillis() - REVOCATION_MARGIN_MILLIS;
     }
@@ -205,6 +228,8 @@
                 settings.get(GatewaySettings.DRAIN).toMillis(),
                 new EvacuationListener(loop, view, evacuations, metrics));
         membership.start();
+        versions.start();
+        streams.start();
         dispatcher.start();
         dispatcher.setShortageListener(peerExchange::reportSoon);
         dispatcher.setPromptListener(peerExchange::reportLoad);
@@ -282,6 +307,7 @@
         }
         LOG.info("event=stopped entry={} open={}", view.entry(), dispatcher.openRequestCount());
         dispatcher.expireOpenRequests();
+        streams.publish();
         callerServer.closeAll();
         membership.leave().subscribe(left -> stopped.countDown(), cause -> {
             LOG.warn("event=leave_failed entry={} cause=\"{}\"", view.entry(), cause.getMessage());
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
@@ -86,7 +86,7 @@
         if (!tryTakeRateTokens(team, caller)) {
             return refuseOverRate(request, response, caller, team.get());
         }
-        String service = route.get().serviceFor(unitHash(caller.id()));
+        String service = route.get().serviceFor(unitHash(routingId(caller)));
         boolean engine =
                 document.get().service(service).flatMap(UpstreamService::engine).isPresent();
         Optional<ModelTarget> target = engine ? caller.target() : Optional.empty();
@@ -106,6 +106,11 @@
                 .orElse(true);
     }
 
+    /** A stream that is taken up goes on at the service that began it. */
+    private static String routingId(CallerRequest caller) {
+        return caller.lastEventId().flatMap(event -> caller.resumedId()).orElse(caller.id());
+    }
+
     private static double unitHash(String id) {
         long mixed = id.hashCode() * 0x9E3779B97F4A7C15L;
         return (mixed >>> 11) / UNIT_HASH_RANGE;
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/AdmittedRequest.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/AdmittedRequest.java
@@ -7,6 +7,7 @@
 import io.oleandermoor.state.fleet.HostRoute;
 import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.region.AllowedRegions;
+import io.oleandermoor.state.version.VersionRequirement;
 import java.util.Optional;
 import java.util.Set;
 
@@ -55,7 +56,16 @@
 
     /** Returns what rules on instances take into account. */
     InstanceTable.Terms terms(long arrivedMillis) {
-        return new InstanceTable.Terms(urgency(), targetMillis(arrivedMillis), allowedRegions());
+        return new InstanceTable.Terms(
+                urgency(), targetMillis(arrivedMillis), allowedRegions(), VersionRequirement.NONE);
+    }
+
+    /**
+     * Returns the key of the capacity that requests share: that of a model with its adapters, or of a plain service, in
+     * the allowed regions.
+     */
+    String capacityKey() {
+        return service + " " + target.map(ModelTarget::model).orElse("") + allowedRegions();
     }
 
     /** Returns the regions that both the route and the team allow; empty if both allow all. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -5,6 +5,7 @@
 import io.oleandermoor.gateway.quarantine.CrashDetector;
 import io.oleandermoor.gateway.quarantine.QuarantineCoordinator;
 import io.oleandermoor.gateway.upstream.UpstreamPool;
+import io.oleandermoor.gateway.version.StreamOrigins;
 import io.oleandermoor.gateway.view.DeploymentView;
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.state.dispatch.DispatchMechanism;
@@ -66,6 +67,7 @@
     private final Set<RequestExchange> openRequests = new LinkedHashSet<>();
     private Runnable shortageListener = () -> {};
     private Consumer<String> promptListener = instance -> {};
+    private final StreamOrigins streamOrigins;
     private boolean dispatchScheduled;
     private long lastTickMillis = Timestamp.monotonicNowMillis();
     private long bufferedBytes;
@@ -79,9 +81,20 @@
      * @param retryRatio the retries that each request adds to the budget
      * @param fixedRetries the additional retries that all entries together may make in a window
      * @param retryWindowMillis the length of the window of the retry budget
+     * @param mechanisms the mechanisms of dispatch to use
      */
     public record Limits(
-            long maximumKeyConfirmationAgeMillis, double retryRatio, double fixedRetries, long retryWindowMillis) {}
+            long maximumKeyConfirmationAgeMillis,
+            double retryRatio,
+            double fixedRetries,
+            long retryWindowMillis,
+            Set<DispatchMechanism> mechanisms) {
+
+        /** Copies the mechanisms. */
+        public Limits {
+            mechanisms = Set.copyOf(mechanisms);
+        }
+    }
 
     /**
      * Creates a dispatcher without requests.
@@ -90,23 +103,23 @@
      * @param view this entry's view of the deployment
      * @param pool the pool of connections to instances
      * @param limits the limits of the deployment
-     * @param mechanisms the mechanisms of dispatch to use
      * @param quarantine knows the requests that must not be sent, because they end instances
      * @param metrics counts what becomes of requests
+     * @param streamOrigins knows the software versions that began streams
      */
     public RequestDispatcher(
             EventLoop loop,
             DeploymentView view,
             UpstreamPool pool,
             Limits limits,
-            Set<DispatchMechanism> mechanisms,
             QuarantineCoordinator quarantine,
-            GatewayMetrics metrics) {
+            GatewayMetrics metrics,
+            StreamOrigins streamOrigins) {
         this.loop = loop;
         this.view = view;
         this.pool = pool;
         this.limits = limits;
-        this.mechanisms = Set.copyOf(mechanisms);
+        this.mechanisms = limits.mechanisms();
         this.queue = new RequestQueue(
                 mechanisms.contains(DispatchMechanism.REACHABLE_TARGET_FIRST)
                         ? QueueOrder.REACHABLE_TARGET_FIRST
@@ -115,6 +128,7 @@
         this.silenceDetector = new SilenceDetector(view);
         this.quarantine = quarantine;
         this.metrics = metrics;
+        this.streamOrigins = streamOrigins;
         this.crashDetector = new CrashDetector(
                 loop,
                 pool,
@@ -227,6 +241,10 @@
         return mechanisms.contains(mechanism);
     }
 
+    StreamOrigins streamOrigins() {
+        return streamOrigins;
+    }
+
     RequestQueue queue() {
         return queue;
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestExchange.java
@@ -6,7 +6,6 @@
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseStatus;
-import io.netty.util.concurrent.ScheduledFuture;
 import io.oleandermoor.gateway.view.Timestamp;
 import io.oleandermoor.platform.RequestHeaders;
 import io.oleandermoor.state.dispatch.DispatchMechanism;
@@ -22,7 +21,6 @@
 import io.oleandermoor.state.quarantine.RequestQuarantine.Quarantine;
 import io.oleandermoor.state.quarantine.RequestTraits;
 import java.util.Optional;
-import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 
 /** Handles one caller request from its arrival to its single response. Used on the event loop only. */
@@ -40,8 +38,6 @@
     /** A caller waits at most this part of its remaining time before it returns. */
     private static final int RETURN_SHARE = 3;
 
-    private static final String QUARANTINED = "quarantined";
-
     private final RequestDispatcher dispatcher;
     private final ResponseWriter response;
     private final FullHttpRequest request;
@@ -57,8 +53,9 @@
     private final StreamLatency latency = new StreamLatency(arrivedMillis);
     private final QueueOrder.Position position;
     private final InstanceTable.Terms terms;
-    private @Nullable ScheduledFuture<?> deadlineTimer;
-    private @Nullable ScheduledFuture<?> queueTimer;
+    private final StreamContinuation continuation;
+    private final OneShotTimer deadlineTimer = new OneShotTimer();
+    private final OneShotTimer queueTimer = new OneShotTimer();
     private @Nullable ResumableEventStream stream;
     private boolean queued;
     private boolean finished;
@@ -77,6 +74,7 @@
         this.deadlineMillis = arrivedMillis + admitted.caller().allowedMillis(admitted.route());
         this.position = admitted.position(sequenceNumber, arrivedMillis);
         this.terms = admitted.terms(arrivedMillis);
+        this.continuation = new StreamContinuation(dispatcher.streamOrigins(), admitted);
         this.prompt = admitted.target().isPresent() ? Prompt.of(admitted.caller()) : Prompt.NONE;
     }
 
@@ -105,12 +103,8 @@
         return HttpMethod.HEAD.equals(request.method());
     }
 
-    /**
-     * Returns the key of the capacity that requests share: that of a model with its adapters, or of a plain service, in
-     * the allowed regions.
-     */
     String capacityKey() {
-        return admitted.service() + " " + target().map(ModelTarget::model).orElse("") + terms.allowedRegions();
+        return admitted.capacityKey();
     }
 
     /** Returns whether the request waits for a free slot rather than for its model or adapter to be loaded. */
@@ -120,7 +114,8 @@
 
     /** Returns the key of what the request requires; requests with the same key are blocked together. */
     String requirementKey() {
-        return capacityKey() + target().map(ModelTarget::adapter).orElse("") + " " + sends.triedInstances();
+        String adapter = target().map(ModelTarget::adapter).orElse("");
+        return capacityKey() + adapter + " " + sends.triedInstances() + continuation.requirement();
     }
 
     /**
@@ -137,12 +132,12 @@
         dispatcher.openRequest(this);
         dispatcher.retryAllowance(admitted.service()).recordRequest(arrivedMillis);
         long delayMillis = Math.max(1, deadlineMillis - arrivedMillis - RESPONSE_MARGIN_MILLIS);
-        deadlineTimer = dispatcher.loop().schedule(this::expire, delayMillis, TimeUnit.MILLISECONDS);
-        dispatch();
+        deadlineTimer.schedule(dispatcher.loop(), this::expire, delayMillis);
+        continuation.findOrigin(this::dispatch);
     }
 
     private void dispatch() {
-        if (refuseIfQuarantined()) {
+        if (finished || refuseIfQuarantined()) {
             return;
         }
         InstanceSelection selection = selectInstance();
@@ -177,13 +172,13 @@
         }
         cancelCurrentAttempt();
         retryAfterMillis = quarantine.get().untilMillis() - Timestamp.monotonicNowMillis();
-        refuseOrFail(QUARANTINED, false);
+        refuseOrFail("quarantined", false);
         return true;
     }
 
     private InstanceSelection selectInstance() {
-        InstanceTable.InstanceQuery query =
-                new InstanceTable.InstanceQuery(admitted.service(), target(), prompt, sends.triedInstances(), terms);
+        InstanceTable.InstanceQuery query = new InstanceTable.InstanceQuery(
+                admitted.service(), target(), prompt, sends.triedInstances(), terms.with(continuation.requirement()));
         return dispatcher.view().instances().choose(query, Timestamp.monotonicNowMillis());
     }
 
@@ -222,16 +217,13 @@
         }
         queued = true;
         dispatcher.queue().add(this);
-        queueTimer = dispatcher.loop().schedule(this::onQueueTimeout, decision.waitMillis(), TimeUnit.MILLISECONDS);
+        queueTimer.schedule(dispatcher.loop(), this::onQueueTimeout, decision.waitMillis());
     }
 
     private void leaveQueue() {
         queued = false;
         dispatcher.queue().remove(this);
-        if (queueTimer != null) {
-            queueTimer.cancel(false);
-            queueTimer = null;
-        }
+        queueTimer.cancel();
     }
 
     /** Sends the queued request if an instance can take it now. Returns whether it needs no further dispatch. */
@@ -302,8 +294,7 @@
         }
         outcomeLog.logTimeout(this);
         if (response.isStreamStarted()) {
-            finish();
-            response.abort();
+            abortStream();
         } else {
             respond(HttpResponseStatus.GATEWAY_TIMEOUT, EmptyHttpHeaders.INSTANCE);
         }
@@ -319,6 +310,7 @@
             leaveQueue();
             cancelCurrentAttempt();
             finish();
+            continuation.callerMayReturn();
         }
     }
 
@@ -334,8 +326,7 @@
     private void refuseOrFail(String reason, boolean spaceReturn) {
         outcomeLog.logFailureOrRefusal(this, sends.mayHaveRun(), reason);
         if (response.isStreamStarted()) {
-            finish();
-            response.abort();
+            abortStream();
         } else if (sends.mayHaveRun()) {
             respond(HttpResponseStatus.BAD_GATEWAY, EmptyHttpHeaders.INSTANCE);
         } else {
@@ -348,6 +339,12 @@
         }
     }
 
+    private void abortStream() {
+        finish();
+        continuation.callerMayReturn();
+        response.abort();
+    }
+
     private void respond(HttpResponseStatus status, HttpHeaders headers) {
         finish();
         response.writeLocalResponse(status.code(), headers, admitted.caller().id());
@@ -356,9 +353,7 @@
     void finish() {
         finished = true;
         leaveQueue();
-        if (deadlineTimer != null) {
-            deadlineTimer.cancel(false);
-        }
+        deadlineTimer.cancel();
         request.release();
         dispatcher.closeRequest(this);
         dispatcher.scheduleDispatch();
@@ -388,6 +383,10 @@
         return latency;
     }
 
+    StreamContinuation continuation() {
+        return continuation;
+    }
+
     int sendCount() {
         return sends.sendCount();
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -146,7 +146,7 @@
     public boolean maySend() {
         long now = Timestamp.monotonicNowMillis();
         DeploymentView view = exchange.dispatcher().view();
-        if (view.instances().isWithdrawn(instance, now)) {
+        if (view.instances().isWithdrawn(instance, now) || !isCurrentRun()) {
             return false;
         }
         shareSpent = !view.coldStarts().confirmSend(instance.id(), countedSendMillis, now);
@@ -154,6 +154,13 @@
         return !shareSpent;
     }
 
+    /** Returns whether the instance has not started again since it was chosen, maybe with another software version. */
+    private boolean isCurrentRun() {
+        return instanceState()
+                .filter(state -> state.instance().startedMillis() == instance.startedMillis())
+                .isPresent();
+    }
+
     @Override
     public void onHead(ResponseHead head, HttpResponse response) {
         if (!exchange.isCurrentAttempt(this)) {
@@ -244,6 +251,7 @@
                 lastEventMillis = now;
                 evidence.recordPiece(now);
                 exchange.latency().recordEvents(now);
+                exchange.continuation().recordEvents(instance);
                 exchange.response().writeEvents(newEvents);
             } else {
                 newEvents.release();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/settings/GatewaySettings.java
@@ -55,6 +55,11 @@
     public static final Setting<Address> STORE_ADDRESS =
             Setting.address("store.address", "Address of the platform's store.");
 
+    /** Number of writes that all entries together may send to the store in a second. */
+    public static final Setting<Double> STORE_WRITE_RATE = Setting.decimal(
+                    "store.write-rate", "Writes to the store that all entries together may send in a second.")
+            .defaultingTo("400");
+
     /** Time after which a revoked key must be rejected by every entry. */
     public static final Setting<Duration> REVOCATION = Setting.duration(
             "limits.revocation",
@@ -145,6 +150,7 @@
                     READY_ADDRESS,
                     PEER_ADDRESS,
                     STORE_ADDRESS,
+                    STORE_WRITE_RATE,
                     REVOCATION,
                     DRAIN,
                     EVACUATION,
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/StreamOrigins.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/StreamOrigins.java
@@ -22,11 +22,7 @@
      *
      * @param service the service that runs the stream
      * @param attempt the attempt that brought its first event; empty if the caller names none
-     * @return the version, or empty if it is not known; never fails, and does not wait for knowledge that may come
-     *     later
+     * @return the version, or empty if it is not known; never fails, and does not wait for knowledge that comes later
      */
     Single<Optional<SoftwareVersion>> find(String service, Optional<StreamKey> attempt);
-
-    /** Returns whether streams of a service may begin at a version: all entries can know that it is in use. */
-    boolean mayBegin(String service, SoftwareVersion version);
 }
--- /dev/null
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/StreamRecords.java
@@ -0,0 +1,205 @@
+package io.oleandermoor.gateway.version;
+
+import io.netty.channel.EventLoop;
+import io.oleandermoor.gateway.view.Timestamp;
+import io.oleandermoor.state.version.SoftwareVersion;
+import io.oleandermoor.state.version.StreamKey;
+import io.reactivex.rxjava3.core.Single;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import org.apache.logging.log4j.LogManager;
+import org.apache.logging.log4j.Logger;
+
+/**
+ * Remembers which version brought the first event of each stream of this entry, and shares that with the other entries
+ * through the store while a service has several versions. Where a service has one version only, that one began every
+ * stream, and nothing is written. Used on the event loop only.
+ */
+// Calls complete with a response or a timeout, and tasks run until the event loop ends, so neither is cancelled.
+@SuppressWarnings({"FutureReturnValueIgnored", "CheckReturnValue"})
+public final class StreamRecords implements StreamOrigins {
+
+    private static final Logger LOG = LogManager.getLogger(StreamRecords.class);
+    /** Time for which a stream is remembered; callers take streams up within their deadlines. */
+    static final long MEMORY_MILLIS = 60_000;
+
+    private static final long RETRY_DELAY_MILLIS = 200;
+
+    private final EventLoop loop;
+    private final VersionRegistry registry;
+    private final StreamRecordStore recordStore;
+    private final LongSupplier publicationIntervalMillis;
+    /** In the order of their first events. */
+    private final Map<StreamKey, Origin> own = new LinkedHashMap<>();
+
+    private final Map<StreamKey, Origin> unpublished = new LinkedHashMap<>();
+    private final Deque<Runnable> waitingForRead = new ArrayDeque<>();
+    /** The services with several versions at the latest change. */
+    private Set<String> sharedServices = Set.of();
+
+    private boolean publicationScheduled;
+    private boolean publishing;
+    private boolean publishAgain;
+    private boolean reading;
+
+    /** What began a stream. */
+    private record Origin(String service, SoftwareVersion version, long recordedMillis) {}
+
+    /**
+     * Creates records that have not started.
+     *
+     * @param loop the event loop
+     * @param registry knows the versions of each service
+     * @param recordStore the records in the store
+     * @param publicationIntervalMillis the time in which new records are gathered before they are written
+     */
+    public StreamRecords(
+            EventLoop loop,
+            VersionRegistry registry,
+            StreamRecordStore recordStore,
+            LongSupplier publicationIntervalMillis) {
+        this.loop = loop;
+        this.registry = registry;
+        this.recordStore = recordStore;
+        this.publicationIntervalMillis = publicationIntervalMillis;
+    }
+
+    /** Starts to publish records when a service gets a second version. */
+    public void start() {
+        registry.setChangeListener(this::publishServicesWithSeveralVersions);
+        recordStore.setLossListener(() -> {
+            sharedServices = Set.of();
+            publishServicesWithSeveralVersions();
+        });
+    }
+
+    /** Adds the streams that began while their service had one version only. */
+    private void publishServicesWithSeveralVersions() {
+        forgetOld();
+        Set<String> several = new HashSet<>();
+        own.forEach((key, origin) -> {
+            if (registry.hasSeveralVersions(origin.service())) {
+                several.add(origin.service());
+                if (!sharedServices.contains(origin.service())) {
+                    unpublished.put(key, origin);
+                }
+            }
+        });
+        sharedServices = several;
+        schedulePublication();
+    }
+
+    private void forgetOld() {
+        long oldestMillis = Timestamp.monotonicNowMillis() - MEMORY_MILLIS;
+        own.values().removeIf(origin -> origin.recordedMillis() < oldestMillis);
+        unpublished.values().removeIf(origin -> origin.recordedMillis() < oldestMillis);
+    }
+
+    @Override
+    public void recordFirstEvent(String service, StreamKey attempt, SoftwareVersion version) {
+        Origin origin = new Origin(service, version, Timestamp.monotonicNowMillis());
+        own.put(attempt, origin);
+        if (registry.hasSeveralVersions(service)) {
+            unpublished.put(attempt, origin);
+            schedulePublication();
+        }
+    }
+
+    private void schedulePublication() {
+        if (!publicationScheduled && !unpublished.isEmpty()) {
+            publicationScheduled = true;
+            loop.schedule(this::publishScheduled, publicationIntervalMillis.getAsLong(), TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void publishScheduled() {
+        publicationScheduled = false;
+        forgetOld();
+        publish();
+    }
+
+    @Override
+    public void publish() {
+        if (publishing) {
+            publishAgain = true;
+            return;
+        }
+        if (unpublished.isEmpty()) {
+            return;
+        }
+        publishing = true;
+        publishAgain = false;
+        Map<StreamKey, SoftwareVersion> batch = new LinkedHashMap<>();
+        unpublished.forEach((key, origin) -> batch.put(key, origin.version()));
+        recordStore
+                .append(batch)
+                .subscribe(
+                        () -> {
+                            publishing = false;
+                            batch.forEach((key, version) -> unpublished.remove(key));
+                            if (publishAgain) {
+                                publish();
+                            }
+                            schedulePublication();
+                        },
+                        cause -> {
+                            LOG.info(
+                                    "event=streams_not_published streams={} cause=\"{}\"",
+                                    batch.size(),
+                                    cause.getMessage());
+                            publishing = false;
+                            loop.schedule(this::publish, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+                        });
+    }
+
+    @Override
+    public Single<Optional<SoftwareVersion>> find(String service, Optional<StreamKey> attempt) {
+        Optional<SoftwareVersion> known = attempt.flatMap(this::findKnown);
+        if (known.isPresent()) {
+            return Single.just(known);
+        }
+        return registry.findSoleVersion(service).flatMap(sole -> {
+            if (sole.isPresent() || attempt.isEmpty() || !registry.hasSeveralVersions(service)) {
+                return Single.just(sole);
+            }
+            return readRecords().map(done -> findKnown(attempt.get()));
+        });
+    }
+
+    private Optional<SoftwareVersion> findKnown(StreamKey attempt) {
+        Origin origin = own.get(attempt);
+        return origin == null ? recordStore.find(attempt) : Optional.of(origin.version());
+    }
+
+    /** Reads the records that entries have written until now; a read that has begun before may lack the latest ones. */
+    private Single<Boolean> readRecords() {
+        return Single.create(emitter -> {
+            waitingForRead.add(() -> emitter.onSuccess(true));
+            if (!reading) {
+                read();
+            }
+        });
+    }
+
+    private void read() {
+        reading = true;
+        List<Runnable> served = new ArrayList<>(waitingForRead);
+        waitingForRead.clear();
+        recordStore.read().onErrorComplete().subscribe(() -> {
+            reading = false;
+            served.forEach(Runnable::run);
+            if (!waitingForRead.isEmpty()) {
+                read();
+            }
+        });
+    }
+}
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
@@ -213,6 +213,11 @@
         instancesLoaded = true;
     }
 
+    /** Returns whether the list of instances has been read from the store. */
+    public boolean areInstancesLoaded() {
+        return instancesLoaded;
+    }
+
     /** Sets whether this entry is registered in the store. */
     public void setRegistered(boolean registered) {
         entryRegistered = registered;
@@ -269,9 +274,7 @@
     /** Replaces the names of the other registered entries. */
     public void setPeers(Set<String> names) {
         peers = Set.copyOf(names);
-        int rank =
-                (int) names.stream().filter(name -> name.compareTo(entry) < 0).count();
-        coldStarts.recordEntries(entryCount(), rank, Timestamp.monotonicNowMillis());
+        coldStarts.recordEntries(entryCount(), entryRank(), Timestamp.monotonicNowMillis());
         peersKnown = true;
         lastReportMillisByPeer.keySet().retainAll(names);
         updateSilentPeers();
@@ -311,6 +314,11 @@
         }
     }
 
+    /** Returns the number of registered entries whose names come before that of this one. */
+    public int entryRank() {
+        return (int) peers.stream().filter(name -> name.compareTo(entry) < 0).count();
+    }
+
     /** Returns the number of registered entries, including this one. */
     public int entryCount() {
         return peers.size() + 1;
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
@@ -176,6 +176,12 @@
                 : new String(Base64.getDecoder().decode(String.valueOf(item.get("value"))), StandardCharsets.UTF_8);
     }
 
+    /** Returns the keys of all items under a prefix. */
+    public synchronized List<String> keys(String prefix) {
+        endLeases();
+        return items.keySet().stream().filter(key -> key.startsWith(prefix)).toList();
+    }
+
     /** Writes an item unconditionally, as the operator or an instance would. */
     public synchronized void put(String key, String value) {
         put(key, value, 0);
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/CallerRequest.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/CallerRequest.java
@@ -17,6 +17,7 @@
  * @param tokens the number of prompt tokens and the maximum number of generated tokens
  * @param promptParts the parts of the prompt in order, those shared with other requests first
  * @param lastEventId the identifier of the last stream event that the caller received
+ * @param resumedId the identifier of the caller's attempt that brought the first event of the stream it takes up
  */
 public record CallerRequest(
         String id,
@@ -27,7 +28,8 @@
         Optional<ModelTarget> target,
         Optional<Tokens> tokens,
         List<PromptPart> promptParts,
-        Optional<EventId> lastEventId) {
+        Optional<EventId> lastEventId,
+        Optional<String> resumedId) {
 
     /** Copies the prompt parts. */
     public CallerRequest {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -2,6 +2,7 @@
 
 import io.oleandermoor.state.dispatch.InstanceRule.Verdict;
 import io.oleandermoor.state.fleet.UpstreamInstance;
+import io.oleandermoor.state.version.VersionRequirement;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.Collections;
@@ -136,11 +137,17 @@
      * @param urgency the urgency, where 0 is the most urgent
      * @param targetMillis the time by which the response has to start to meet the latency target
      * @param allowedRegions the regions in which the request may run; empty if it may run in all of them
+     * @param version what the request requires of the software version
      */
-    public record Terms(int urgency, long targetMillis, Set<String> allowedRegions) {
+    public record Terms(int urgency, long targetMillis, Set<String> allowedRegions, VersionRequirement version) {
 
         /** The terms of a request without any. */
-        public static final Terms NONE = new Terms(0, Long.MAX_VALUE, Set.of());
+        public static final Terms NONE = new Terms(0, Long.MAX_VALUE, Set.of(), VersionRequirement.NONE);
+
+        /** Returns these terms with another requirement on the software version. */
+        public Terms with(VersionRequirement otherVersion) {
+            return new Terms(urgency, targetMillis, allowedRegions, otherVersion);
+        }
     }
 
     /** The reason why no instance can accept a request now. */
@@ -154,11 +161,13 @@
         /** Every instance that could run the request is leaving or has asked for a pause. */
         WITHDRAWN,
         /** The request may run only in some regions, and no instance of the service is in one of them. */
-        NO_ALLOWED_INSTANCE;
+        NO_ALLOWED_INSTANCE,
+        /** The stream goes on only at the software version that began it, and no instance runs it any more. */
+        NO_INSTANCE_OF_VERSION;
 
         /** Returns whether the request is refused at once, because waiting does not help. */
         public boolean refusedAtOnce() {
-            return this == WITHDRAWN || this == NO_ALLOWED_INSTANCE;
+            return this == WITHDRAWN || this == NO_ALLOWED_INSTANCE || this == NO_INSTANCE_OF_VERSION;
         }
     }
 
@@ -345,8 +354,7 @@
 
     /** Chooses the instance for a request. */
     public InstanceSelection choose(InstanceQuery query, long nowMillis) {
-        ShortageFinder shortage =
-                new ShortageFinder(!query.terms().allowedRegions().isEmpty());
+        ShortageFinder shortage = new ShortageFinder(query.terms());
         Candidate best = Candidate.NONE;
         Candidate lastResort = Candidate.NONE;
         boolean allowedHolderExists = false;
@@ -369,7 +377,7 @@
                 continue;
             }
             if (query.excluded().contains(instance.id()) || !state.usable(nowMillis)) {
-                shortage.addUnusable();
+                shortage.addUnusable(!query.excluded().contains(instance.id()) && !state.probablyGone());
                 continue;
             }
             shortage.addUsable(holds);
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/ShortageFinder.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/ShortageFinder.java
@@ -13,19 +13,22 @@
     private static final long LONG_PAUSE_MILLIS = 3_000;
 
     private final boolean restricted;
+    private final boolean versionBound;
     private boolean usable;
     private boolean resident;
     private boolean others;
+    private boolean othersMayReturn;
     private boolean withdrawn;
     private long pauseEndMillis = Long.MAX_VALUE;
 
     /**
      * Creates a finder without instances.
      *
-     * @param restricted whether the request may run only in some regions; instances in other regions are not added
+     * @param terms the terms of the request; instances that they exclude are not added
      */
-    ShortageFinder(boolean restricted) {
-        this.restricted = restricted;
+    ShortageFinder(InstanceTable.Terms terms) {
+        this.restricted = !terms.allowedRegions().isEmpty();
+        this.versionBound = terms.version().isBound();
     }
 
     /** Adds an instance that is leaving or has asked for a pause. */
@@ -36,9 +39,14 @@
         }
     }
 
-    /** Adds an instance to which the request was already sent, or which cannot be reached. */
-    void addUnusable() {
+    /**
+     * Adds an instance to which the request was already sent, or which cannot be reached.
+     *
+     * @param mayReturn whether the request may still be sent to it later
+     */
+    void addUnusable(boolean mayReturn) {
         others = true;
+        othersMayReturn |= mayReturn;
     }
 
     /** Adds an instance that accepts requests. */
@@ -64,6 +72,10 @@
         if (usable) {
             return pausedBriefly ? Shortage.WITHDRAWN : Shortage.NOT_RESIDENT;
         }
+        if (versionBound && !withdrawn && !othersMayReturn) {
+            // Another instance that starts with this version is not to be expected.
+            return Shortage.NO_INSTANCE_OF_VERSION;
+        }
         if (restricted && !withdrawn && !others) {
             return Shortage.NO_ALLOWED_INSTANCE;
         }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/FleetDocument.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/fleet/FleetDocument.java
@@ -6,6 +6,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Optional;
+import java.util.Set;
+import java.util.stream.Collectors;
 
 /** A version of the operators' configuration, indexed for lookups. Immutable and thread-safe. */
 public final class FleetDocument {
@@ -74,6 +76,16 @@
         return Optional.empty();
     }
 
+    /** Returns the names of all services that run streams. */
+    public Set<String> streamServices() {
+        return routesByHost.values().stream()
+                .flatMap(List::stream)
+                .filter(route -> route.kind() == RequestKind.STREAMING)
+                .flatMap(route -> route.services().stream())
+                .map(HostRoute.WeightedService::service)
+                .collect(Collectors.toSet());
+    }
+
     /** Returns the team of an API key. */
     public Optional<TeamLimits> teamOfKey(String key) {
         return Optional.ofNullable(teamsByKey.get(key));
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/region/RegionRuleTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/region/RegionRuleTest.java
@@ -10,6 +10,7 @@
 import io.oleandermoor.state.dispatch.Prompt;
 import io.oleandermoor.state.fleet.UpstreamInstance;
 import io.oleandermoor.state.version.SoftwareVersion;
+import io.oleandermoor.state.version.VersionRequirement;
 import java.util.Map;
 import java.util.Optional;
 import java.util.OptionalLong;
@@ -40,7 +41,7 @@
     }
 
     private InstanceSelection choose(Set<String> allowedRegions) {
-        Terms terms = new Terms(0, Long.MAX_VALUE, allowedRegions);
+        Terms terms = new Terms(0, Long.MAX_VALUE, allowedRegions, VersionRequirement.NONE);
         return table.choose(new InstanceQuery("shop", Optional.empty(), Prompt.NONE, Set.of(), terms), 0);
     }
 
