Leave tokens to streams that are taken up after a common start of all entries

Cause: no check of versions was involved. The buckets start almost empty after a common start, since what was granted before is not known; new streams at twice the usual rate took each token as it accrued, and take-ups got 429.

Fix: for 6 s after a common start, requests without events leave a quarter of the burst in the bucket, so a stream that was broken off comes before one that has not begun. No other time and no other start is affected.

RejoiningStreamsTest passes with it. It was not run on the code before, where the first take-up behind a refusal would find fewer tokens than it needs.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
@@ -83,8 +83,12 @@
         if (!isAcceptedBeforeStop(route.get(), caller)) {
             return refuseUnavailable(request, response, caller, "stopping", STOPPING_RETRY_AFTER_MILLIS);
         }
-        if (!tryTakeRateTokens(team, caller)) {
-            return refuseOverRate(request, response, caller, team.get());
+        boolean rejoins = route.get().repeatable() && caller.lastEventId().isPresent();
+        long keptTokens = rejoins
+                ? 0
+                : team.map(dispatcher.view()::tokensKeptForRejoining).orElse(0L);
+        if (!tryTakeRateTokens(team, caller, keptTokens)) {
+            return refuseOverRate(request, response, caller, team.get(), keptTokens);
         }
         String service = route.get().serviceFor(unitHash(routingId(caller)));
         boolean engine =
@@ -116,7 +120,7 @@
         return (mixed >>> 11) / UNIT_HASH_RANGE;
     }
 
-    private boolean tryTakeRateTokens(Optional<TeamLimits> team, CallerRequest caller) {
+    private boolean tryTakeRateTokens(Optional<TeamLimits> team, CallerRequest caller, long keptTokens) {
         if (team.isEmpty() || !team.get().rateLimited()) {
             return true;
         }
@@ -124,15 +128,16 @@
         return dispatcher
                 .view()
                 .bucket(team.get().name())
-                .map(bucket -> bucket.tryConsume(team.get().chargedTokens(caller.declaredTokens())))
+                .map(bucket -> bucket.tryConsume(team.get().chargedTokens(caller.declaredTokens()), keptTokens))
                 .orElse(true);
     }
 
     private Optional<RequestExchange> refuseOverRate(
-            FullHttpRequest request, ResponseWriter response, CallerRequest caller, TeamLimits team) {
+            FullHttpRequest request, ResponseWriter response, CallerRequest caller, TeamLimits team, long keptTokens) {
         long tokens = team.chargedTokens(caller.declaredTokens());
         Optional<SharedTokenBucket> bucket = dispatcher.view().bucket(team.name());
-        long waitMillis = bucket.map(each -> each.millisUntilAvailable(tokens)).orElse(MINIMUM_RETRY_AFTER_MILLIS);
+        long waitMillis = bucket.map(each -> each.millisUntilAvailable(tokens + keptTokens))
+                .orElse(MINIMUM_RETRY_AFTER_MILLIS);
         dispatcher
                 .eventLog()
                 .log(
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
@@ -29,6 +29,10 @@
     private static final Logger LOG = LogManager.getLogger(DeploymentView.class);
     /** Number of report intervals without a report after which another entry counts as silent. */
     private static final long SILENCE_REPORT_INTERVALS = 4;
+    /** Time after a common start of all entries in which callers take up the streams that it broke off. */
+    private static final long REJOINING_MILLIS = 6_000;
+    /** Part of the burst that is kept for these streams. */
+    private static final double REJOINING_BURST_RATIO = 0.25;
     /** Additional delay of a report that is tolerated before its sender counts as silent. */
     private static final long REPORT_DELAY_TOLERANCE_MILLIS = 50;
 
@@ -48,6 +52,7 @@
     private boolean peersKnown;
     private long reportIntervalMillis = 100;
     private boolean startupBalancesSettled;
+    private long rejoiningUntilMillis = Long.MIN_VALUE;
     private long firstDocumentMillis;
     private boolean instancesLoaded;
     private boolean entryRegistered;
@@ -310,10 +315,20 @@
             startupBalancesSettled = true;
             long accruedMillis = firstDocumentMillis - Timestamp.processStart().monotonicMillis();
             buckets.values().forEach(bucket -> bucket.refillForDowntime(accruedMillis));
+            rejoiningUntilMillis = Timestamp.monotonicNowMillis() + REJOINING_MILLIS;
             LOG.info("event=started_together entries={} accrued_ms={}", entryCount(), accruedMillis);
         }
     }
 
+    /**
+     * Returns the tokens of a team that requests without events leave to streams that are taken up. After all entries
+     * have ended, all streams come back at the same time as the buckets start almost empty.
+     */
+    public long tokensKeptForRejoining(TeamLimits team) {
+        boolean rejoining = Timestamp.monotonicNowMillis() < rejoiningUntilMillis;
+        return rejoining ? (long) (team.burst() * REJOINING_BURST_RATIO) : 0;
+    }
+
     /** Returns the number of registered entries whose names come before that of this one. */
     public int entryRank() {
         return (int) peers.stream().filter(name -> name.compareTo(entry) < 0).count();
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/EntryFixture.java
@@ -170,6 +170,11 @@
     /** Writes the default configuration and waits until the entry is ready. */
     public void awaitReady() {
         configure(2, "\"key-1\"");
+        awaitStarted();
+    }
+
+    /** Waits until the entry is ready with the configuration in the store. */
+    public void awaitStarted() {
         await().atMost(Duration.ofSeconds(20)).until(() -> isReady());
     }
 
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/share/SharedTokenBucket.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/share/SharedTokenBucket.java
@@ -73,7 +73,17 @@
 
     /** Consumes tokens if enough are available, and returns whether it did. */
     public boolean tryConsume(long tokens) {
-        if (level < tokens) {
+        return tryConsume(tokens, 0);
+    }
+
+    /**
+     * Consumes tokens if others remain, and returns whether it did.
+     *
+     * @param tokens the number of tokens to consume
+     * @param keptTokens the number of tokens that must remain for more important requests
+     */
+    public boolean tryConsume(long tokens, long keptTokens) {
+        if (level < tokens + keptTokens) {
             return false;
         }
         level -= tokens;
