--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -77,7 +77,7 @@
     /** Part of the store's writes that may tell which software versions began streams. */
     private static final double STREAM_WRITES_RATIO = 0.2;
 
-    private static final long MINIMUM_STREAM_PUBLICATION_MILLIS = 250;
+    private static final long MINIMUM_STREAM_PUBLICATION_MILLIS = 400;
 
     private static final long POOL_CLEANUP_INTERVAL_MILLIS = 1_000;
     /** Time until the load balancer removes this machine: it checks each second and requires two failed checks. */
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
@@ -47,6 +47,8 @@
 
     private static final StoreFollower.WatchTiming FOLLOWER_TIMING =
             new StoreFollower.WatchTiming(20_000, () -> 0, 60_000);
+    /** Time for which no instance has stated a version when it counts as left. */
+    private static final long ABSENCE_MILLIS = 3_000;
     /** Changes of instances within this time are handled together. */
     private static final long UPDATE_DELAY_MILLIS = 10;
     /** Interval between the first entries that may write a record, so that mostly one of them does. */
@@ -184,7 +186,9 @@
                     ? rank * WRITE_INTERVAL_MILLIS
                     : FIRST_WRITERS * WRITE_INTERVAL_MILLIS
                             + ThreadLocalRandom.current().nextLong(LATE_WRITE_INTERVAL_MILLIS * view.entryCount());
-            loop.schedule(() -> writeIfMissing(item), delayMillis, TimeUnit.MILLISECONDS);
+            // A record can arrive before the first instance that states its version.
+            long absenceMillis = item.use() == Use.LEFT ? ABSENCE_MILLIS : 0;
+            loop.schedule(() -> writeIfMissing(item), absenceMillis + delayMillis, TimeUnit.MILLISECONDS);
         }
     }
 
