Begin streams only at versions that are recorded as in use

Callers would see a 200 whose events come from two software versions. A stream could begin at a version that states itself before any record of it was in the store: the roster allowed every version of a service of which it had heard of none, for 10 ms after the instances were read and whenever a configuration adds a streaming route. It could also begin at a version whose record said LEFT, and whose lease might end before the stream. In both cases entries that all start again find another version as the only one, and let the stream go on there.

A stated version now needs a record with IN_USE, which has no lease. An instance that states none needs a record only beside others that state one.

--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/version/VersionRoster.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/version/VersionRoster.java
@@ -90,13 +90,15 @@
         return statingServices.contains(service);
     }
 
-    private boolean isRecorded(String service, SoftwareVersion version) {
-        return recorded.getOrDefault(service, Map.of()).containsKey(version);
+    private boolean isInUse(String service, SoftwareVersion version) {
+        return recorded.getOrDefault(service, Map.of()).get(version) == Use.IN_USE;
     }
 
+    /** The record of a version that has left may end before streams that begin now. */
     @Override
     public boolean mayBegin(String service, SoftwareVersion candidate) {
-        return isRecorded(service, candidate) || !statesVersions(service);
+        boolean needsNoRecord = !candidate.isStated() && !statesVersions(service);
+        return needsNoRecord || isInUse(service, candidate);
     }
 
     /** An instance that states no version fits only where no instance of the service states one. */
