Answer take-ups from reads that began after they arrived

Callers would see a stream joined from two versions: the records of versions were taken as confirmed for 300 ms after a read, and a read that was under way served all take-ups until its answer came, however late. A second version that was recorded after that read, and a stream that began there and broke off at once, were overlooked, so the other version counted as the one that began every stream.

SharedRead gives each take-up the outcome of a read that began after its arrival. Take-ups that wait share one, and reads begin at most each max(20 ms, entries x 1 ms), so all entries send at most 1,000 in a second. The read of the streams had the order of calls right, but no interval: after a kill of all entries each of them read as fast as the store answered. A failed read also made the next one read everything; it now goes on from where the last one ended, unless the store has dropped that history.

VersionRegistryTest.TheSoleVersion.isNotTakenFromAReadBeforeTheCall found v1 before, though v2 was recorded, and passes now. The interval and the read after a failure have no test of their own.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/StreamRecordStore.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/StreamRecordStore.java
@@ -130,16 +130,18 @@
                 .map(revision -> store.watch(KEY_PREFIX, revision, WATCH_MILLIS))
                 .orElseGet(() -> store.list(KEY_PREFIX));
         return changes.doOnSuccess(this::apply)
-                .doOnError(cause -> {
-                    LOG.info("event=streams_not_read cause=\"{}\"", cause.getMessage());
-                    readRevision = Optional.empty();
-                })
                 .onErrorResumeNext(cause -> cause instanceof StoreStatusException failure && failure.historyCompacted()
-                        ? store.list(KEY_PREFIX).doOnSuccess(this::apply)
+                        ? readAll()
                         : Single.error(cause))
+                .doOnError(cause -> LOG.info("event=streams_not_read cause=\"{}\"", cause.getMessage()))
                 .ignoreElement();
     }
 
+    private Single<StoreReadResult> readAll() {
+        readRevision = Optional.empty();
+        return store.list(KEY_PREFIX).doOnSuccess(this::apply);
+    }
+
     private void apply(StoreReadResult reading) {
         long now = Timestamp.monotonicNowMillis();
         long revision = readRevision.isEmpty() ? reading.storeRevision() : readRevision.get();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/StreamRecords.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/StreamRecords.java
@@ -5,12 +5,8 @@
 import io.oleandermoor.state.version.SoftwareVersion;
 import io.oleandermoor.state.version.StreamKey;
 import io.reactivex.rxjava3.core.Single;
-import java.util.ArrayDeque;
-import java.util.ArrayList;
-import java.util.Deque;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
@@ -37,19 +33,18 @@
     private final EventLoop loop;
     private final VersionRegistry registry;
     private final StreamRecordStore recordStore;
+    private final SharedRead recordRead;
     private final LongSupplier publicationIntervalMillis;
     /** In the order of their first events. */
     private final Map<StreamKey, Origin> own = new LinkedHashMap<>();
 
     private final Map<StreamKey, Origin> unpublished = new LinkedHashMap<>();
-    private final Deque<Runnable> waitingForRead = new ArrayDeque<>();
     /** The services with several versions at the latest change. */
     private Set<String> sharedServices = Set.of();
 
     private boolean publicationScheduled;
     private boolean publishing;
     private boolean publishAgain;
-    private boolean reading;
 
     /** What began a stream. */
     private record Origin(String service, SoftwareVersion version, long recordedMillis) {}
@@ -70,6 +65,7 @@
         this.loop = loop;
         this.registry = registry;
         this.recordStore = recordStore;
+        this.recordRead = new SharedRead(loop, registry::readIntervalMillis, recordStore::read);
         this.publicationIntervalMillis = publicationIntervalMillis;
     }
 
@@ -171,7 +167,7 @@
             if (sole.isPresent() || attempt.isEmpty() || !registry.hasSeveralVersions(service)) {
                 return Single.just(sole);
             }
-            return readRecords().map(done -> findKnown(attempt.get()));
+            return recordRead.request().map(done -> findKnown(attempt.get()));
         });
     }
 
@@ -179,27 +175,4 @@
         Origin origin = own.get(attempt);
         return origin == null ? recordStore.find(attempt) : Optional.of(origin.version());
     }
-
-    /** Reads the records that entries have written until now; a read that has begun before may lack the latest ones. */
-    private Single<Boolean> readRecords() {
-        return Single.create(emitter -> {
-            waitingForRead.add(() -> emitter.onSuccess(true));
-            if (!reading) {
-                read();
-            }
-        });
-    }
-
-    private void read() {
-        reading = true;
-        List<Runnable> served = new ArrayList<>(waitingForRead);
-        waitingForRead.clear();
-        recordStore.read().onErrorComplete().subscribe(() -> {
-            reading = false;
-            served.forEach(Runnable::run);
-            if (!waitingForRead.isEmpty()) {
-                read();
-            }
-        });
-    }
 }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
@@ -14,6 +14,7 @@
 import io.oleandermoor.state.version.VersionRoster;
 import io.oleandermoor.state.version.VersionRoster.Use;
 import io.oleandermoor.state.version.VersionRoster.UsedVersion;
+import io.reactivex.rxjava3.core.Completable;
 import io.reactivex.rxjava3.core.Single;
 import java.net.URLDecoder;
 import java.net.URLEncoder;
@@ -30,7 +31,6 @@
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
 import org.apache.logging.log4j.Logger;
-import org.jspecify.annotations.Nullable;
 
 /**
  * Keeps in the store which software versions of each service with streams are in use, so that entries that all start
@@ -57,17 +57,18 @@
     private static final int FIRST_WRITERS = 3;
     /** Interval of the writes of all other entries on average. */
     private static final long LATE_WRITE_INTERVAL_MILLIS = 5;
-    /** Age up to which the latest read of the records is used without another one. */
-    private static final long FRESH_MILLIS = 300;
+
+    private static final long MINIMUM_READ_INTERVAL_MILLIS = 20;
+    /** With it, all entries together send at most 1,000 reads in a second. */
+    private static final long READ_INTERVAL_MILLIS_PER_ENTRY = 1;
 
     private final EventLoop loop;
     private final StoreClient store;
     private final DeploymentView view;
     private final VersionRoster roster = new VersionRoster();
     private final Set<UsedVersion> scheduledWrites = new HashSet<>();
+    private final SharedRead confirmation;
     private Runnable changeListener = () -> {};
-    private @Nullable Timestamp confirmedAt;
-    private @Nullable Single<Boolean> confirmation;
     private boolean updateScheduled;
 
     /**
@@ -81,6 +82,12 @@
         this.loop = loop;
         this.store = store;
         this.view = view;
+        this.confirmation = new SharedRead(loop, this::readIntervalMillis, this::readAll);
+    }
+
+    /** Returns the interval at which the reads of all entries together stay within the limit of the store. */
+    long readIntervalMillis() {
+        return Math.max(MINIMUM_READ_INTERVAL_MILLIS, view.entryCount() * READ_INTERVAL_MILLIS_PER_ENTRY);
     }
 
     /** Starts to follow the records and to write those that the store lacks. */
@@ -111,38 +118,20 @@
         if (roster.hasSeveralVersions(service)) {
             return Single.just(Optional.empty());
         }
-        return confirm().map(confirmed -> confirmed ? roster.soleVersion(service) : Optional.empty());
+        return confirmation.request().map(confirmed -> confirmed ? roster.soleVersion(service) : Optional.empty());
     }
 
-    /** Reads the records unless that was done just now. */
-    private Single<Boolean> confirm() {
-        if (confirmedAt != null && confirmedAt.ageMillis() < FRESH_MILLIS) {
-            return Single.just(true);
-        }
-        Single<Boolean> pending = confirmation;
-        if (pending == null) {
-            Timestamp requestedAt = Timestamp.now();
-            pending = store.list(KEY_PREFIX)
-                    .map(reading -> {
-                        applyAll(reading, requestedAt);
-                        return true;
-                    })
-                    .onErrorReturn(cause -> {
-                        LOG.info("event=versions_not_confirmed cause=\"{}\"", cause.getMessage());
-                        return false;
-                    })
-                    .doFinally(() -> confirmation = null)
-                    .cache();
-            confirmation = pending;
-        }
-        return pending;
+    private Completable readAll() {
+        return store.list(KEY_PREFIX)
+                .doOnSuccess(this::applyAll)
+                .doOnError(cause -> LOG.info("event=versions_not_confirmed cause=\"{}\"", cause.getMessage()))
+                .ignoreElement();
     }
 
-    private void applyAll(StoreReadResult reading, Timestamp requestedAt) {
+    private void applyAll(StoreReadResult reading) {
         List<UsedVersion> items = new ArrayList<>();
         reading.items().forEach(item -> decode(item).ifPresent(items::add));
         roster.replaceRecorded(items);
-        confirmedAt = requestedAt;
         scheduleUpdate();
     }
 
@@ -278,7 +267,8 @@
         public void onSnapshot(StoreReadResult reading, Timestamp current) {
             byKey.clear();
             reading.items().forEach(item -> decode(item).ifPresent(used -> byKey.put(item.key(), used)));
-            applyAll(reading, current);
+            applyAll(reading);
+            view.notifyChangeListeners();
         }
 
         @Override
