Keep records of versions with equal hash codes apart

Two versions such as v1P and v21, whose texts have the same hash code, shared one key of the store. Entries overwrote each other's record without end, and whoever read it found one version only, so that streams of the other one could go on there. Beside it the rewriting cost two writes in each round.

The key now holds the name-based UUID of the version, which has 122 bits.

VersionRegistryTest.Records.ofVersionsWithTheSameHashCodeAreKeptApart found one record after 10 s before, and finds two now.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
@@ -27,6 +27,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.UUID;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import org.apache.logging.log4j.LogManager;
@@ -232,8 +233,8 @@
     }
 
     private static String key(UsedVersion item) {
-        return KEY_PREFIX + item.service() + "/"
-                + Integer.toHexString(item.version().text().hashCode());
+        byte[] version = item.version().text().getBytes(StandardCharsets.UTF_8);
+        return KEY_PREFIX + item.service() + "/" + UUID.nameUUIDFromBytes(version);
     }
 
     private static byte[] encode(UsedVersion item) {
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/version/VersionRegistryTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/version/VersionRegistryTest.java
@@ -1,6 +1,7 @@
 package io.oleandermoor.gateway.version;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import io.oleandermoor.state.version.SoftwareVersion;
 import java.util.Optional;
@@ -52,4 +53,31 @@
             assertThat(findSoleVersion()).isEmpty();
         }
     }
+
+    @Nested
+    class Records {
+
+        /** Guards against two versions that overwrite each other's record, so that one of them seems to be alone. */
+        @Test
+        void ofVersionsWithTheSameHashCodeAreKeptApart() throws Exception {
+            String first = "v1P";
+            String second = "v21";
+            assertThat(first).hasSameHashCodeAs(second);
+            fixture.start();
+            fixture.putInstance("old", first);
+            fixture.putInstance("new", second);
+            fixture.awaitRecords(2);
+        }
+
+        /** Guards against a version that is never recorded, because the answer to its first write is lost. */
+        @Test
+        void areInForceWhenTheAnswerToTheirWriteIsLost() throws Exception {
+            fixture.start();
+            fixture.store().loseNextWriteAnswer();
+            fixture.putInstance("old", OLD);
+            await().atMost(VersionFixture.LIMIT)
+                    .until(() -> fixture.onLoop(() ->
+                            fixture.registry().policy().mayBegin(VersionFixture.SERVICE, new SoftwareVersion(OLD))));
+        }
+    }
 }
