Record a version as left only after it was away for five seconds

The watches of records and of instances are not in step, so at each release one entry wrote IN_USE and another LEFT, in turn, until both had read the new instance; the same while registrations are away with the store. With LEFT no streams begin, so callers would wait for a version that is there.

LEFT is now written 5 s after the version was missed, if it is still away then. A record that stays IN_USE for longer costs nothing, and the 120 s of the lease begin later.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
@@ -46,10 +46,13 @@
     /** Time for which a version stays recorded after its last instance has left; longer than any stream lasts. */
     private static final long RETENTION_MILLIS = 120_000;
 
+    /**
+     * Time for which no instance states a version before it counts as left; entries differ in their view until then.
+     */
+    private static final long LEFT_DELAY_MILLIS = 5_000;
+
     private static final StoreFollower.WatchTiming FOLLOWER_TIMING =
             new StoreFollower.WatchTiming(20_000, () -> 0, 60_000);
-    /** Time for which no instance has stated a version when it counts as left. */
-    private static final long ABSENCE_MILLIS = 3_000;
     /** Changes of instances within this time are handled together. */
     private static final long UPDATE_DELAY_MILLIS = 10;
     /** Interval between the first entries that may write a record, so that mostly one of them does. */
@@ -172,13 +175,12 @@
     private void scheduleWrite(UsedVersion item) {
         if (scheduledWrites.add(item)) {
             long rank = view.entryRank();
-            long delayMillis = rank < FIRST_WRITERS
+            long orderMillis = rank < FIRST_WRITERS
                     ? rank * WRITE_INTERVAL_MILLIS
                     : FIRST_WRITERS * WRITE_INTERVAL_MILLIS
                             + ThreadLocalRandom.current().nextLong(LATE_WRITE_INTERVAL_MILLIS * view.entryCount());
-            // A record can arrive before the first instance that states its version.
-            long absenceMillis = item.use() == Use.LEFT ? ABSENCE_MILLIS : 0;
-            loop.schedule(() -> writeIfMissing(item), absenceMillis + delayMillis, TimeUnit.MILLISECONDS);
+            long delayMillis = item.use() == Use.LEFT ? LEFT_DELAY_MILLIS + orderMillis : orderMillis;
+            loop.schedule(() -> writeIfMissing(item), delayMillis, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/version/VersionRegistryTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/version/VersionRegistryTest.java
@@ -4,6 +4,7 @@
 import static org.awaitility.Awaitility.await;
 
 import io.oleandermoor.state.version.SoftwareVersion;
+import java.time.Duration;
 import java.util.Optional;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -69,6 +70,33 @@
             fixture.awaitRecords(2);
         }
 
+        /** Guards against records that entries with different views write in turn. */
+        @Test
+        void ofAVersionWhoseInstancesAreAwayForAMomentStayAsTheyAre() throws Exception {
+            fixture.start();
+            fixture.putInstance("old", OLD);
+            fixture.awaitRecords(1);
+            String key = fixture.store().keys(VersionFixture.VERSIONS).get(0);
+            String inUse = fixture.store().value(key);
+            fixture.removeInstance("old");
+            await().during(Duration.ofSeconds(2))
+                    .atMost(VersionFixture.LIMIT)
+                    .until(() -> fixture.store().value(key).equals(inUse));
+        }
+
+        @Test
+        void ofAVersionWhoseInstancesHaveLeftGetALease() throws Exception {
+            fixture.start();
+            fixture.putInstance("old", OLD);
+            fixture.awaitRecords(1);
+            String key = fixture.store().keys(VersionFixture.VERSIONS).get(0);
+            assertThat(fixture.store().leaseOf(key)).isZero();
+            fixture.removeInstance("old");
+            await().atMost(VersionFixture.LIMIT).until(() -> fixture.store().leaseOf(key) != 0);
+            fixture.putInstance("old", OLD);
+            await().atMost(VersionFixture.LIMIT).until(() -> fixture.store().leaseOf(key) == 0);
+        }
+
         /** Guards against a version that is never recorded, because the answer to its first write is lost. */
         @Test
         void areInForceWhenTheAnswerToTheirWriteIsLost() throws Exception {
