Bound the batches of stream records and the attempts to write them

Take-ups would be refused for as long as many streams were to be written at once: when a service got a second version, or after an outage, an entry wrote all streams of a minute as one value, 96 kB for 9,000 of them. At 1,400 streams a second that comes to the limit of 1 MB, beyond which the store refuses it, and with it everything that comes later. Each failed batch also started a timer of its own, beside that of the interval and those of callers that leave, so that attempts followed each other as fast as the store refused them.

A batch now has at most 2,000 streams. There is one timer: it runs after the interval, also after a failure, and after a third of it when a stream breaks off or a caller leaves, so that many of these share a batch. Old streams are forgotten from the front of the map with each new one, also while the store is away, and the versions of a service are looked up once for all its streams.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/StreamRecords.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/StreamRecords.java
@@ -6,10 +6,13 @@
 import io.oleandermoor.state.version.StreamKey;
 import io.reactivex.rxjava3.core.Single;
 import java.util.HashSet;
+import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
 import java.util.Optional;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import org.apache.logging.log4j.LogManager;
@@ -28,7 +31,10 @@
     /** Time for which a stream is remembered; callers take streams up within their deadlines. */
     static final long MEMORY_MILLIS = 60_000;
 
-    private static final long RETRY_DELAY_MILLIS = 200;
+    /** Maximum number of streams that are written at once, well below what the store accepts as a value. */
+    private static final int MAXIMUM_BATCH_STREAMS = 2_000;
+    /** Batches that callers may need at once are written at intervals shorter by this factor. */
+    private static final int URGENT_INTERVAL_DIVISOR = 3;
 
     private final EventLoop loop;
     private final VersionRegistry registry;
@@ -42,7 +48,9 @@
     /** The services with several versions at the latest change. */
     private Set<String> sharedServices = Set.of();
 
-    private boolean publicationScheduled;
+    private Future<?> publicationTimer = CompletableFuture.completedFuture(null);
+    private long publicationDueMillis = Long.MAX_VALUE;
+    private long lastPublicationMillis = Long.MIN_VALUE / 2;
     private boolean publishing;
     private boolean publishAgain;
 
@@ -82,12 +90,16 @@
     private void publishServicesWithSeveralVersions() {
         forgetOld();
         Set<String> several = new HashSet<>();
+        Set<String> one = new HashSet<>();
         own.forEach((key, origin) -> {
-            if (registry.hasSeveralVersions(origin.service())) {
-                several.add(origin.service());
-                if (!sharedServices.contains(origin.service())) {
+            String service = origin.service();
+            if (!one.contains(service) && (several.contains(service) || registry.hasSeveralVersions(service))) {
+                several.add(service);
+                if (!sharedServices.contains(service)) {
                     unpublished.put(key, origin);
                 }
+            } else {
+                one.add(service);
             }
         });
         sharedServices = several;
@@ -96,12 +108,21 @@
 
     private void forgetOld() {
         long oldestMillis = Timestamp.monotonicNowMillis() - MEMORY_MILLIS;
-        own.values().removeIf(origin -> origin.recordedMillis() < oldestMillis);
-        unpublished.values().removeIf(origin -> origin.recordedMillis() < oldestMillis);
+        forgetBefore(own, oldestMillis);
+        forgetBefore(unpublished, oldestMillis);
+    }
+
+    /** Removes the first streams, which are the oldest. */
+    private static void forgetBefore(Map<StreamKey, Origin> origins, long oldestMillis) {
+        Iterator<Origin> oldest = origins.values().iterator();
+        while (oldest.hasNext() && oldest.next().recordedMillis() < oldestMillis) {
+            oldest.remove();
+        }
     }
 
     @Override
     public void recordFirstEvent(String service, StreamKey attempt, SoftwareVersion version) {
+        forgetOld();
         Origin origin = new Origin(service, version, Timestamp.monotonicNowMillis());
         own.put(attempt, origin);
         if (registry.hasSeveralVersions(service)) {
@@ -111,38 +132,52 @@
     }
 
     private void schedulePublication() {
-        if (!publicationScheduled && !unpublished.isEmpty()) {
-            publicationScheduled = true;
-            loop.schedule(this::publishScheduled, publicationIntervalMillis.getAsLong(), TimeUnit.MILLISECONDS);
-        }
+        schedulePublication(Timestamp.monotonicNowMillis() + publicationIntervalMillis.getAsLong());
     }
 
-    private void publishScheduled() {
-        publicationScheduled = false;
-        forgetOld();
-        publish();
+    private void schedulePublication(long dueMillis) {
+        if (publishing || unpublished.isEmpty() || dueMillis >= publicationDueMillis) {
+            return;
+        }
+        publicationTimer.cancel(false);
+        publicationDueMillis = dueMillis;
+        long delayMillis = Math.max(0, dueMillis - Timestamp.monotonicNowMillis());
+        publicationTimer = loop.schedule(this::publishBatch, delayMillis, TimeUnit.MILLISECONDS);
     }
 
     @Override
     public void publish() {
+        long earliestMillis = lastPublicationMillis + publicationIntervalMillis.getAsLong() / URGENT_INTERVAL_DIVISOR;
         if (publishing) {
             publishAgain = true;
-            return;
+        } else if (earliestMillis <= Timestamp.monotonicNowMillis()) {
+            publishBatch();
+        } else {
+            schedulePublication(earliestMillis);
         }
-        if (unpublished.isEmpty()) {
+    }
+
+    private void publishBatch() {
+        publicationTimer.cancel(false);
+        publicationDueMillis = Long.MAX_VALUE;
+        forgetOld();
+        if (publishing || unpublished.isEmpty()) {
             return;
         }
         publishing = true;
         publishAgain = false;
+        lastPublicationMillis = Timestamp.monotonicNowMillis();
         Map<StreamKey, SoftwareVersion> batch = new LinkedHashMap<>();
-        unpublished.forEach((key, origin) -> batch.put(key, origin.version()));
+        unpublished.entrySet().stream()
+                .limit(MAXIMUM_BATCH_STREAMS)
+                .forEach(each -> batch.put(each.getKey(), each.getValue().version()));
         recordStore
                 .append(batch)
                 .subscribe(
                         () -> {
                             publishing = false;
-                            batch.forEach((key, version) -> unpublished.remove(key));
-                            if (publishAgain) {
+                            unpublished.keySet().removeAll(batch.keySet());
+                            if (publishAgain || batch.size() == MAXIMUM_BATCH_STREAMS) {
                                 publish();
                             }
                             schedulePublication();
@@ -153,7 +188,7 @@
                                     batch.size(),
                                     cause.getMessage());
                             publishing = false;
-                            loop.schedule(this::publish, RETRY_DELAY_MILLIS, TimeUnit.MILLISECONDS);
+                            schedulePublication();
                         });
     }
 
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
@@ -18,6 +18,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.DoubleSupplier;
 
@@ -41,6 +42,7 @@
     private long droppedRevision;
     private volatile long leaseDelayMillis;
     private volatile int leaseRequests;
+    private final AtomicInteger refusedWrites = new AtomicInteger();
     private Copy copy = new Copy(Map.of(), Map.of(), List.of(), 1, 0);
     /** The stated era; 0 for none. */
     private volatile long era;
@@ -86,6 +88,11 @@
         unavailable = enabled;
     }
 
+    /** Returns the number of writes and leases that were refused because the store is unavailable. */
+    public int refusedWrites() {
+        return refusedWrites.get();
+    }
+
     /** Sets the era that all answers state. */
     public void setEra(long number) {
         era = number;
@@ -236,6 +243,9 @@
         byte[] body = exchange.getRequestBody().readAllBytes();
         Response response;
         if (unavailable) {
+            if (path.equals("/api/kv-txn") || path.equals("/api/kv-lease")) {
+                refusedWrites.incrementAndGet();
+            }
             response = new Response(503, Map.of());
         } else if (path.equals("/api/kv-range")) {
             response = range(query.get("path-prefix"));
