Wait for the lease of the other holder of orders in a restored store

Cause: a holder that follows another one waited for the gap alone, because the lease of the other had ended before. In a restored store this does not hold. A delayed acquisition from before the restore can replace the holder's key, and a delayed end of a lease can end its lease, since revisions and identifiers are assigned again. If the holder is cut off or its renewals fail meanwhile, it gives orders for up to 1.6 s more, which arrive within 2 s.

Fix: in an era above the first, a machine that follows another one waits for the time of a lease as well, as it does when it does not know the other one. The last order of a holder arrives no later than a lease after its last renewal, whatever ended its right. It costs 2 s without orders at each change of the holder after a restore, and nothing in a store that was not restored.

Evidence: OrderLeaseRestoreTest.DelayedAcquisition .makesTheNextHolderWaitForTheLeaseOfTheOneThatItReplaces failed before (2.85 s after the replacement; 4.5 s are wanted with its gap of 2.5 s) and passes.

--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderLeaseRestoreTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderLeaseRestoreTest.java
@@ -26,6 +26,8 @@
     /** Longer than a holder stays valid by its own clock. */
     private static final long HOLDER_GAP_MILLIS = 2_500;
 
+    private static final Duration LEASE = Duration.ofSeconds(2);
+
     private static final long TOKENS_OF_ERA = 1L << 40;
     /** Longer than the delays of an acquisition, shorter than the gap. */
     private static final Duration ACQUISITION = Duration.ofMillis(1_500);
@@ -226,6 +228,20 @@
             await().atMost(LIMIT).until(() -> holds(holder) ^ holds(next));
             assertThat(mayGiveOrders(holder) && mayGiveOrders(next)).isFalse();
         }
+
+        /** Guards against two holders: the one that is replaced may not hear of it before its lease is over. */
+        @Test
+        void makesTheNextHolderWaitForTheLeaseOfTheOneThatItReplaces() throws Exception {
+            store.restore();
+            OrderLease replaced = startHolder("replaced");
+            awaitOrders(replaced);
+            store.put(HOLDER_KEY, "old 1");
+            long replacedNanos = System.nanoTime();
+            loop.submit(replaced::stop).sync();
+            awaitOrders(startLease("next"));
+            assertThat(Duration.ofNanos(System.nanoTime() - replacedNanos))
+                    .isGreaterThanOrEqualTo(LEASE.plusMillis(HOLDER_GAP_MILLIS));
+        }
     }
 
     @Nested
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/restore/HolderRecord.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/restore/HolderRecord.java
@@ -16,6 +16,9 @@
     /** The era of a store that states none. */
     public static final long NO_ERA = 0;
 
+    /** The era of a store that was never restored, if it states one. */
+    private static final long FIRST_ERA = 1;
+
     /** Number of bits of a fencing token below the era; the store would take decades to assign as many revisions. */
     private static final int REVISION_BITS = 40;
 
@@ -62,8 +65,9 @@
             }
         },
         /**
-         * The store does not tell who gave orders, because it was restored or the record was removed. A holder may not
-         * know yet that its right has ended, so its lease is waited for as well.
+         * The store does not tell who gave orders, because the record was removed, or it was restored, after which a
+         * delayed call from before may end a right. A holder may not know yet that its right has ended, so its lease is
+         * waited for as well.
          */
         AFTER_UNKNOWN {
             @Override
@@ -89,8 +93,12 @@
      * @param era the current era
      */
     public static Succession succession(Optional<HolderRecord> last, String machine, long era) {
-        return last.filter(record -> record.era() == era)
-                .map(record -> record.machine().equals(machine) ? Succession.IMMEDIATE : Succession.AFTER_OTHER)
-                .orElse(Succession.AFTER_UNKNOWN);
+        if (last.isEmpty() || last.get().era() != era) {
+            return Succession.AFTER_UNKNOWN;
+        }
+        if (last.get().machine().equals(machine)) {
+            return Succession.IMMEDIATE;
+        }
+        return era > FIRST_ERA ? Succession.AFTER_UNKNOWN : Succession.AFTER_OTHER;
     }
 }
