Keep the lease of orders at a stop for the whole margin, whatever the clocks say

Cause: at a stop, the time since the last order was taken from the clock that has advanced more. This is the safe side for the end of a right, but the unsafe one for the time that an order may still be on its way: if the wall clock is set forward between the order and the stop, the order seems old and the lease is released at once.

Fix: the lease is always kept for the whole margin after a stop. No clock is read, and the code is shorter. A stop without a recent order hands over up to 0.4 s later.

Evidence: OrderHandOverTest.Stop.keepsTheLeaseHoweverOldTheLastOrderSeems failed before (released after 12 ms; 0.4 s are wanted) and passes. The test lets the order become old instead of setting the clock, which it cannot.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
@@ -144,16 +144,14 @@
 
     /**
      * Ends the right, releases the lease once the last order has arrived or been given up, and makes no further attempt
-     * to acquire it.
+     * to acquire it. The time since the last order does not shorten the wait: it seems longer after a clock step.
      */
     public void stop() {
         stopped = true;
         StoreLease held = lease;
         if (holder && held != null) {
             holder = false;
-            long orderAgeMillis = lastOrder == null ? ARRIVAL_MARGIN_MILLIS : lastOrder.ageMillis();
-            long delayMillis = Math.max(0, ARRIVAL_MARGIN_MILLIS - orderAgeMillis);
-            loop.schedule(() -> release(held), delayMillis, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> release(held), ARRIVAL_MARGIN_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderHandOverTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderHandOverTest.java
@@ -78,12 +78,16 @@
             await().pollInterval(Duration.ofMillis(10)).atMost(LIMIT).until(this::mayGiveOrders);
         }
 
-        /** Gives an order and stops, as at a SIGTERM. Returns the time of the order. */
-        long giveLastOrderAndStop() throws Exception {
+        void giveOrder() throws Exception {
             assertThat(group.next()
                             .submit(() -> lease.permitsOrder(lease.fencingToken()))
                             .get())
                     .isTrue();
+        }
+
+        /** Gives an order and stops, as at a SIGTERM. Returns the time of the order. */
+        long giveLastOrderAndStop() throws Exception {
+            giveOrder();
             long orderedNanos = System.nanoTime();
             group.next().submit(lease::stop).sync();
             return orderedNanos;
@@ -170,6 +174,20 @@
             assertThat(Duration.ofNanos(System.nanoTime() - lastOrder)).isGreaterThanOrEqualTo(ORDER_TIMEOUT);
         }
 
+        /** Guards against orders within the gap: by a clock that was set forward, a recent order seems old. */
+        @Test
+        void keepsTheLeaseHoweverOldTheLastOrderSeems() throws Exception {
+            Process one = startWithOrders("one");
+            one.giveOrder();
+            await().pollDelay(ORDER_TIMEOUT.plusMillis(50)).until(() -> true);
+            one.group.next().submit(one.lease::stop).sync();
+            long stopped = System.nanoTime();
+            await().pollInterval(Duration.ofMillis(5))
+                    .atMost(LIMIT)
+                    .until(() -> store.value(HOLDER_KEY).isEmpty());
+            assertThat(Duration.ofNanos(System.nanoTime() - stopped)).isGreaterThanOrEqualTo(ORDER_TIMEOUT);
+        }
+
         @Test
         void duringAnAcquisitionGivesTheRightBack() throws Exception {
             store.setLeaseDelay(800);
