Log a failed read after a conflict on the claim of orders

When the claim met a conflict and the read that tells whose it was failed, the claim was repeated without a line in the log. Both failures share one method now. The end of the right at a restore uses the method for any other loss; a new attempt is not made before the holder has been read in the new era, as before. No decision changes; the order tests pass.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/order/OrderLease.java
@@ -171,9 +171,7 @@
         holderKnown = false;
         holderItem = Optional.empty();
         if (holder) {
-            logLoss("store restored");
-            holder = false;
-            ordersAllowed = false;
+            lose("store restored");
         }
     }
 
@@ -356,8 +354,6 @@
         if (!isCurrent(held)) {
             return;
         }
-        LOG.info(
-                "event=orders_not_claimed machine={} token={} cause=\"{}\"", machine, fencingToken, cause.getMessage());
         if (cause instanceof StoreStatusException failure && failure.conflict()) {
             // An earlier attempt without an answer may have been carried out.
             store.read(LAST_ORDERS_KEY)
@@ -372,12 +368,18 @@
                                     lose("orders claimed by another machine");
                                 }
                             },
-                            failedRead -> scheduleClaim(acquisition, RENEWAL_RETRY_MILLIS));
+                            failedRead -> retryClaim(acquisition, failedRead));
         } else {
-            scheduleClaim(acquisition, RENEWAL_RETRY_MILLIS);
+            retryClaim(acquisition, cause);
         }
     }
 
+    private void retryClaim(Acquisition acquisition, Throwable cause) {
+        LOG.info(
+                "event=orders_not_claimed machine={} token={} cause=\"{}\"", machine, fencingToken, cause.getMessage());
+        scheduleClaim(acquisition, RENEWAL_RETRY_MILLIS);
+    }
+
     private void allowOrders(StoreLease held) {
         if (isCurrent(held)) {
             ordersAllowed = true;
