--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
@@ -122,6 +122,11 @@
         if (roster.hasSeveralVersions(service)) {
             return Single.just(Optional.empty());
         }
+        Optional<SoftwareVersion> unstated = roster.soleVersion(service).filter(version -> !version.isStated());
+        if (unstated.isPresent()) {
+            // Take-ups of a deployment without versions do not depend on the store.
+            return Single.just(unstated);
+        }
         return confirmation.request().map(confirmed -> confirmed ? roster.soleVersion(service) : Optional.empty());
     }
 
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/StreamVersionTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/StreamVersionTest.java
@@ -296,6 +296,14 @@
             assertThat(entry.store().keys("oleandermoor/streams/")).isEmpty();
         }
 
+        @Test
+        void goesOnWhileTheStoreIsAway() throws Exception {
+            startInstance("one", UNSTATED, Behaviour.STREAM);
+            entry.awaitReady();
+            entry.store().setUnavailable(true);
+            assertThat(isComplete(takeUp(entry, "begun elsewhere"))).isTrue();
+        }
+
         @Test
         void doesNotFitAVersionThatIsStated() throws Exception {
             startInstance("unstated", UNSTATED, Behaviour.STREAM);
