Keep streams from runs that have not registered yet

What callers saw: a stream that broke off could be taken up and answered 200 although its second part came from another software version. A replica may come back under its id and address with another version, and until this entry has read the new registration it counted as the old run. A stream that began in this time was recorded with the old version, and a later take-up was sent to an instance of that version.

Cause: the version of a run was read from its latest registration, with nothing to tell whether the process at the address still was that run.

Why this works: RunContact remembers, for each run, when contact was lost (a connection ended under a request or early while idle, or could not be opened) and as of when the run was confirmed: by a registration with the same start that was written after the previous reading of the store, or by a report of the engine that names the same start and was asked for after the loss. Until then the run is uncertain. A stream that goes on waits for a confirmation; the engine is asked once, and one that gives none is used for such streams only after its next registration. A first event from an uncertain run is recorded once the run is confirmed, and its stream goes on nowhere before. New streams, all other requests and services that state no versions are served as before. The next run of an instance takes over the time of the last loss, because its description may be older than the loss.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/Gateway.java
@@ -20,6 +20,7 @@
 import io.oleandermoor.gateway.upstream.ColdStartLog;
 import io.oleandermoor.gateway.upstream.NoticeRecorder;
 import io.oleandermoor.gateway.upstream.UpstreamPool;
+import io.oleandermoor.gateway.version.RunConfirmation;
 import io.oleandermoor.gateway.version.StreamRecordStore;
 import io.oleandermoor.gateway.version.StreamRecords;
 import io.oleandermoor.gateway.version.VersionRegistry;
@@ -129,10 +130,12 @@
                 loop, settings.get(GatewaySettings.STORE_ADDRESS).toSocketAddress(), STORE_TIMEOUT_MILLIS);
         RestoreObserver.start(store, view, metrics);
         versions = new VersionRegistry(loop, store, view);
-        view.instances().addRule(new VersionRule(versions.policy()));
+        NoticeRecorder noticeRecorder = new NoticeRecorder(view, metrics);
+        EngineClient engines = new EngineClient(loop, ORDER_TIMEOUT_MILLIS, noticeRecorder);
+        RunConfirmation runConfirmation = new RunConfirmation(view, engines);
+        view.instances().addRule(new VersionRule(versions.policy(), runConfirmation::request));
         streams = new StreamRecords(
                 loop, versions, new StreamRecordStore(store, entryName), this::streamPublicationIntervalMillis);
-        NoticeRecorder noticeRecorder = new NoticeRecorder(view, metrics);
         pool.setNoticeListener(noticeRecorder);
         dispatcher = new RequestDispatcher(
                 loop,
@@ -147,6 +150,7 @@
                 quarantine,
                 metrics,
                 streams);
+        dispatcher.setConfirmationRequester(runConfirmation::request);
         pool.setContactLossListener(instance -> {
             view.coldStarts().recordContactLost(instance);
             dispatcher.recordContactLost(instance);
@@ -160,14 +164,8 @@
         String machine = entryName + "@" + settings.get(GatewaySettings.PEER_ADDRESS);
         orderLease = new OrderLease(
                 loop, store, machine, settings.get(GatewaySettings.HOLDER_GAP).toMillis(), orderLeaseDelayMillis());
-        placementController = new PlacementController(
-                loop,
-                view,
-                demands,
-                orderLease,
-                new EngineClient(loop, ORDER_TIMEOUT_MILLIS, noticeRecorder),
-                peerExchange,
-                placementOptions());
+        placementController =
+                new PlacementController(loop, view, demands, orderLease, engines, peerExchange, placementOptions());
     }
 
     private ColdStarts coldStarts() {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/follow/FleetFollower.java
@@ -86,6 +86,9 @@
 
     private final class InstanceListener implements StoreFollower.Listener {
 
+        /** A time at which the latest reading was current; what the next one adds was written later. */
+        private long previousReadMillis;
+
         @Override
         public void onSnapshot(StoreReadResult reading, Timestamp confirmedAt) {
             Set<String> listedIds = new HashSet<>();
@@ -103,6 +106,7 @@
             } else if (!removedIds.isEmpty()) {
                 LOG.info("event=absences_ignored prefix={} absent={}", INSTANCE_PREFIX, removedIds.size());
             }
+            previousReadMillis = confirmedAt.monotonicMillis();
             view.coldStarts().recordListRead();
             view.markInstancesLoaded();
             view.notifyChangeListeners();
@@ -112,13 +116,14 @@
         public void onChanges(StoreReadResult reading, Timestamp confirmedAt) {
             for (StoreItem item : reading.items()) {
                 if (!item.removed()) {
-                    putInstance(item);
+                    putInstance(item).ifPresent(this::confirmRun);
                 } else if (view.restoreWindow().trustsAbsence(confirmedAt.monotonicMillis())) {
                     // Otherwise a lease from the copy may have ended before the instance renewed its registration. The
                     // full read after the window finds what was removed.
                     removeInstance(instanceId(item));
                 }
             }
+            previousReadMillis = confirmedAt.monotonicMillis();
             if (!reading.items().isEmpty()) {
                 view.notifyChangeListeners();
             }
@@ -140,7 +145,14 @@
             });
         }
 
-        private void putInstance(StoreItem item) {
+        private void confirmRun(UpstreamInstance described) {
+            view.instances()
+                    .state(described.id())
+                    .ifPresent(state -> state.contact().recordConfirmed(previousReadMillis));
+        }
+
+        /** Returns the instance if it is used as it is described. */
+        private Optional<UpstreamInstance> putInstance(StoreItem item) {
             try {
                 InstanceDescription description =
                         UpstreamInstanceDecoder.decodeDescription(instanceId(item), item.value());
@@ -158,7 +170,9 @@
                             described.startedMillis(),
                             item.revision(),
                             reconciled.isEmpty());
+                    return Optional.empty();
                 }
+                return reconciled;
             } catch (DecodeException exception) {
                 LOG.warn("event=instance_unreadable revision={} cause=\"{}\"", item.revision(), exception.getMessage());
                 // An unreadable entry names no instance to use, even if an earlier version of it did.
@@ -168,6 +182,7 @@
                 LOG.error("event=instance_not_applied revision={}", item.revision(), cause);
                 removeInstance(instanceId(item));
             }
+            return Optional.empty();
         }
 
         private void putInstance(UpstreamInstance instance) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -16,6 +16,7 @@
 import io.oleandermoor.state.dispatch.SlidingWindowRetryBudget;
 import io.oleandermoor.state.dispatch.SlotWaitEstimator;
 import io.oleandermoor.state.fleet.TeamLimits;
+import io.oleandermoor.state.fleet.UpstreamInstance;
 import io.oleandermoor.state.quarantine.CrashReport;
 import io.oleandermoor.state.residency.DemandTracker;
 import java.util.ArrayList;
@@ -67,6 +68,7 @@
     private final Set<RequestExchange> openRequests = new LinkedHashSet<>();
     private Runnable shortageListener = () -> {};
     private Consumer<String> promptListener = instance -> {};
+    private Consumer<UpstreamInstance> confirmationRequester = instance -> {};
     private final StreamOrigins streamOrigins;
     private boolean dispatchScheduled;
     private long lastTickMillis = Timestamp.monotonicNowMillis();
@@ -151,6 +153,7 @@
 
     /** Handles the loss of a connection to an instance, whether a request was sent on it or not. */
     public void recordContactLost(String instance) {
+        view.instances().state(instance).ifPresent(state -> state.contact().recordLost(Timestamp.monotonicNowMillis()));
         crashDetector.contactLost(instance);
     }
 
@@ -186,6 +189,15 @@
         promptListener = listener;
     }
 
+    /** Sets what asks an instance with which contact was lost whether it still is the described run. */
+    public void setConfirmationRequester(Consumer<UpstreamInstance> requester) {
+        confirmationRequester = requester;
+    }
+
+    void requestConfirmation(UpstreamInstance instance) {
+        confirmationRequester.accept(instance);
+    }
+
     /** Reports to the listener that a prompt was sent to an engine or read by it. */
     void reportPromptChange(String instance) {
         if (mechanisms.contains(DispatchMechanism.SHARED_PREFILL_LIMIT)) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -27,6 +27,7 @@
     private final RequestExchange exchange;
     private final UpstreamInstance instance;
     private final RunEvidence evidence;
+    private final SentRun run;
     private @Nullable ResponseHead responseHead;
     private @Nullable HttpHeaders responseHeaders;
     private @Nullable ByteBuf body;
@@ -49,6 +50,7 @@
         this.exchange = exchange;
         this.instance = instance;
         this.evidence = evidence;
+        this.run = new SentRun(exchange.dispatcher(), instance);
         this.loadAtSend = exchange.dispatcher().view().instances().load(instance.id());
     }
 
@@ -149,6 +151,10 @@
         if (view.instances().isWithdrawn(instance, now) || !isCurrentRun()) {
             return false;
         }
+        if (run.isUncertain() && exchange.continuation().requirement().isBound()) {
+            exchange.allowInstanceAgain(instance.id());
+            return false;
+        }
         shareSpent = !view.coldStarts().confirmSend(instance.id(), countedSendMillis, now);
         countedSendMillis = now;
         return !shareSpent;
@@ -251,7 +257,7 @@
                 lastEventMillis = now;
                 evidence.recordPiece(now);
                 exchange.latency().recordEvents(now);
-                exchange.continuation().recordEvents(instance);
+                exchange.continuation().recordEvents(run);
                 exchange.response().writeEvents(newEvents);
             } else {
                 newEvents.release();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/StreamContinuation.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/StreamContinuation.java
@@ -3,7 +3,7 @@
 import io.oleandermoor.gateway.version.StreamOrigins;
 import io.oleandermoor.state.fleet.RequestKind;
 import io.oleandermoor.state.fleet.TeamLimits;
-import io.oleandermoor.state.fleet.UpstreamInstance;
+import io.oleandermoor.state.version.SoftwareVersion;
 import io.oleandermoor.state.version.StreamKey;
 import io.oleandermoor.state.version.VersionRequirement;
 
@@ -54,15 +54,20 @@
                 admitted.service());
     }
 
-    /** Records that events of an instance are delivered; those of other versions do not fit behind them. */
-    void recordEvents(UpstreamInstance instance) {
+    /** Records that events of a run are delivered; those of other versions do not fit behind them. */
+    void recordEvents(SentRun run) {
         if (eventsDelivered || requirement == VersionRequirement.NONE) {
             return;
         }
         eventsDelivered = true;
-        requirement = VersionRequirement.goOnAt(instance.softwareVersion());
+        requirement = VersionRequirement.UNKNOWN;
+        run.whenIdentified(() -> recordOrigin(run.version()));
+    }
+
+    private void recordOrigin(SoftwareVersion version) {
+        requirement = VersionRequirement.goOnAt(version);
         if (admitted.route().repeatable()) {
-            origins.recordFirstEvent(admitted.service(), key(admitted.caller().id()), instance.softwareVersion());
+            origins.recordFirstEvent(admitted.service(), key(admitted.caller().id()), version);
         }
     }
 
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/StreamVersionTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/StreamVersionTest.java
@@ -269,6 +269,77 @@
         }
     }
 
+    @Nested
+    class AfterALossOfContact {
+
+        @Test
+        void isNotTakenUpAtTheNextRunOfAnInstanceBeforeItHasRegistered() throws Exception {
+            startReporting("same", "v1");
+            startInstance("new", "v2", Behaviour.STREAM);
+            entry.awaitReady();
+            awaitRegistrations();
+            String begun = beginAt("same");
+            instances.get("same").setReportedBorn(2);
+            loseConnections("same");
+            assertRefusedAtOnce(() -> takeUp(entry, begun));
+            register("same", "v2", 2);
+            awaitRegistrations();
+            assertRefusedAtOnce(() -> takeUp(entry, begun));
+            assertThat(takenUpAt("same") + takenUpAt("new")).isZero();
+        }
+
+        @Test
+        void thatBeganAtTheNextRunIsNotTakenUpAtTheVersionBefore() throws Exception {
+            startReporting("same", "v1");
+            startReporting("old", "v1");
+            startInstance("new", "v2", Behaviour.STREAM);
+            entry.awaitReady();
+            awaitRegistrations();
+            beginAt("same");
+            instances.get("same").setReportedBorn(2);
+            loseConnections("same");
+            String begun = beginAt("same");
+            assertRefusedAtOnce(() -> takeUp(entry, begun));
+            assertThat(takenUpAt("same") + takenUpAt("old")).isZero();
+        }
+
+        @Test
+        void goesOnAtOnceAtTheSameRun() throws Exception {
+            startReporting("same", "v1");
+            startInstance("new", "v2", Behaviour.STREAM);
+            entry.awaitReady();
+            awaitRegistrations();
+            String before = beginAt("same");
+            loseConnections("same");
+            assertGoesOnAtOnce(before);
+            beginAt("same");
+            loseConnections("same");
+            String after = beginAt("same");
+            pause();
+            assertGoesOnAtOnce(after);
+            assertThat(takenUpAt("same")).isEqualTo(2);
+        }
+
+        private void assertGoesOnAtOnce(String begun) throws Exception {
+            long start = System.nanoTime();
+            assertThat(isComplete(takeUp(entry, begun))).isTrue();
+            assertThat(Duration.ofNanos(System.nanoTime() - start)).isLessThan(AT_ONCE);
+        }
+
+        private void startReporting(String id, String version) throws IOException {
+            startInstance(id, version, Behaviour.STREAM).setReportedBorn(1);
+        }
+
+        private void loseConnections(String id) throws IOException {
+            instances.get(id).closeConnections();
+            pause();
+        }
+
+        private static void pause() {
+            await().pollDelay(Duration.ofMillis(100)).until(() -> true);
+        }
+    }
+
     @Nested
     class WithOneVersion {
 
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/InstanceStandIn.java
@@ -13,6 +13,7 @@
 import java.util.Locale;
 import java.util.Map;
 import java.util.Optional;
+import java.util.OptionalLong;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.LockSupport;
@@ -99,6 +100,7 @@
     private volatile int completeBytes;
     private volatile Predicate<Map<String, String>> crashCondition = request -> false;
     private volatile Optional<GradualAnswer> gradualAnswer = Optional.empty();
+    private volatile OptionalLong reportedBorn = OptionalLong.empty();
     private volatile UnaryOperator<String> rawResponse = requestId -> "";
 
     /** Starts an instance on a free loopback port. */
@@ -154,6 +156,18 @@
         gradualAnswer = Optional.of(answer);
     }
 
+    /** Sets the start time that the instance reports; it answers no questions for reports before. */
+    public void setReportedBorn(long born) {
+        reportedBorn = OptionalLong.of(born);
+    }
+
+    /** Ends all connections, and goes on accepting others. */
+    public void closeConnections() throws IOException {
+        for (Socket socket : openSockets) {
+            socket.close();
+        }
+    }
+
     /** Returns whether the instance has ended. */
     public boolean hasEnded() {
         return serverSocket.isClosed();
@@ -192,9 +206,7 @@
             while (true) {
                 Map<String, String> request = readRequest(input);
                 if (request.get("line").startsWith("GET /api/")) {
-                    write(
-                            socket.getOutputStream(),
-                            responseText("", "503 Service Unavailable", "Not-Executed: 1\r\n", ""));
+                    write(socket.getOutputStream(), reportText(request.getOrDefault("request-id", "")));
                     continue;
                 }
                 request.put("connection", Integer.toString(socket.getPort()));
@@ -220,6 +232,16 @@
         }
     }
 
+    private String reportText(String requestId) {
+        return reportedBorn.isPresent()
+                ? responseText(requestId, "200 OK", "", report(reportedBorn.getAsLong()))
+                : responseText(requestId, "503 Service Unavailable", "Not-Executed: 1\r\n", "");
+    }
+
+    private static String report(long born) {
+        return "{\"sequence\":1,\"born\":" + born + ",\"models\":" + EntryFixture.MODELS + "}";
+    }
+
     /** Returns whether the connection stays open. */
     private boolean sendGradually(Socket socket, Map<String, String> request, GradualAnswer answer) throws IOException {
         GradualAnswer.End end = answer.send(socket.getOutputStream(), request, crashCondition.test(request));
@@ -473,8 +495,6 @@
     @Override
     public void close() throws IOException {
         serverSocket.close();
-        for (Socket socket : openSockets) {
-            socket.close();
-        }
+        closeConnections();
     }
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceState.java
@@ -33,6 +33,7 @@
     /** Maximum number of prompt prefixes that are tracked for an instance; the least recently used is evicted. */
     private static final int MAXIMUM_CACHED_PREFIXES = 2_000;
 
+    private final RunContact contact;
     private UpstreamInstance instance;
     private Map<String, Set<String>> models;
     private long orderedModelsMillis = Long.MIN_VALUE / 2;
@@ -56,7 +57,8 @@
         }
     };
 
-    InstanceState(UpstreamInstance instance, int localLoad) {
+    InstanceState(UpstreamInstance instance, int localLoad, RunContact contact) {
+        this.contact = contact;
         this.instance = instance;
         this.models = instance.models();
         this.localLoad = localLoad;
@@ -92,6 +94,11 @@
         return true;
     }
 
+    /** Returns what is known about whether the instance still is this run. */
+    public RunContact contact() {
+        return contact;
+    }
+
     /** Returns the latest description of the instance. */
     public UpstreamInstance instance() {
         return instance;
@@ -191,6 +198,7 @@
     public void recordUnreachable(long nowMillis) {
         consecutiveFailures++;
         consecutiveUnreachable++;
+        contact.recordLost(nowMillis);
         startBackoff(nowMillis);
     }
 
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -197,7 +197,9 @@
         InstanceState state = states.get(instance.id());
         if (state == null || state.instance().startedMillis() != instance.startedMillis()) {
             int localLoad = state == null ? 0 : state.localLoad();
-            states.put(instance.id(), new InstanceState(instance, localLoad));
+            RunContact contact =
+                    state == null ? RunContact.unbroken() : state.contact().next();
+            states.put(instance.id(), new InstanceState(instance, localLoad, contact));
             markReplaced(instance);
             return;
         }
