Soak the hand-over of orders over all machines

This test plays 16 worlds side by side: one store and three or four machines, which ask for the right to give an order every 10 to 20 ms. A script from a seed disturbs them for 25 s: kill, SIGTERM, replacement by a machine of another name, SIGTERM right after an acquisition, kill in the gap, suspension, answers lost or late, calls carried out 1 to 6 s later, outages with leases that pause or run out, and restores in a new era.

Checked over all orders of a world: at least 3 s between the last order of one machine and the first of another, tokens that never go down, no token used by two machines, and an order within 15 s after the script. Only orders within 300 ms after their process was suspended are left out. The seed fixes the script, not the interleaving of the machines. -Dhandover.seeds=1-50 plays more.

The stand-in of the store gets faults of single calls, an outage in which leases run out, and 404 for a write under a lease that does not exist, as the platform's page says. An answer now states the era in which the call was carried out, rather than the one in which it is sent.

No fault in the present OrderLease was found.

--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/standin/StoreStandIn.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.locks.LockSupport;
 import java.util.function.DoubleSupplier;
+import java.util.function.Supplier;
 
 /**
  * In-memory stand-in for the platform's store with items, watches, conditional writes and leases. It can be restored
@@ -48,9 +49,11 @@
     private volatile long era;
 
     private volatile boolean eraOmitted;
+    private volatile boolean endedLeasesRefused;
     private volatile boolean writesHeld;
     private volatile int heldWrites;
     private volatile DoubleSupplier lossRate = () -> 0;
+    private volatile Supplier<CallFault> callFaults = () -> CallFault.NONE;
 
     private record Lease(long timeToLiveMillis, long endNanos) {
 
@@ -93,11 +96,22 @@
         return refusedWrites.get();
     }
 
+    /** Makes the store available again after an outage in which leases went on to run out. */
+    public synchronized void endOutageWithExpiredLeases() {
+        unavailable = false;
+        endLeases();
+    }
+
     /** Sets the era that all answers state. */
     public void setEra(long number) {
         era = number;
     }
 
+    /** Sets whether a write that names a lease which does not exist gets status 404. */
+    public void refuseEndedLeases(boolean enabled) {
+        endedLeasesRefused = enabled;
+    }
+
     /** Sets whether answers omit the era. */
     public void omitEra(boolean enabled) {
         eraOmitted = enabled;
@@ -121,6 +135,11 @@
         lossRate = rate;
     }
 
+    /** Sets what happens to calls; asked for each call, on any thread. */
+    public void disturbCalls(Supplier<CallFault> faults) {
+        callFaults = faults;
+    }
+
     /** Loses the answer of the next conditional write. */
     public void loseNextWriteAnswer() {
         AtomicBoolean pending = new AtomicBoolean(true);
@@ -241,40 +260,55 @@
         String path = exchange.getRequestURI().getPath();
         Map<String, String> query = query(exchange.getRequestURI().getRawQuery());
         byte[] body = exchange.getRequestBody().readAllBytes();
-        Response response;
-        if (unavailable) {
-            if (path.equals("/api/kv-txn") || path.equals("/api/kv-lease")) {
-                refusedWrites.incrementAndGet();
-            }
-            response = new Response(503, Map.of());
-        } else if (path.equals("/api/kv-range")) {
-            response = range(query.get("path-prefix"));
-        } else if (path.equals("/api/kv-watch")) {
-            response = watch(
-                    query.get("path-prefix"), Long.parseLong(query.get("after")), Long.parseLong(query.get("wait-ms")));
-        } else if (path.equals("/api/kv-key")) {
-            response = key(query.get("key"));
-        } else if (path.equals("/api/kv-txn")) {
-            awaitRelease();
-            response = write(JSON.std.mapFrom(body));
-        } else if (path.equals("/api/kv-lease")) {
-            response = lease(((Number) JSON.std.mapFrom(body).get("ttl-ms")).longValue());
-        } else {
-            response = useLease(path);
+        CallFault fault = callFaults.get();
+        pause(fault.executionDelayMillis());
+        if (unavailable && (path.equals("/api/kv-txn") || path.equals("/api/kv-lease"))) {
+            refusedWrites.incrementAndGet();
         }
-        if (path.equals("/api/kv-txn") && ThreadLocalRandom.current().nextDouble() < lossRate.getAsDouble()) {
+        Response response = unavailable ? respond(503, Map.of()) : carryOut(path, query, body);
+        pause(fault.answerDelayMillis());
+        boolean writeLost =
+                path.equals("/api/kv-txn") && ThreadLocalRandom.current().nextDouble() < lossRate.getAsDouble();
+        if (writeLost || fault.answerLost()) {
             exchange.close();
             return;
         }
         byte[] bytes = JSON.std.asBytes(response.body());
-        if (era > 0 && !eraOmitted) {
-            exchange.getResponseHeaders().set("Store-Era", Long.toString(era));
+        if (response.era() > 0 && !eraOmitted) {
+            exchange.getResponseHeaders().set("Store-Era", Long.toString(response.era()));
         }
         exchange.sendResponseHeaders(response.status(), bytes.length);
         exchange.getResponseBody().write(bytes);
         exchange.close();
     }
 
+    private Response carryOut(String path, Map<String, String> query, byte[] body) throws IOException {
+        return switch (path) {
+            case "/api/kv-range" -> range(query.get("path-prefix"));
+            case "/api/kv-watch" ->
+                watch(
+                        query.get("path-prefix"),
+                        Long.parseLong(query.get("after")),
+                        Long.parseLong(query.get("wait-ms")));
+            case "/api/kv-key" -> key(query.get("key"));
+            case "/api/kv-txn" -> {
+                awaitRelease();
+                yield write(JSON.std.mapFrom(body));
+            }
+            case "/api/kv-lease" -> lease(((Number) JSON.std.mapFrom(body).get("ttl-ms")).longValue());
+            default -> useLease(path);
+        };
+    }
+
+    private static void pause(long millis) {
+        long end = System.nanoTime() + millis * 1_000_000;
+        for (long left = end - System.nanoTime();
+                left > 0 && !Thread.currentThread().isInterrupted();
+                left = end - System.nanoTime()) {
+            LockSupport.parkNanos(left);
+        }
+    }
+
     private void awaitRelease() {
         if (writesHeld) {
             heldWrites++;
@@ -285,14 +319,15 @@
     }
 
     private Response lease(long timeToLiveMillis) {
-        long leaseId;
+        Response response;
         synchronized (this) {
             leaseRequests++;
-            leaseId = ++lastLeaseId;
+            long leaseId = ++lastLeaseId;
             leases.put(leaseId, new Lease(timeToLiveMillis, 0).renewed());
+            response = respond(200, Map.of("lease", leaseId, "ttl-ms", timeToLiveMillis));
         }
         LockSupport.parkNanos(leaseDelayMillis * 1_000_000);
-        return new Response(200, Map.of("lease", leaseId, "ttl-ms", timeToLiveMillis));
+        return response;
     }
 
     /** Renews or ends the lease that the path names. */
@@ -302,10 +337,14 @@
         boolean found = path.startsWith("/api/kv-lease-end/")
                 ? endLease(id)
                 : leases.computeIfPresent(id, (key, lease) -> lease.renewed()) != null;
-        return new Response(found ? 200 : 404, Map.of());
+        return respond(found ? 200 : 404, Map.of());
     }
 
-    private record Response(int status, Map<String, Object> body) {}
+    private record Response(int status, Map<String, Object> body, long era) {}
+
+    private Response respond(int status, Map<String, Object> body) {
+        return new Response(status, body, era);
+    }
 
     private static Map<String, String> query(String raw) {
         Map<String, String> values = new HashMap<>();
@@ -325,7 +364,7 @@
                 found.add(item);
             }
         });
-        return new Response(200, Map.of("items", found, "truncated", false, "current-rev", revision));
+        return respond(200, Map.of("items", found, "truncated", false, "current-rev", revision));
     }
 
     private Response watch(String prefix, long after, long waitMillis) {
@@ -334,7 +373,7 @@
             synchronized (this) {
                 endLeases();
                 if (after < droppedRevision || after > revision) {
-                    return new Response(410, Map.of());
+                    return respond(410, Map.of());
                 }
                 List<Object> events = new ArrayList<>();
                 for (Map<String, Object> item : watchesSuppressed ? List.<Map<String, Object>>of() : history) {
@@ -344,7 +383,7 @@
                     }
                 }
                 if (!events.isEmpty() || System.nanoTime() >= end || unavailable) {
-                    return new Response(200, Map.of("events", events, "current-rev", revision));
+                    return respond(200, Map.of("events", events, "current-rev", revision));
                 }
             }
             LockSupport.parkNanos(WATCH_POLL_INTERVAL_MILLIS * 1_000_000);
@@ -354,7 +393,7 @@
     private synchronized Response key(String key) {
         endLeases();
         Map<String, Object> item = items.get(key);
-        return item == null ? new Response(404, Map.of()) : new Response(200, item);
+        return item == null ? respond(404, Map.of()) : respond(200, item);
     }
 
     private synchronized Response write(Map<String, Object> transaction) {
@@ -364,7 +403,13 @@
             Map<String, Object> item = items.get(String.valueOf(row.get("key")));
             long currentRevision = item == null ? 0 : ((Number) item.get("revision")).longValue();
             if (currentRevision != ((Number) row.get("revision")).longValue()) {
-                return new Response(412, Map.of("items", List.of()));
+                return respond(412, Map.of("items", List.of()));
+            }
+        }
+        for (Object element : (List<?>) transaction.get("writes")) {
+            long lease = ((Number) ((Map<?, ?>) element).get("lease")).longValue();
+            if (endedLeasesRefused && lease != 0 && !leases.containsKey(lease)) {
+                return respond(404, Map.of());
             }
         }
         for (Object element : (List<?>) transaction.get("writes")) {
@@ -375,7 +420,7 @@
                     new String(value, StandardCharsets.UTF_8),
                     ((Number) row.get("lease")).longValue());
         }
-        return new Response(200, Map.of("revision", revision));
+        return respond(200, Map.of("revision", revision));
     }
 
     @Override
