--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/VersionRuleTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/VersionRuleTest.java
@@ -32,7 +32,7 @@
 
     @BeforeEach
     void putInstances() {
-        table.addRule(new VersionRule(roster));
+        table.addRule(new VersionRule(roster, instance -> {}));
         roster.replaceRecorded(
                 List.of(new UsedVersion(SERVICE, OLD, Use.IN_USE), new UsedVersion(SERVICE, NEW, Use.IN_USE)));
         put("old", OLD, false);
