Bound the streams that wait for the confirmation of a run

Found in the review: while the store is away and an instance does not confirm its run, each stream that begins there left an action behind, which holds the stream, until the run is confirmed. RunContactTest.boundsTheActionsThatWait

--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/RunContact.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/RunContact.java
@@ -11,6 +11,8 @@
 public final class RunContact {
 
     private static final long NEVER = Long.MIN_VALUE;
+    /** Bounds the memory of an entry whose store is away while an instance does not confirm its run. */
+    private static final int MAXIMUM_WAITING = 512;
 
     private long lostMillis;
     private long confirmedMillis = NEVER;
@@ -63,12 +65,15 @@
         return refuted && isUncertain();
     }
 
-    /** Runs an action once the run is certain again; never if another run has taken its place. */
+    /**
+     * Runs an action once the run is certain again; never if another run has taken its place, or if too many actions
+     * wait already.
+     */
     public void whenCertain(Runnable action) {
-        if (isUncertain()) {
-            waiting.add(action);
-        } else {
+        if (!isUncertain()) {
             action.run();
+        } else if (waiting.size() < MAXIMUM_WAITING) {
+            waiting.add(action);
         }
     }
 }
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/RunContactTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/dispatch/RunContactTest.java
@@ -50,6 +50,18 @@
         }
     }
 
+    /** Guards against an entry that runs out of memory while a run is not confirmed. */
+    @Test
+    void boundsTheActionsThatWait() {
+        AtomicInteger count = new AtomicInteger();
+        contact.recordLost(100);
+        for (int action = 0; action < 10_000; action++) {
+            contact.whenCertain(count::incrementAndGet);
+        }
+        contact.recordConfirmed(101);
+        assertThat(count).hasValue(512);
+    }
+
     @Nested
     class Refuted {
 
