Walk the streams only after the versions of a service have changed

Cause: each change of the view, for example a notice of one instance, made the registry compute the missing records again and the records walk all streams of the last minute, although versions seldom change.

Fix: the roster counts its changes, and the registry acts on new ones only.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
@@ -74,6 +74,7 @@
     private final SharedRead confirmation;
     private Runnable changeListener = () -> {};
     private boolean updateScheduled;
+    private long handledChangeCount = -1;
 
     /**
      * Creates a registry that has not started.
@@ -157,6 +158,10 @@
             return;
         }
         roster.setPresent(presentVersions());
+        if (roster.changeCount() == handledChangeCount) {
+            return;
+        }
+        handledChangeCount = roster.changeCount();
         roster.missingRecords().forEach(this::scheduleWrite);
         changeListener.run();
     }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/version/VersionFixture.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/version/VersionFixture.java
@@ -147,6 +147,11 @@
         await().atMost(LIMIT).until(() -> store.keys(VERSIONS).size() == count);
     }
 
+    /** Waits for the delayed tasks that are scheduled up to now. */
+    void awaitUpdates() throws Exception {
+        loop.schedule(() -> {}, 50, TimeUnit.MILLISECONDS).sync();
+    }
+
     @Override
     public void close() {
         group.shutdownGracefully(0, 1, TimeUnit.SECONDS);
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/version/VersionRegistryTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/version/VersionRegistryTest.java
@@ -6,6 +6,7 @@
 import io.oleandermoor.state.version.SoftwareVersion;
 import java.time.Duration;
 import java.util.Optional;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
@@ -108,4 +109,25 @@
                             fixture.registry().policy().mayBegin(VersionFixture.SERVICE, new SoftwareVersion(OLD))));
         }
     }
+
+    @Nested
+    class Changes {
+
+        /** Guards against work for every stream whenever anything about any instance changes. */
+        @Test
+        void ofInstancesThatLeaveTheVersionsAsTheyAreAreNotReported() throws Exception {
+            AtomicInteger reported = new AtomicInteger();
+            fixture.start();
+            fixture.putInstance("first", OLD);
+            fixture.awaitRecords(1);
+            await().atMost(VersionFixture.LIMIT).until(() -> findSoleVersion().isPresent());
+            fixture.awaitUpdates();
+            fixture.run(() -> fixture.registry().setChangeListener(reported::incrementAndGet));
+            fixture.putInstance("second", OLD);
+            fixture.awaitUpdates();
+            assertThat(reported).hasValue(0);
+            fixture.putInstance("third", NEW);
+            await().atMost(VersionFixture.LIMIT).until(() -> reported.get() > 0);
+        }
+    }
 }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/version/VersionRoster.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/version/VersionRoster.java
@@ -21,6 +21,7 @@
     private final Set<String> statingServices = new HashSet<>();
 
     private boolean loaded;
+    private long changeCount;
 
     /** How a version of a service is used. */
     public enum Use {
@@ -39,32 +40,56 @@
      */
     public record UsedVersion(String service, SoftwareVersion version, Use use) {}
 
+    /** Returns how often the versions have changed, which tells whether conclusions from them still hold. */
+    public long changeCount() {
+        return changeCount;
+    }
+
     /** Replaces all records by those that the store has. */
     public void replaceRecorded(List<UsedVersion> items) {
-        recorded.clear();
-        statingServices.clear();
-        items.forEach(this::record);
+        Map<String, Map<SoftwareVersion, Use>> replacement = new HashMap<>();
+        items.forEach(item -> replacement
+                .computeIfAbsent(item.service(), service -> new HashMap<>())
+                .put(item.version(), item.use()));
+        if (loaded && replacement.equals(recorded)) {
+            return;
+        }
         loaded = true;
-        present.keySet().forEach(this::updateStating);
+        changeCount++;
+        Set<String> changed = new HashSet<>(recorded.keySet());
+        changed.addAll(replacement.keySet());
+        recorded.clear();
+        recorded.putAll(replacement);
+        changed.forEach(this::updateStating);
     }
 
     /** Adds or replaces a record that the store has. */
     public void record(UsedVersion item) {
-        recorded.computeIfAbsent(item.service(), service -> new HashMap<>()).put(item.version(), item.use());
-        updateStating(item.service());
+        Map<SoftwareVersion, Use> versions = recorded.computeIfAbsent(item.service(), service -> new HashMap<>());
+        if (versions.put(item.version(), item.use()) != item.use()) {
+            changeCount++;
+            updateStating(item.service());
+        }
     }
 
     /** Removes a record that the store no longer has. */
     public void removeRecord(String service, SoftwareVersion version) {
         Map<SoftwareVersion, Use> versions = recorded.get(service);
-        if (versions != null) {
-            versions.remove(version);
+        if (versions != null && versions.remove(version) != null) {
+            if (versions.isEmpty()) {
+                recorded.remove(service);
+            }
+            changeCount++;
             updateStating(service);
         }
     }
 
     /** Replaces the versions that instances state, by service. */
     public void setPresent(Map<String, Set<SoftwareVersion>> versions) {
+        if (versions.equals(present)) {
+            return;
+        }
+        changeCount++;
         Set<String> changed = new HashSet<>(present.keySet());
         present = Map.copyOf(versions);
         changed.addAll(present.keySet());
