Retry failed writes of versions after 250 ms

Cause: a failed write was tried again after the interval between the first writers, which is meant for entries that write after one another.

Fix: an interval of its own. The delays are computed in one place now.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
@@ -59,6 +59,8 @@
     private static final long WRITE_INTERVAL_MILLIS = 40;
     /** Number of entries that write after one another; all others follow in no order if these do not. */
     private static final int FIRST_WRITERS = 3;
+    /** Time after which a write that failed is tried again. */
+    private static final long RETRY_INTERVAL_MILLIS = 250;
     /** Interval of the writes of all other entries on average. */
     private static final long LATE_WRITE_INTERVAL_MILLIS = 5;
 
@@ -187,13 +189,20 @@
             long rank = view.entryRank();
             long orderMillis = rank < FIRST_WRITERS
                     ? rank * WRITE_INTERVAL_MILLIS
-                    : FIRST_WRITERS * WRITE_INTERVAL_MILLIS
-                            + ThreadLocalRandom.current().nextLong(LATE_WRITE_INTERVAL_MILLIS * view.entryCount());
+                    : FIRST_WRITERS * WRITE_INTERVAL_MILLIS + randomDelayMillis();
             long delayMillis = item.use() == Use.LEFT ? LEFT_DELAY_MILLIS + orderMillis : orderMillis;
-            loop.schedule(() -> writeIfMissing(item), delayMillis, TimeUnit.MILLISECONDS);
+            scheduleWrite(item, delayMillis);
         }
     }
 
+    private void scheduleWrite(UsedVersion item, long delayMillis) {
+        loop.schedule(() -> writeIfMissing(item), delayMillis, TimeUnit.MILLISECONDS);
+    }
+
+    private long randomDelayMillis() {
+        return ThreadLocalRandom.current().nextLong(LATE_WRITE_INTERVAL_MILLIS * view.entryCount());
+    }
+
     private void writeIfMissing(UsedVersion item) {
         if (!roster.isMissing(item)) {
             scheduledWrites.remove(item);
@@ -239,9 +248,7 @@
                 item.service(),
                 item.version(),
                 cause.getMessage());
-        long delayMillis = WRITE_INTERVAL_MILLIS
-                + ThreadLocalRandom.current().nextLong(LATE_WRITE_INTERVAL_MILLIS * view.entryCount() + 1);
-        loop.schedule(() -> writeIfMissing(item), delayMillis, TimeUnit.MILLISECONDS);
+        scheduleWrite(item, RETRY_INTERVAL_MILLIS + randomDelayMillis());
     }
 
     private static String key(UsedVersion item) {
