--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/restore/HolderRecord.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/restore/HolderRecord.java
@@ -16,9 +16,6 @@
     /** The era of a store that states none. */
     public static final long NO_ERA = 0;
 
-    /** The era of a store that was never restored, if it states one. */
-    private static final long FIRST_ERA = 1;
-
     /** Number of bits of a fencing token below the era; the store would take decades to assign as many revisions. */
     private static final int REVISION_BITS = 40;
 
@@ -99,6 +96,6 @@
         if (last.get().machine().equals(machine)) {
             return Succession.IMMEDIATE;
         }
-        return era > FIRST_ERA ? Succession.AFTER_UNKNOWN : Succession.AFTER_OTHER;
+        return era > RestoreWindow.FIRST_ERA ? Succession.AFTER_UNKNOWN : Succession.AFTER_OTHER;
     }
 }
