Leave tokens to take-ups before a common start is known

Cause: an entry serves as soon as it is registered and knows the others, but finds out at its next report interval whether all entries started together. Until then no tokens were kept, and while another entry was silent, for as long as that took.

Fix: tokens are kept from the first configuration on, for the same 6 s, and no longer once an older entry reports.

RejoiningStreamsTest now begins with a new stream that is served, which shows that the bucket holds what is kept. Otherwise a bucket below the tokens of one stream refuses both, which is right. It still wants that new streams are refused before both take-ups are served.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
@@ -128,6 +128,7 @@
         long nowMillis = Timestamp.monotonicNowMillis();
         if (document == null) {
             firstDocumentMillis = nowMillis;
+            rejoiningUntilMillis = nowMillis + REJOINING_MILLIS;
         }
         document = candidate;
         coldStarts.configure(candidate.services(), nowMillis);
@@ -311,6 +312,7 @@
         }
         if (olderPeer) {
             startupBalancesSettled = true;
+            rejoiningUntilMillis = Long.MIN_VALUE;
         } else if (silentPeers().isEmpty()) {
             startupBalancesSettled = true;
             long accruedMillis = firstDocumentMillis - Timestamp.processStart().monotonicMillis();
@@ -322,7 +324,8 @@
 
     /**
      * Returns the tokens of a team that requests without events leave to streams that are taken up. After all entries
-     * have ended, all streams come back at the same time as the buckets start almost empty.
+     * have ended, all streams come back at the same time as the buckets start almost empty. Until an older entry
+     * reports, all of them may have ended.
      */
     public long tokensKeptForRejoining(TeamLimits team) {
         boolean rejoining = Timestamp.monotonicNowMillis() < rejoiningUntilMillis;
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/RejoiningStreamsTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/RejoiningStreamsTest.java
@@ -1,12 +1,14 @@
 package io.oleandermoor.gateway;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.awaitility.Awaitility.await;
 
 import io.oleandermoor.gateway.standin.EntryFixture;
 import io.oleandermoor.gateway.standin.InstanceStandIn.Behaviour;
 import java.net.URI;
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
+import java.time.Duration;
 import org.junit.jupiter.api.Test;
 
 class RejoiningStreamsTest {
@@ -43,6 +45,7 @@
                             "op/config",
                             EntryFixture.configuration(2, "\"key-1\"", 64 << 10).replace("\"api-keys\":", LIMITED));
             entry.awaitStarted();
+            await().atMost(Duration.ofSeconds(5)).until(() -> status(entry, false) == 200);
             int begun = 0;
             while (begun < 20 && status(entry, false) == 200) {
                 begun++;
--- /dev/null
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/view/DeploymentViewTest.java
@@ -0,0 +1,49 @@
+package io.oleandermoor.gateway.view;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import io.oleandermoor.state.dispatch.InstanceTable;
+import io.oleandermoor.state.fleet.CallerLimits;
+import io.oleandermoor.state.fleet.FleetDocument;
+import io.oleandermoor.state.fleet.TeamLimits;
+import java.util.List;
+import java.util.OptionalInt;
+import java.util.Set;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Test;
+
+class DeploymentViewTest {
+
+    private static final TeamLimits TEAM =
+            new TeamLimits("team-1", List.of("key-1"), OptionalInt.empty(), 200, 1_000, 100);
+
+    private final DeploymentView view = new DeploymentView("entry-1", new InstanceTable("a", 1));
+
+    @BeforeEach
+    void start() {
+        view.applyDocument(new FleetDocument(1, List.of(), List.of(), List.of(TEAM), new CallerLimits(1, 1, 1, 1)));
+        view.setRegistered(true);
+    }
+
+    @Nested
+    class TokensKeptForRejoining {
+
+        /** Guards against new streams that use up the rate before it is known whether all entries have restarted. */
+        @Test
+        void areKeptUntilAnOlderEntryReports() {
+            view.setPeers(Set.of("entry-2"));
+            view.settleStartupBalances(false);
+            assertThat(view.tokensKeptForRejoining(TEAM)).isPositive();
+            view.settleStartupBalances(true);
+            assertThat(view.tokensKeptForRejoining(TEAM)).isZero();
+        }
+
+        @Test
+        void areKeptAfterACommonStart() {
+            view.setPeers(Set.of());
+            view.settleStartupBalances(false);
+            assertThat(view.tokensKeptForRejoining(TEAM)).isPositive();
+        }
+    }
+}
