Keep tokens only for streams that come back after a common start

Cause: since new streams leave a quarter of the burst for 6 s after a common start, whether or not any stream is taken up.

Fix: what is kept follows the tokens that streams that are taken up ask for, up to a quarter of the burst, and falls when they ask no more.

RejoiningStreamsTest sends take-ups first now, since the reserve depends on them; what it wants of new streams and of take-ups is unchanged.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
@@ -83,10 +83,7 @@
         if (!isAcceptedBeforeStop(route.get(), caller)) {
             return refuseUnavailable(request, response, caller, "stopping", STOPPING_RETRY_AFTER_MILLIS);
         }
-        boolean rejoins = route.get().repeatable() && caller.lastEventId().isPresent();
-        long keptTokens = rejoins
-                ? 0
-                : team.map(dispatcher.view()::tokensKeptForRejoining).orElse(0L);
+        long keptTokens = keptTokens(route.get(), team, caller);
         if (!tryTakeRateTokens(team, caller, keptTokens)) {
             return refuseOverRate(request, response, caller, team.get(), keptTokens);
         }
@@ -120,6 +117,16 @@
         return (mixed >>> 11) / UNIT_HASH_RANGE;
     }
 
+    /** Returns the tokens that the request leaves to streams that are taken up. */
+    private long keptTokens(HostRoute route, Optional<TeamLimits> team, CallerRequest caller) {
+        if (!route.repeatable() || caller.lastEventId().isEmpty()) {
+            return team.map(dispatcher.view()::tokensKeptForRejoining).orElse(0L);
+        }
+        team.ifPresent(
+                limits -> dispatcher.view().recordRejoining(limits, limits.chargedTokens(caller.declaredTokens())));
+        return 0;
+    }
+
     private boolean tryTakeRateTokens(Optional<TeamLimits> team, CallerRequest caller, long keptTokens) {
         if (team.isEmpty() || !team.get().rateLimited()) {
             return true;
@@ -142,10 +149,11 @@
                 .eventLog()
                 .log(
                         "over_rate",
-                        "request={} team={} tokens={} level={} rate={} silent={}",
+                        "request={} team={} tokens={} kept={} level={} rate={} silent={}",
                         caller.id(),
                         team.name(),
                         tokens,
+                        keptTokens,
                         bucket.map(each -> (long) each.level()).orElse(0L),
                         team.ratePerSecond(),
                         dispatcher.view().silentPeers());
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
@@ -7,6 +7,7 @@
 import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.restore.RestoreWindow;
 import io.oleandermoor.state.restore.VersionConfirmation;
+import io.oleandermoor.state.share.RejoiningReserve;
 import io.oleandermoor.state.share.SharedTokenBucket;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -31,8 +32,6 @@
     private static final long SILENCE_REPORT_INTERVALS = 4;
     /** Time after a common start of all entries in which callers take up the streams that it broke off. */
     private static final long REJOINING_MILLIS = 6_000;
-    /** Part of the burst that is kept for these streams. */
-    private static final double REJOINING_BURST_RATIO = 0.25;
     /** Additional delay of a report that is tolerated before its sender counts as silent. */
     private static final long REPORT_DELAY_TOLERANCE_MILLIS = 50;
 
@@ -52,6 +51,7 @@
     private boolean peersKnown;
     private long reportIntervalMillis = 100;
     private boolean startupBalancesSettled;
+    private final Map<String, RejoiningReserve> rejoiningReserves = new HashMap<>();
     private long rejoiningUntilMillis = Long.MIN_VALUE;
     private long firstDocumentMillis;
     private boolean instancesLoaded;
@@ -322,14 +322,25 @@
         }
     }
 
+    /** Records that a stream that is taken up asks for tokens of a team. */
+    public void recordRejoining(TeamLimits team, long tokens) {
+        long nowMillis = Timestamp.monotonicNowMillis();
+        if (nowMillis < rejoiningUntilMillis) {
+            rejoiningReserves
+                    .computeIfAbsent(team.name(), name -> new RejoiningReserve())
+                    .recordDemand(tokens, nowMillis);
+        }
+    }
+
     /**
      * Returns the tokens of a team that requests without events leave to streams that are taken up. After all entries
      * have ended, all streams come back at the same time as the buckets start almost empty. Until an older entry
      * reports, all of them may have ended.
      */
     public long tokensKeptForRejoining(TeamLimits team) {
-        boolean rejoining = Timestamp.monotonicNowMillis() < rejoiningUntilMillis;
-        return rejoining ? (long) (team.burst() * REJOINING_BURST_RATIO) : 0;
+        long nowMillis = Timestamp.monotonicNowMillis();
+        RejoiningReserve reserve = rejoiningReserves.get(team.name());
+        return reserve == null || nowMillis >= rejoiningUntilMillis ? 0 : reserve.tokens(team.burst(), nowMillis);
     }
 
     /** Returns the number of registered entries whose names come before that of this one. */
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/RejoiningStreamsTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/RejoiningStreamsTest.java
@@ -45,6 +45,9 @@
                             "op/config",
                             EntryFixture.configuration(2, "\"key-1\"", 64 << 10).replace("\"api-keys\":", LIMITED));
             entry.awaitStarted();
+            for (int attempt = 0; attempt < 60; attempt++) {
+                assertThat(status(entry, true)).isIn(200, 429);
+            }
             await().atMost(Duration.ofSeconds(5)).until(() -> status(entry, false) == 200);
             int begun = 0;
             while (begun < 20 && status(entry, false) == 200) {
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/view/DeploymentViewTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/view/DeploymentViewTest.java
@@ -34,6 +34,7 @@
         void areKeptUntilAnOlderEntryReports() {
             view.setPeers(Set.of("entry-2"));
             view.settleStartupBalances(false);
+            view.recordRejoining(TEAM, 100);
             assertThat(view.tokensKeptForRejoining(TEAM)).isPositive();
             view.settleStartupBalances(true);
             assertThat(view.tokensKeptForRejoining(TEAM)).isZero();
@@ -43,7 +44,16 @@
         void areKeptAfterACommonStart() {
             view.setPeers(Set.of());
             view.settleStartupBalances(false);
+            view.recordRejoining(TEAM, 100);
             assertThat(view.tokensKeptForRejoining(TEAM)).isPositive();
         }
+
+        /** Guards against new streams that are refused after a common start although no stream comes back. */
+        @Test
+        void areNoneWhileNoStreamIsTakenUp() {
+            view.setPeers(Set.of());
+            view.settleStartupBalances(false);
+            assertThat(view.tokensKeptForRejoining(TEAM)).isZero();
+        }
     }
 }
