--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/StreamVersionTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/StreamVersionTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Nested;
+import org.junit.jupiter.api.Tag;
 import org.junit.jupiter.api.Test;
 
 /** Guards against streams that hold events of instances of two software versions. */
@@ -103,19 +104,32 @@
         return at.client().send(request.build(), HttpResponse.BodyHandlers.ofString());
     }
 
+    private boolean callsCompletely(String id) throws Exception {
+        try {
+            return isComplete(begin(entry, id));
+        } catch (IOException cutOff) {
+            assertThat(cutOff).isNotNull();
+            return false;
+        }
+    }
+
     /** Begins streams until an instance has begun one, and returns the identifier of that attempt. */
     private String beginAt(String instance) throws Exception {
-        int before = instances.get(instance).receivedRequests().size();
+        int before = requestsAt(instance);
         for (int attempt = 0; attempt < 100; attempt++) {
             String id = "begun-" + nextId++;
             HttpResponse<String> response = begin(entry, id);
-            if (instances.get(instance).receivedRequests().size() > before && isComplete(response)) {
+            if (requestsAt(instance) > before && isComplete(response)) {
                 return id;
             }
         }
         throw new AssertionError("no stream began at " + instance);
     }
 
+    private int requestsAt(String instance) {
+        return instances.get(instance).receivedRequests().size();
+    }
+
     private long takenUpAt(String instance) {
         return instances.get(instance).receivedRequests().stream()
                 .filter(request -> request.containsKey("last-event-id"))
@@ -150,15 +164,6 @@
             assertThat(takenUpAt("new")).isZero();
         }
 
-        private boolean callsCompletely(String id) throws Exception {
-            try {
-                return isComplete(begin(entry, id));
-            } catch (IOException cutOff) {
-                assertThat(cutOff).isNotNull();
-                return false;
-            }
-        }
-
         @Test
         void goesOnAtTheSameVersion() throws Exception {
             startInstance("old-1", "v1", Behaviour.TEAR_STREAM);
@@ -320,6 +325,62 @@
             assertThat(takenUpAt("same")).isEqualTo(2);
         }
 
+        @Test
+        void goesOnOnceItsRunHasCertainlyRegisteredLater() throws Exception {
+            startInstance("same", "v1", Behaviour.STREAM);
+            startInstance("new", "v2", Behaviour.STREAM);
+            entry.awaitReady();
+            awaitRegistrations();
+            String begun = beginAt("same");
+            loseConnections("same");
+            takeUp(entry, begun);
+            assertRefusedAtOnce(() -> takeUp(entry, begun));
+            // Others tell when a registration that follows them was written.
+            for (String id : List.of("new", "new", "same")) {
+                register(id, versions.get(id), 1);
+                awaitRegistrations();
+            }
+            assertThat(isComplete(takeUp(entry, begun))).isTrue();
+            assertThat(takenUpAt("same")).isEqualTo(1);
+            assertThat(takenUpAt("new")).isZero();
+        }
+
+        @Test
+        void isNotResumedAtTheNextRunOfAnotherInstance() throws Exception {
+            startReporting("other", "v1");
+            startInstance("torn", "v1", Behaviour.STREAM);
+            entry.awaitReady();
+            awaitRegistrations();
+            beginAt("other");
+            instances.get("torn").setBehaviour(Behaviour.TEAR_STREAM);
+            instances.get("other").setReportedBorn(2);
+            loseConnections("other");
+            int begunAtTorn = requestsAt("torn");
+            for (int attempt = 0; attempt < 100 && requestsAt("torn") == begunAtTorn; attempt++) {
+                callsCompletely("request-" + attempt);
+            }
+            assertThat(requestsAt("torn")).isGreaterThan(begunAtTorn);
+            assertThat(takenUpAt("other")).isZero();
+        }
+
+        @Test
+        @Tag("known-red")
+        void isNotResumedAtTheNextRunOfAnInstanceWithoutConnections() throws Exception {
+            startReporting("other", "v1");
+            entry.awaitReady();
+            awaitRegistrations();
+            beginAt("other");
+            startInstance("torn", "v1", Behaviour.TEAR_STREAM);
+            awaitRegistrations();
+            instances.get("other").setReportedBorn(2);
+            loseConnections("other");
+            for (int attempt = 0; attempt < 100 && requestsAt("torn") == 0; attempt++) {
+                callsCompletely("request-" + attempt);
+            }
+            assertThat(requestsAt("torn")).isPositive();
+            assertThat(takenUpAt("other")).isZero();
+        }
+
         private void assertGoesOnAtOnce(String begun) throws Exception {
             long start = System.nanoTime();
             assertThat(isComplete(takeUp(entry, begun))).isTrue();
