--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
@@ -163,9 +163,10 @@
         if (roster.changeCount() == handledChangeCount) {
             return;
         }
-        handledChangeCount = roster.changeCount();
+        long changeCount = roster.changeCount();
         roster.missingRecords().forEach(this::scheduleWrite);
         changeListener.run();
+        handledChangeCount = changeCount;
     }
 
     /** Returns the versions that instances state, by service, of services that have streams. */
