Keep tokens only for take-ups that lacked them

One take-up that asks for 2^53 tokens would keep a quarter of its team's burst for a minute, retries of one stream counted anew each time, and so did streams that were refused for another reason, such as a version that has left. A request of more than three quarters of the burst was refused as long as streams were taken up.

Cause: the demand was recorded without a bound, and before it was known whether tokens were lacking; what is kept did not depend on the request.

Fix: the demand is recorded when a take-up of a streaming route is refused for lack of tokens, and bounded there; a full bucket serves any request up to the burst.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
@@ -9,6 +9,7 @@
 import io.oleandermoor.state.dispatch.ModelTarget;
 import io.oleandermoor.state.fleet.FleetDocument;
 import io.oleandermoor.state.fleet.HostRoute;
+import io.oleandermoor.state.fleet.RequestKind;
 import io.oleandermoor.state.fleet.TeamLimits;
 import io.oleandermoor.state.fleet.UpstreamService;
 import io.oleandermoor.state.share.SharedTokenBucket;
@@ -85,6 +86,9 @@
         }
         long keptTokens = keptTokens(route.get(), team, caller);
         if (!tryTakeRateTokens(team, caller, keptTokens)) {
+            if (isTakenUp(route.get(), caller)) {
+                dispatcher.view().recordRejoiningRefused(team.get(), team.get().chargedTokens(caller.declaredTokens()));
+            }
             return refuseOverRate(request, response, caller, team.get(), keptTokens);
         }
         String service = route.get().serviceFor(unitHash(routingId(caller)));
@@ -117,14 +121,18 @@
         return (mixed >>> 11) / UNIT_HASH_RANGE;
     }
 
+    private static boolean isTakenUp(HostRoute route, CallerRequest caller) {
+        return route.kind() == RequestKind.STREAMING
+                && route.repeatable()
+                && caller.lastEventId().isPresent();
+    }
+
     /** Returns the tokens that the request leaves to streams that are taken up. */
     private long keptTokens(HostRoute route, Optional<TeamLimits> team, CallerRequest caller) {
-        if (!route.repeatable() || caller.lastEventId().isEmpty()) {
-            return team.map(dispatcher.view()::tokensKeptForRejoining).orElse(0L);
-        }
-        team.ifPresent(
-                limits -> dispatcher.view().recordRejoining(limits, limits.chargedTokens(caller.declaredTokens())));
-        return 0;
+        return team.filter(limits -> !isTakenUp(route, caller))
+                .map(limits ->
+                        dispatcher.view().tokensKeptForRejoining(limits, limits.chargedTokens(caller.declaredTokens())))
+                .orElse(0L);
     }
 
     private boolean tryTakeRateTokens(Optional<TeamLimits> team, CallerRequest caller, long keptTokens) {
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
@@ -317,21 +317,24 @@
         }
     }
 
-    /** Records that a stream that is taken up asks for tokens of a team. */
-    public void recordRejoining(TeamLimits team, long tokens) {
+    /** Records that a stream that is taken up is refused for lack of tokens of a team. */
+    public void recordRejoiningRefused(TeamLimits team, long tokens) {
         rejoiningReserves
                 .computeIfAbsent(team.name(), name -> new RejoiningReserve())
-                .recordDemand(tokens, Timestamp.monotonicNowMillis());
+                .recordRefusal(tokens, team.burst(), Timestamp.monotonicNowMillis());
     }
 
     /**
-     * Returns the tokens of a team that requests without events leave to streams that are taken up. When entries have
-     * ended, their streams come back at the same time, while the buckets of the others reserve the shares of these
-     * entries and their own start empty.
+     * Returns the tokens of a team that other requests leave to streams that are taken up. When entries have ended,
+     * their streams come back at the same time, while the buckets of the others reserve the shares of these entries and
+     * their own start empty.
+     *
+     * @param team the team
+     * @param requestedTokens the number of tokens of the other request
      */
-    public long tokensKeptForRejoining(TeamLimits team) {
+    public long tokensKeptForRejoining(TeamLimits team, long requestedTokens) {
         RejoiningReserve reserve = rejoiningReserves.get(team.name());
-        return reserve == null ? 0 : reserve.tokens(team.burst(), Timestamp.monotonicNowMillis());
+        return reserve == null ? 0 : reserve.tokens(team.burst(), requestedTokens, Timestamp.monotonicNowMillis());
     }
 
     /** Returns the number of registered entries whose names come before that of this one. */
