Look up the state of a run in one place

SentRun, SendAttempt and RunConfirmation compared the start time of a described run in the same way as RequestDispatcher did for crashes. InstanceTable.state with a start time serves all four. No change of behaviour.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -159,8 +159,7 @@
 
     private void handleCrash(CrashReport report, Runnable continuation) {
         view.instances()
-                .state(report.instance())
-                .filter(state -> state.instance().startedMillis() == report.startedMillis())
+                .state(report.instance(), report.startedMillis())
                 .ifPresent(state -> state.recordUnreachable(Timestamp.monotonicNowMillis()));
         quarantine.recordOwnCrash(report, continuation);
     }
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SendAttempt.java
@@ -162,8 +162,10 @@
 
     /** Returns whether the instance has not started again since it was chosen, maybe with another software version. */
     private boolean isCurrentRun() {
-        return instanceState()
-                .filter(state -> state.instance().startedMillis() == instance.startedMillis())
+        return exchange.dispatcher()
+                .view()
+                .instances()
+                .state(instance.id(), instance.startedMillis())
                 .isPresent();
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SentRun.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/SentRun.java
@@ -22,8 +22,7 @@
         this.contact = dispatcher
                 .view()
                 .instances()
-                .state(instance.id())
-                .filter(state -> state.instance().startedMillis() == instance.startedMillis())
+                .state(instance.id(), instance.startedMillis())
                 .map(InstanceState::contact);
     }
 
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/RunConfirmation.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/RunConfirmation.java
@@ -42,8 +42,7 @@
     /** Asks an uncertain instance for a confirmation, unless that was done since contact was lost. */
     public void request(UpstreamInstance instance) {
         Optional<RunContact> contact = view.instances()
-                .state(instance.id())
-                .filter(state -> state.instance().startedMillis() == instance.startedMillis())
+                .state(instance.id(), instance.startedMillis())
                 .map(InstanceState::contact)
                 .filter(known -> known.isUncertain() && !known.isRefuted());
         if (contact.isEmpty() || !isEngine(instance) || !pending.add(instance.id())) {
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/dispatch/InstanceTable.java
@@ -228,6 +228,11 @@
         return Optional.ofNullable(states.get(id));
     }
 
+    /** Returns the state of an instance if its latest description is that of the run that started at a time. */
+    public Optional<InstanceState> state(String id, long startedMillis) {
+        return state(id).filter(state -> state.instance().startedMillis() == startedMillis);
+    }
+
     /** Returns what instances have said about further requests. */
     public InstanceNotices notices() {
         return notices;
