Compute what a request leaves to take-ups where it is charged

Each request looked up the kept tokens, also those of teams without a limit, and its charge was computed in four places. tryTakeRateTokens and refuseOverRate compute both once now, and the latter notes the refusal of a take-up. A refusal computes the kept tokens anew, so Retry-After may differ by a decay of microseconds; otherwise no change of behaviour.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/Admission.java
@@ -84,12 +84,8 @@
         if (!isAcceptedBeforeStop(route.get(), caller)) {
             return refuseUnavailable(request, response, caller, "stopping", STOPPING_RETRY_AFTER_MILLIS);
         }
-        long keptTokens = keptTokens(route.get(), team, caller);
-        if (!tryTakeRateTokens(team, caller, keptTokens)) {
-            if (isTakenUp(route.get(), caller)) {
-                dispatcher.view().recordRejoiningRefused(team.get(), team.get().chargedTokens(caller.declaredTokens()));
-            }
-            return refuseOverRate(request, response, caller, team.get(), keptTokens);
+        if (!tryTakeRateTokens(route.get(), team, caller)) {
+            return refuseOverRate(request, response, caller, route.get(), team.get());
         }
         String service = route.get().serviceFor(unitHash(routingId(caller)));
         boolean engine =
@@ -128,28 +124,30 @@
     }
 
     /** Returns the tokens that the request leaves to streams that are taken up. */
-    private long keptTokens(HostRoute route, Optional<TeamLimits> team, CallerRequest caller) {
-        return team.filter(limits -> !isTakenUp(route, caller))
-                .map(limits ->
-                        dispatcher.view().tokensKeptForRejoining(limits, limits.chargedTokens(caller.declaredTokens())))
-                .orElse(0L);
+    private long keptTokens(HostRoute route, CallerRequest caller, TeamLimits team, long tokens) {
+        return isTakenUp(route, caller) ? 0 : dispatcher.view().tokensKeptForRejoining(team, tokens);
     }
 
-    private boolean tryTakeRateTokens(Optional<TeamLimits> team, CallerRequest caller, long keptTokens) {
+    private boolean tryTakeRateTokens(HostRoute route, Optional<TeamLimits> team, CallerRequest caller) {
         if (team.isEmpty() || !team.get().rateLimited()) {
             return true;
         }
+        long tokens = team.get().chargedTokens(caller.declaredTokens());
         dispatcher.view().refillBuckets();
         return dispatcher
                 .view()
                 .bucket(team.get().name())
-                .map(bucket -> bucket.tryConsume(team.get().chargedTokens(caller.declaredTokens()), keptTokens))
+                .map(bucket -> bucket.tryConsume(tokens, keptTokens(route, caller, team.get(), tokens)))
                 .orElse(true);
     }
 
     private Optional<RequestExchange> refuseOverRate(
-            FullHttpRequest request, ResponseWriter response, CallerRequest caller, TeamLimits team, long keptTokens) {
+            FullHttpRequest request, ResponseWriter response, CallerRequest caller, HostRoute route, TeamLimits team) {
         long tokens = team.chargedTokens(caller.declaredTokens());
+        long keptTokens = keptTokens(route, caller, team, tokens);
+        if (isTakenUp(route, caller)) {
+            dispatcher.view().recordRejoiningRefused(team, tokens);
+        }
         Optional<SharedTokenBucket> bucket = dispatcher.view().bucket(team.name());
         long waitMillis = bucket.map(each -> each.millisUntilAvailable(tokens + keptTokens))
                 .orElse(MINIMUM_RETRY_AFTER_MILLIS);
