--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/VersionRegistry.java
@@ -19,7 +19,7 @@
 import java.net.URLDecoder;
 import java.net.URLEncoder;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -135,14 +135,18 @@
 
     private Completable readAll() {
         return store.list(KEY_PREFIX)
-                .doOnSuccess(this::applyAll)
+                .doOnSuccess(reading -> replaceRecorded(decodeAll(reading).values()))
                 .doOnError(cause -> LOG.info("event=versions_not_confirmed cause=\"{}\"", cause.getMessage()))
                 .ignoreElement();
     }
 
-    private void applyAll(StoreReadResult reading) {
-        List<UsedVersion> items = new ArrayList<>();
-        reading.items().forEach(item -> decode(item).ifPresent(items::add));
+    private static Map<String, UsedVersion> decodeAll(StoreReadResult reading) {
+        Map<String, UsedVersion> itemsByKey = new HashMap<>();
+        reading.items().forEach(item -> decode(item).ifPresent(used -> itemsByKey.put(item.key(), used)));
+        return itemsByKey;
+    }
+
+    private void replaceRecorded(Collection<UsedVersion> items) {
         roster.replaceRecorded(items);
         scheduleUpdate();
     }
@@ -239,7 +243,6 @@
                 item.version(),
                 item.use().name().toLowerCase(Locale.ROOT),
                 written);
-        scheduleUpdate();
         view.notifyChangeListeners();
     }
 
@@ -282,13 +285,12 @@
 
     private final class RecordListener implements StoreFollower.Listener {
 
-        private final Map<String, UsedVersion> byKey = new HashMap<>();
+        private Map<String, UsedVersion> byKey = new HashMap<>();
 
         @Override
         public void onSnapshot(StoreReadResult reading, Timestamp current) {
-            byKey.clear();
-            reading.items().forEach(item -> decode(item).ifPresent(used -> byKey.put(item.key(), used)));
-            applyAll(reading);
+            byKey = decodeAll(reading);
+            replaceRecorded(byKey.values());
             view.notifyChangeListeners();
         }
 
@@ -304,7 +306,6 @@
                         () -> removed(item.key()));
             }
             if (!reading.items().isEmpty()) {
-                scheduleUpdate();
                 view.notifyChangeListeners();
             }
         }
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/version/VersionRoster.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/version/VersionRoster.java
@@ -1,6 +1,7 @@
 package io.oleandermoor.state.version;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -46,7 +47,7 @@
     }
 
     /** Replaces all records by those that the store has. */
-    public void replaceRecorded(List<UsedVersion> items) {
+    public void replaceRecorded(Collection<UsedVersion> items) {
         Map<String, Map<SoftwareVersion, Use>> replacement = new HashMap<>();
         items.forEach(item -> replacement
                 .computeIfAbsent(item.service(), service -> new HashMap<>())
