--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/StreamRecords.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/version/StreamRecords.java
@@ -5,7 +5,7 @@
 import io.oleandermoor.state.version.SoftwareVersion;
 import io.oleandermoor.state.version.StreamKey;
 import io.reactivex.rxjava3.core.Single;
-import java.util.HashSet;
+import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
 import java.util.Map;
@@ -89,20 +89,15 @@
     /** Adds the streams that began while their service had one version only. */
     private void publishServicesWithSeveralVersions() {
         forgetOld();
-        Set<String> several = new HashSet<>();
-        Set<String> one = new HashSet<>();
+        Map<String, Boolean> several = new HashMap<>();
         own.forEach((key, origin) -> {
-            String service = origin.service();
-            if (!one.contains(service) && (several.contains(service) || registry.hasSeveralVersions(service))) {
-                several.add(service);
-                if (!sharedServices.contains(service)) {
-                    unpublished.put(key, origin);
-                }
-            } else {
-                one.add(service);
+            boolean shared = several.computeIfAbsent(origin.service(), registry::hasSeveralVersions);
+            if (shared && !sharedServices.contains(origin.service())) {
+                unpublished.put(key, origin);
             }
         });
-        sharedServices = several;
+        several.values().removeIf(shared -> !shared);
+        sharedServices = several.keySet();
         schedulePublication();
     }
 
