Remove a copied field and an overload that only tests called

RequestDispatcher kept the mechanisms beside the limits that hold them. SharedTokenBucket.tryConsume without kept tokens had no caller left in the entry; its tests pass 0 and keep their assertions.

--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/request/RequestDispatcher.java
@@ -53,7 +53,6 @@
     private final DeploymentView view;
     private final UpstreamPool pool;
     private final Limits limits;
-    private final Set<DispatchMechanism> mechanisms;
     private final RequestQueue queue;
     private final SlotWaitEstimator capacityForecast = new SlotWaitEstimator();
     private final ReturnSchedule returnSchedule = new ReturnSchedule();
@@ -121,9 +120,8 @@
         this.view = view;
         this.pool = pool;
         this.limits = limits;
-        this.mechanisms = limits.mechanisms();
         this.queue = new RequestQueue(
-                mechanisms.contains(DispatchMechanism.REACHABLE_TARGET_FIRST)
+                limits.mechanisms().contains(DispatchMechanism.REACHABLE_TARGET_FIRST)
                         ? QueueOrder.REACHABLE_TARGET_FIRST
                         : QueueOrder.ARRIVAL);
         this.missingTargets = new MissingTargetTracker(view);
@@ -199,7 +197,7 @@
 
     /** Reports to the listener that a prompt was sent to an engine or read by it. */
     void reportPromptChange(String instance) {
-        if (mechanisms.contains(DispatchMechanism.SHARED_PREFILL_LIMIT)) {
+        if (uses(DispatchMechanism.SHARED_PREFILL_LIMIT)) {
             promptListener.accept(instance);
         }
     }
@@ -249,7 +247,7 @@
     }
 
     boolean uses(DispatchMechanism mechanism) {
-        return mechanisms.contains(mechanism);
+        return limits.mechanisms().contains(mechanism);
     }
 
     StreamOrigins streamOrigins() {
@@ -348,7 +346,7 @@
      * @return the time until the return
      */
     long reserveReturn(RequestExchange exchange, long delayMillis, long maximumDelayMillis) {
-        if (!mechanisms.contains(DispatchMechanism.SPACED_RETURNS)) {
+        if (!uses(DispatchMechanism.SPACED_RETURNS)) {
             return delayMillis;
         }
         long now = Timestamp.monotonicNowMillis();
--- a/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
+++ b/oleandermoor-gateway/src/main/java/io/oleandermoor/gateway/view/DeploymentView.java
@@ -38,6 +38,7 @@
     private final ColdStarts coldStarts;
     private final Map<String, SharedTokenBucket> buckets = new HashMap<>();
     private final Map<String, Long> lastReportMillisByPeer = new HashMap<>();
+    private final Map<String, RejoiningReserve> rejoiningReserves = new HashMap<>();
     private final Set<String> silentPeers = new HashSet<>();
     private final List<Runnable> changeListeners = new ArrayList<>();
     private final RestoreWindow restoreWindow = new RestoreWindow();
@@ -49,7 +50,6 @@
     private boolean peersKnown;
     private long reportIntervalMillis = 100;
     private boolean startupBalancesSettled;
-    private final Map<String, RejoiningReserve> rejoiningReserves = new HashMap<>();
     private long firstDocumentMillis;
     private boolean instancesLoaded;
     private boolean entryRegistered;
--- a/oleandermoor-state/src/main/java/io/oleandermoor/state/share/SharedTokenBucket.java
+++ b/oleandermoor-state/src/main/java/io/oleandermoor/state/share/SharedTokenBucket.java
@@ -71,11 +71,6 @@
         level = Math.min(burst, level + Math.max(0, accrued));
     }
 
-    /** Consumes tokens if enough are available, and returns whether it did. */
-    public boolean tryConsume(long tokens) {
-        return tryConsume(tokens, 0);
-    }
-
     /**
      * Consumes tokens if others remain, and returns whether it did.
      *
--- a/oleandermoor-state/src/test/java/io/oleandermoor/state/share/SharedTokenBucketTest.java
+++ b/oleandermoor-state/src/test/java/io/oleandermoor/state/share/SharedTokenBucketTest.java
@@ -26,7 +26,7 @@
         @Test
         void startsEmptyAndRefillsAtTheRate() {
             SharedTokenBucket bucket = bucket();
-            assertThat(bucket.tryConsume(1)).isFalse();
+            assertThat(bucket.tryConsume(1, 0)).isFalse();
             bucket.refill(500, List.of(), 1);
             assertThat(bucket.level()).isEqualTo(500);
             bucket.refill(60_000, List.of(), 1);
@@ -47,7 +47,7 @@
         void refundsTokensOfRequestsThatDidNotRun() {
             SharedTokenBucket bucket = bucket();
             bucket.refill(1_000, List.of(), 1);
-            assertThat(bucket.tryConsume(700)).isTrue();
+            assertThat(bucket.tryConsume(700, 0)).isTrue();
             bucket.refund(700);
             assertThat(bucket.level()).isEqualTo(BURST);
             assertThat(bucket.grantedTokens()).isZero();
@@ -135,11 +135,11 @@
             boolean partitioned = now >= partitionMillis;
             left.refill(now, partitioned ? Set.of("right") : Set.of(), 2);
             right.refill(now, partitioned ? Set.of("left") : Set.of(), 2);
-            granted += left.tryConsume(request) ? request : 0;
+            granted += left.tryConsume(request, 0) ? request : 0;
             if (!partitioned) {
                 right.recordPeerGrants("left", left.grantedTokens(), false, false);
             }
-            granted += right.tryConsume(request) ? request : 0;
+            granted += right.tryConsume(request, 0) ? request : 0;
             if (!partitioned) {
                 left.recordPeerGrants("right", right.grantedTokens(), false, false);
             }
