Share the set-up of tests of versions and of hand-overs

StreamVersionTest began five cases with the same four lines and waited in two ways; OrderHandOverTest awaited a release twice; two disturbances killed and restarted a machine alike. Assertions, bounds and the order of random draws are unchanged.

--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/StreamVersionTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/StreamVersionTest.java
@@ -27,6 +27,8 @@
     private static final Duration LIMIT = Duration.ofSeconds(20);
     /** Time after which all entries know an instance that has registered, and its version is in use. */
     private static final Duration REGISTRATION = Duration.ofMillis(1_500);
+    /** Time after which an entry has seen the end of a connection. */
+    private static final Duration CONNECTION_LOSS = Duration.ofMillis(100);
     /** Time within which what must not wait for a deadline is refused. */
     private static final Duration AT_ONCE = Duration.ofMillis(500);
 
@@ -57,6 +59,13 @@
         return instance;
     }
 
+    private void startTwoVersions() throws IOException {
+        startInstance("old", "v1", Behaviour.STREAM);
+        startInstance("new", "v2", Behaviour.STREAM);
+        entry.awaitReady();
+        awaitRegistrations();
+    }
+
     private void register(String id, String version, int born) {
         versions.put(id, version);
         String stated = version.equals(UNSTATED) ? "" : "\"version\":\"" + version + "\",";
@@ -76,8 +85,11 @@
     }
 
     private static void awaitRegistrations() {
-        long start = System.nanoTime();
-        await().atMost(LIMIT).until(() -> System.nanoTime() - start > REGISTRATION.toNanos());
+        pause(REGISTRATION);
+    }
+
+    private static void pause(Duration duration) {
+        await().pollDelay(duration).atMost(LIMIT).until(() -> true);
     }
 
     private static boolean isComplete(HttpResponse<String> response) {
@@ -184,10 +196,7 @@
 
         @Test
         void goesOnAtTheVersionThatBeganItAtEachEntry() throws Exception {
-            startInstance("old", "v1", Behaviour.STREAM);
-            startInstance("new", "v2", Behaviour.STREAM);
-            entry.awaitReady();
-            awaitRegistrations();
+            startTwoVersions();
             String begun = beginAt("old");
             String newer = beginAt("new");
             try (EntryFixture other = entry.startPeer("entry-2")) {
@@ -205,10 +214,7 @@
 
         @Test
         void goesOnWhenAllEntriesHaveStartedAgain() throws Exception {
-            startInstance("old", "v1", Behaviour.STREAM);
-            startInstance("new", "v2", Behaviour.STREAM);
-            entry.awaitReady();
-            awaitRegistrations();
+            startTwoVersions();
             String begun = beginAt("old");
             awaitRegistrations();
             entry.gateway().stop();
@@ -221,10 +227,7 @@
 
         @Test
         void thatNobodyHasBegunIsRefused() throws Exception {
-            startInstance("old", "v1", Behaviour.STREAM);
-            startInstance("new", "v2", Behaviour.STREAM);
-            entry.awaitReady();
-            awaitRegistrations();
+            startTwoVersions();
             assertRefusedAtOnce(() -> takeUp(entry, "nobody's"));
             assertRefusedAtOnce(() -> call(entry, "unnamed", Map.of("Last-Event-Id", "2")));
             assertThat(takenUpAt("old") + takenUpAt("new")).isZero();
@@ -232,10 +235,7 @@
 
         @Test
         void whoseVersionHasLeftIsRefused() throws Exception {
-            startInstance("old", "v1", Behaviour.STREAM);
-            startInstance("new", "v2", Behaviour.STREAM);
-            entry.awaitReady();
-            awaitRegistrations();
+            startTwoVersions();
             String begun = beginAt("old");
             leave("old");
             assertRefusedAtOnce(() -> takeUp(entry, begun));
@@ -320,7 +320,7 @@
             beginAt("same");
             loseConnections("same");
             String after = beginAt("same");
-            pause();
+            pause(CONNECTION_LOSS);
             assertGoesOnAtOnce(after);
             assertThat(takenUpAt("same")).isEqualTo(2);
         }
@@ -393,11 +393,7 @@
 
         private void loseConnections(String id) throws IOException {
             instances.get(id).closeConnections();
-            pause();
-        }
-
-        private static void pause() {
-            await().pollDelay(Duration.ofMillis(100)).until(() -> true);
+            pause(CONNECTION_LOSS);
         }
     }
 
@@ -455,10 +451,7 @@
         void keepNoStreamFromBeginning() throws Exception {
             entry.store().put("oleandermoor/versions/words/0", "what is this");
             entry.store().put("oleandermoor/streams/entry-9/0", "[");
-            startInstance("old", "v1", Behaviour.STREAM);
-            startInstance("new", "v2", Behaviour.STREAM);
-            entry.awaitReady();
-            awaitRegistrations();
+            startTwoVersions();
             assertThat(isComplete(begin(entry, "a stream"))).isTrue();
             assertRefusedAtOnce(() -> takeUp(entry, "nobody's"));
         }
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/HandOverDisturbance.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/HandOverDisturbance.java
@@ -9,9 +9,7 @@
     KILL {
         @Override
         void play(HandOverWorld world, UniformRandomProvider random) {
-            int place = world.drawPlace(random);
-            world.kill(place);
-            world.later(millis(random, 50, 5_000), () -> world.startIn(place));
+            world.killAndRestart(world.drawPlace(random), millis(random, 50, 5_000));
         }
     },
     /** A process gets a SIGTERM, goes on for a while, ends, and starts again on its machine. */
@@ -44,10 +42,7 @@
         void play(HandOverWorld world, UniformRandomProvider random) {
             world.stopAndRestart(world.drawHolder(random), random);
             Duration restart = millis(random, 50, 1_000);
-            world.whenOneWaits(millis(random, 0, 2_900), place -> {
-                world.kill(place);
-                world.later(restart, () -> world.startIn(place));
-            });
+            world.whenOneWaits(millis(random, 0, 2_900), place -> world.killAndRestart(place, restart));
         }
     },
     /** A process is suspended. */
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/HandOverWorld.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/HandOverWorld.java
@@ -198,6 +198,11 @@
         place.process = Optional.empty();
     }
 
+    void killAndRestart(int number, Duration restart) {
+        kill(number);
+        later(restart, () -> startIn(number));
+    }
+
     void stopAndRestart(int number, UniformRandomProvider own) {
         places.get(number).process.ifPresent(process -> {
             process.stop();
--- a/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderHandOverTest.java
+++ b/oleandermoor-gateway/src/test/java/io/oleandermoor/gateway/order/OrderHandOverTest.java
@@ -89,15 +89,25 @@
         long giveLastOrderAndStop() throws Exception {
             giveOrder();
             long orderedNanos = System.nanoTime();
-            group.next().submit(lease::stop).sync();
+            stop();
             return orderedNanos;
         }
 
+        void stop() throws InterruptedException {
+            group.next().submit(lease::stop).sync();
+        }
+
         void kill() {
             group.shutdownGracefully(0, 0, TimeUnit.SECONDS).syncUninterruptibly();
         }
     }
 
+    private void awaitRelease() {
+        await().pollInterval(Duration.ofMillis(5))
+                .atMost(LIMIT)
+                .until(() -> store.value(HOLDER_KEY).isEmpty());
+    }
+
     private static void assertGapSince(long lastOrderNanos) {
         assertThat(Duration.ofNanos(System.nanoTime() - lastOrderNanos)).isGreaterThanOrEqualTo(GAP);
     }
@@ -168,9 +178,7 @@
         @Test
         void keepsTheLeaseWhileAnOrderIsOnItsWay() throws Exception {
             long lastOrder = startWithOrders("one").giveLastOrderAndStop();
-            await().pollInterval(Duration.ofMillis(5))
-                    .atMost(LIMIT)
-                    .until(() -> store.value(HOLDER_KEY).isEmpty());
+            awaitRelease();
             assertThat(Duration.ofNanos(System.nanoTime() - lastOrder)).isGreaterThanOrEqualTo(ORDER_TIMEOUT);
         }
 
@@ -180,11 +188,9 @@
             Process one = startWithOrders("one");
             one.giveOrder();
             await().pollDelay(ORDER_TIMEOUT.plusMillis(50)).until(() -> true);
-            one.group.next().submit(one.lease::stop).sync();
+            one.stop();
             long stopped = System.nanoTime();
-            await().pollInterval(Duration.ofMillis(5))
-                    .atMost(LIMIT)
-                    .until(() -> store.value(HOLDER_KEY).isEmpty());
+            awaitRelease();
             assertThat(Duration.ofNanos(System.nanoTime() - stopped)).isGreaterThanOrEqualTo(ORDER_TIMEOUT);
         }
 
@@ -193,7 +199,7 @@
             store.setLeaseDelay(800);
             Process one = start("one");
             await().atMost(LIMIT).until(() -> store.leaseRequests() > 0);
-            one.group.next().submit(one.lease::stop).sync();
+            one.stop();
             await().pollInterval(Duration.ofMillis(20))
                     .during(Duration.ofMillis(1_500))
                     .atMost(Duration.ofMillis(1_700))
